--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"os"
 
-	"hollywinch/internal/wire"
+	"plankrouter/internal/wire"
 )
 
 func main() {
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,191 @@
+// Package config is the one place where what the program is told is read, checked and given defaults.
+// Messages name the key at fault.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"plankrouter/logic"
+)
+
+// Defaults for what the platform may leave out.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	defaultIdle     = 60 * time.Second
+	defaultConnect  = 150 * time.Millisecond
+	defaultGrace    = 750 * time.Millisecond
+	leastSockets    = 32 // below this nothing useful can be served
+)
+
+// Phases of a provider in the directory.
+const (
+	Serving  = "SERVING"
+	Draining = "DRAINING"
+	Deleted  = "DELETED"
+)
+
+// Member is one line of the directory's list.
+type Member struct {
+	ID       string  `json:"id"`
+	Address  string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	UpSince  float64 `json:"up_since_ms"`
+}
+
+// List is what the directory has to say: the whole list, or what has changed.
+type List struct {
+	Revision uint64   `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+// Config is all that a sidecar is told.
+type Config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	SeedText  string `json:"seed"`
+	Limits    struct {
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int `json:"sockets"`
+	} `json:"limits"`
+	Known    List     `json:"known"`
+	Settings Settings `json:"settings"`
+
+	Seed           uint64        `json:"-"`
+	Logic          logic.Config  `json:"-"`
+	ConnIdle       time.Duration `json:"-"` // a provider closes a connection left idle this long
+	ConnectTimeout time.Duration `json:"-"`
+	DrainGrace     time.Duration `json:"-"`
+}
+
+// Load reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY go before what it says.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return nil, errors.New("GW_CONFIG: missing")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	c := new(Config)
+	if err := json.Unmarshal(raw, c); err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	for key, field := range map[string]*string{"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery} {
+		if v := getenv(key); v != "" {
+			*field = v
+		}
+	}
+	return c, c.check()
+}
+
+// check fills in defaults and rejects what the program can't work with.
+func (c *Config) check() error {
+	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, port, err := net.SplitHostPort(a.addr); err != nil || port == "" {
+			return fmt.Errorf("%s: %q is not host:port", a.key, a.addr)
+		}
+	}
+	var err error
+	if c.SeedText != "" {
+		if c.Seed, err = strconv.ParseUint(c.SeedText, 16, 64); err != nil {
+			return fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", c.SeedText)
+		}
+	}
+	c.Limits.MemoryMB = orDefault(c.Limits.MemoryMB, defaultMemoryMB)
+	c.Limits.Sockets = orDefault(c.Limits.Sockets, defaultSockets)
+	if c.Limits.MemoryMB < 0 {
+		return fmt.Errorf("limits.memory_mb: %d is negative", c.Limits.MemoryMB)
+	}
+	if c.Limits.Sockets < leastSockets {
+		return fmt.Errorf("limits.sockets: %d is under %d", c.Limits.Sockets, leastSockets)
+	}
+	s := &c.Settings
+	for _, d := range []struct {
+		key  string
+		ms   float64
+		to   *time.Duration
+		none time.Duration
+	}{
+		{"Limits.ConnIdleMs", s.Limits.ConnIdleMs, &c.ConnIdle, defaultIdle},
+		{"Limits.ConnectTimeoutMs", s.Limits.ConnectTimeoutMs, &c.ConnectTimeout, defaultConnect},
+		{"Safety.DrainGraceMs", s.Safety.DrainGraceMs, &c.DrainGrace, defaultGrace},
+	} {
+		if d.ms < 0 {
+			return fmt.Errorf("settings.%s: %g is negative", d.key, d.ms)
+		}
+		if *d.to = orDefault(Duration(d.ms), d.none); d.ms > 0 && d.ms < 1 {
+			return fmt.Errorf("settings.%s: %g ms is too short", d.key, d.ms)
+		}
+	}
+	seen := map[string]bool{}
+	for i, k := range s.Classes {
+		if k.Name == "" || seen[k.Name] {
+			return fmt.Errorf("settings.RequestClasses[%d].Name: %q is empty or given twice", i, k.Name)
+		}
+		seen[k.Name] = true
+	}
+	for i, m := range c.Known.Members {
+		if err := m.Check(); err != nil {
+			return fmt.Errorf("known.members[%d].%w", i, err)
+		}
+	}
+	if c.Logic, err = s.Logic(); err != nil {
+		return fmt.Errorf("settings.%w", err)
+	}
+	if _, err := logic.New(c.Logic, c.Seed); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	return nil
+}
+
+// Check says what is wrong with a line of the list. Without a phase that is known nothing may be sent there.
+func (m *Member) Check() error {
+	switch {
+	case m.ID == "":
+		return errors.New("id: missing")
+	case m.Phase != Serving && m.Phase != Draining && m.Phase != Deleted:
+		return fmt.Errorf("phase: unknown word %q", m.Phase)
+	}
+	if _, _, err := net.SplitHostPort(m.Address); err != nil && m.Phase == Serving {
+		return fmt.Errorf("host_port: %q is not host:port", m.Address)
+	}
+	return nil
+}
+
+// ParseList reads what the directory answered.
+func ParseList(raw []byte) (List, error) {
+	var l List
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return l, err
+	}
+	for i, m := range l.Members {
+		if err := m.Check(); err != nil {
+			return l, fmt.Errorf("members[%d].%w", i, err)
+		}
+	}
+	return l, nil
+}
+
+// Duration converts milliseconds.
+func Duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Millis converts to milliseconds.
+func Millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func orDefault[T comparable](v, none T) T {
+	if zero := *new(T); v == zero {
+		return none
+	}
+	return v
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"fmt"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"plankrouter/logic"
+)
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// Settings are the figures of a deployment, under the names by which the platform hands them out. Keys
+// that do not matter here are skipped.
+type Settings struct {
+	Balancers      int
+	Dcs            []string
+	Discovery      string
+	Locality       int
+	OverShareWorth float64
+	RoundMs        float64
+	Limits         struct {
+		ConnIdleMs, ConnectTimeoutMs  float64
+		MaxAttempts                   int
+		MaxRetryAfterMs               float64
+		MayCancel, Probes, RetryAfter bool
+	}
+	Prices  struct{ CrossZone, Waste float64 }
+	Realms  []Realm
+	Report  struct{ Names []string }
+	Safety  struct{ StartCapacity, WarmWithinMs, TipMultiple, FallMs, DrainGraceMs float64 }
+	Classes []Class `json:"RequestClasses"`
+}
+
+// Realm is one partner library.
+type Realm struct {
+	Name      string
+	QuotaPerS float64
+}
+
+// Class is one class of invocations.
+type Class struct {
+	Name                                                string
+	AimMs, HardLimitMs, Credit, LateWorth, MemorySpanMs float64
+	KeyScope, Repeat                                    string
+}
+
+var repeats = map[string]logic.Repeat{"pure": logic.Safe, "token": logic.Keyed, "side_effect": logic.Unsafe}
+
+var scopes = map[string]logic.Scope{"all": logic.ScopeAll, "zone": logic.ScopeZone, "cell": logic.ScopeCell}
+
+// ParseSettings reads the settings; Logic says whether the module can work with them.
+func ParseSettings(raw []byte) (*Settings, error) {
+	s := new(Settings)
+	if err := json.Unmarshal(raw, s); err != nil {
+		return nil, fmt.Errorf("parse: %w", err)
+	}
+	return s, nil
+}
+
+// Logic converts the settings to those of the decision module.
+func (s *Settings) Logic() (logic.Config, error) {
+	cfg := logic.Config{
+		OverShareWorth: s.OverShareWorth, Balancers: s.Balancers, Zone: s.Locality,
+		Probes: s.Limits.Probes, Cancel: s.Limits.MayCancel, MaxAttempts: s.Limits.MaxAttempts,
+		Round:     s.RoundMs,
+		ColdShare: s.Safety.StartCapacity, WarmWithin: s.Safety.WarmWithinMs,
+		TipMultiple: s.Safety.TipMultiple, TipWindow: s.Safety.FallMs,
+		CrossPrice: s.Prices.CrossZone, WastePrice: s.Prices.Waste,
+	}
+	if s.Limits.RetryAfter {
+		cfg.MaxRetryAfter = s.Limits.MaxRetryAfterMs
+	}
+	switch s.Discovery {
+	case "on_request":
+		cfg.AskForList = true
+	case "pushed":
+	default:
+		return cfg, fmt.Errorf("Discovery: unknown word %q", s.Discovery)
+	}
+	for i, c := range s.Classes {
+		k := logic.Class{Aim: c.AimMs, Deadline: c.HardLimitMs, Worth: c.Credit, LateWorth: c.LateWorth,
+			Window: c.MemorySpanMs}
+		var known bool
+		if k.Repeat, known = repeats[c.Repeat]; !known {
+			return cfg, fmt.Errorf("RequestClasses[%d].Repeat: unknown word %q", i, c.Repeat)
+		}
+		if k.Scope, known = scopes[c.KeyScope]; !known && k.Repeat == logic.Keyed {
+			return cfg, fmt.Errorf("RequestClasses[%d].KeyScope: unknown word %q", i, c.KeyScope)
+		}
+		cfg.Classes = append(cfg.Classes, k)
+	}
+	for _, t := range s.Realms {
+		cfg.Tenants = append(cfg.Tenants, logic.Tenant{Quota: t.QuotaPerS})
+	}
+	return cfg, nil
+}
+
+// Field says what one value of a load report means.
+type Field uint8
+
+// The values that the module uses; all others are FieldOther.
+const (
+	FieldOther Field = iota
+	FieldRIF
+	FieldLatency
+	FieldErrors
+)
+
+var fields = map[string]Field{"active": FieldRIF, "avg_ms": FieldLatency, "err_rps": FieldErrors}
+
+// ReportFields returns the meaning of each value of a load report, in the order of Report.Names.
+func (s *Settings) ReportFields() []Field {
+	out := make([]Field, len(s.Report.Names))
+	for i, name := range s.Report.Names {
+		out[i] = fields[name]
+	}
+	return out
+}
+
+// Put stores a value of a load report.
+func (f Field) Put(r *logic.Report, v float64) {
+	switch f {
+	case FieldRIF:
+		r.HasRIF, r.RIF = true, v
+	case FieldLatency:
+		r.HasLatency, r.Latency = true, v
+	case FieldErrors:
+		r.HasErrors, r.Errors = true, v
+	}
+}
+
+// ParseReport reads a load report in JSON. What can't be read is no report.
+func ParseReport(raw []byte) (r logic.Report) {
+	var values map[string]float64
+	if json.Unmarshal(raw, &values) != nil {
+		return r
+	}
+	for name, v := range values {
+		if v >= 0 {
+			fields[name].Put(&r, v)
+		}
+	}
+	return r
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,16 +1,16 @@
-// Package wire is the bench's binary dialect: frames, settings and the words it uses. It translates to
+// Package wire is the bench's binary dialect: frames and the words they use. It translates to
 // and from the types of package logic and decides nothing.
 package wire
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 
-	"hollywinch/logic"
+	"plankrouter/internal/config"
+	"plankrouter/logic"
 )
 
 const (
@@ -58,19 +58,9 @@
 	10: logic.Reset, 1: logic.Cancelled, 9: logic.NotSent,
 }
 
-// field is one value of a load report.
-type field uint8
-
-const (
-	fieldOther field = iota
-	fieldRIF
-	fieldLatency
-	fieldErrors
-)
-
 type instance struct {
 	bal    *logic.Balancer
-	fields []field
+	fields []config.Field
 }
 
 // Host runs the instances that one stream of batches speaks of.
@@ -312,15 +302,7 @@
 		return r, fmt.Errorf("load report of %d values", n)
 	}
 	for i := range min(n, len(in.fields)) {
-		v := float64(math.Float32frombits(u32(b, 1+4*i)))
-		switch in.fields[i] {
-		case fieldRIF:
-			r.HasRIF, r.RIF = true, v
-		case fieldLatency:
-			r.HasLatency, r.Latency = true, v
-		case fieldErrors:
-			r.HasErrors, r.Errors = true, v
-		}
+		in.fields[i].Put(&r, float64(math.Float32frombits(u32(b, 1+4*i))))
 	}
 	return r, nil
 }
@@ -346,92 +328,12 @@
 func u32(b []byte, at int) uint32  { return binary.LittleEndian.Uint32(b[at:]) }
 func f64(b []byte, at int) float64 { return math.Float64frombits(binary.LittleEndian.Uint64(b[at:])) }
 
-// settings mirrors the keys of the first message that matter here; others are skipped.
-type settings struct {
-	Balancers      int
-	Discovery      string
-	Locality       int
-	OverShareWorth float64
-	RoundMs        float64
-	Limits         struct {
-		MaxAttempts                   int
-		MaxRetryAfterMs               float64
-		MayCancel, Probes, RetryAfter bool
-	}
-	Prices  struct{ CrossZone, Waste float64 }
-	Realms  []struct{ QuotaPerS float64 }
-	Report  struct{ Names []string }
-	Safety  struct{ StartCapacity, WarmWithinMs, TipMultiple, FallMs float64 }
-	Classes []struct {
-		AimMs, HardLimitMs, Credit, LateWorth, MemorySpanMs float64
-		KeyScope, Repeat                                    string
-	} `json:"RequestClasses"`
-}
-
 // ParseConfig reads the settings of an instance and the order of the values in its load reports.
-func ParseConfig(raw []byte) (logic.Config, []field, error) {
-	var s settings
-	if err := json.Unmarshal(raw, &s); err != nil {
-		return logic.Config{}, nil, fmt.Errorf("parse: %w", err)
-	}
-	cfg := logic.Config{
-		OverShareWorth: s.OverShareWorth, Balancers: s.Balancers, Zone: s.Locality,
-		Probes: s.Limits.Probes, Cancel: s.Limits.MayCancel, MaxAttempts: s.Limits.MaxAttempts,
-		Round:     s.RoundMs,
-		ColdShare: s.Safety.StartCapacity, WarmWithin: s.Safety.WarmWithinMs,
-		TipMultiple: s.Safety.TipMultiple, TipWindow: s.Safety.FallMs,
-		CrossPrice: s.Prices.CrossZone, WastePrice: s.Prices.Waste,
-	}
-	if s.Limits.RetryAfter {
-		cfg.MaxRetryAfter = s.Limits.MaxRetryAfterMs
-	}
-	switch s.Discovery {
-	case "on_request":
-		cfg.AskForList = true
-	case "pushed":
-	default:
-		return cfg, nil, fmt.Errorf("unknown discovery %q", s.Discovery)
-	}
-	for i, c := range s.Classes {
-		k := logic.Class{Aim: c.AimMs, Deadline: c.HardLimitMs, Worth: c.Credit, LateWorth: c.LateWorth,
-			Window: c.MemorySpanMs}
-		switch c.Repeat {
-		case "pure":
-			k.Repeat = logic.Safe
-		case "token":
-			k.Repeat = logic.Keyed
-		case "side_effect":
-			k.Repeat = logic.Unsafe
-		default:
-			return cfg, nil, fmt.Errorf("class %d: unknown repeat %q", i, c.Repeat)
-		}
-		switch c.KeyScope {
-		case "all":
-			k.Scope = logic.ScopeAll
-		case "zone":
-			k.Scope = logic.ScopeZone
-		case "cell":
-			k.Scope = logic.ScopeCell
-		default:
-			if k.Repeat == logic.Keyed {
-				return cfg, nil, fmt.Errorf("class %d: unknown key scope %q", i, c.KeyScope)
-			}
-		}
-		cfg.Classes = append(cfg.Classes, k)
-	}
-	for _, t := range s.Realms {
-		cfg.Tenants = append(cfg.Tenants, logic.Tenant{Quota: t.QuotaPerS})
-	}
-	fields := make([]field, len(s.Report.Names))
-	for i, name := range s.Report.Names {
-		switch name {
-		case "active":
-			fields[i] = fieldRIF
-		case "avg_ms":
-			fields[i] = fieldLatency
-		case "err_rps":
-			fields[i] = fieldErrors
-		}
+func ParseConfig(raw []byte) (logic.Config, []config.Field, error) {
+	s, err := config.ParseSettings(raw)
+	if err != nil {
+		return logic.Config{}, nil, err
 	}
-	return cfg, fields, nil
+	cfg, err := s.Logic()
+	return cfg, s.ReportFields(), err
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"hollywinch/logic"
+	"plankrouter/logic"
 )
 
 const facts = `{"Balancers":2,"Discovery":"on_request","RoundMs":5,"Unknown":[1],
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"hollywinch/logic"
+	"plankrouter/logic"
 )
 
 // A sidecar feeds events and carries out the actions that come back.
