--- /dev/null
+++ b/internal/consumer/dialect.go
@@ -0,0 +1,84 @@
+package consumer
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"plankrouter/internal/config"
+	"plankrouter/internal/http1"
+	"plankrouter/internal/invocation"
+)
+
+// dialect translates between the platform's HTTP and invocations.
+type dialect struct {
+	classes map[string]int
+	limits  []time.Duration // the longest that a consumer waits, by class
+	tenants map[string]int
+}
+
+func newDialect(s *config.Settings) dialect {
+	d := dialect{classes: map[string]int{}, tenants: map[string]int{}}
+	for i, c := range s.Classes {
+		d.classes[c.Name] = i
+		d.limits = append(d.limits, config.Duration(c.HardLimitMs))
+	}
+	for i, r := range s.Realms {
+		d.tenants[r.Name] = i
+	}
+	return d
+}
+
+// invocation words the request for the core, or returns the status that turns it away.
+func (d *dialect) invocation(r *http1.Request, sentAt time.Time) (*invocation.Invocation, int) {
+	path, _, _ := strings.Cut(r.Target, "?")
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	class, known := d.classes[first]
+	switch {
+	case !known || path[0] != '/':
+		return nil, 404
+	case r.Method != "GET" && r.Method != "POST":
+		return nil, 405
+	}
+	id := r.Header.Get(http1.HeaderID)
+	if id == "" {
+		return nil, 400
+	}
+	patience := d.limits[class]
+	if v := r.Header.Get(http1.HeaderDeadline); v != "" {
+		s, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(s >= 0) || math.IsInf(s, 0) {
+			return nil, 400
+		}
+		patience = min(patience, time.Duration(min(s, 3600)*float64(time.Second)))
+	}
+	tenant, known := d.tenants[r.Header.Get(http1.HeaderOwner)]
+	if !known {
+		tenant = -1
+	}
+	return &invocation.Invocation{ID: id, Class: class, Tenant: tenant,
+		Again: r.Header.Get(http1.HeaderRetry) == "1", SentAt: sentAt, Patience: patience,
+		Verb: r.Method, Target: r.Target, Fields: r.Header.EndToEnd(reworded), Body: r.Body}, 0
+}
+
+// reworded: the core says these anew for each attempt.
+func reworded(name string) bool {
+	return strings.EqualFold(name, http1.HeaderID) || strings.EqualFold(name, http1.HeaderDeadline)
+}
+
+// response words the core's answer.
+func response(a invocation.Answer) *http1.Response {
+	switch a.Kind {
+	case invocation.Served:
+		return &http1.Response{Status: 200, Header: a.Fields, Body: a.Body}
+	case invocation.Refused:
+		r := &http1.Response{Status: 503}
+		if a.RetryAfter > 0 {
+			r.Header = http1.Header{{Name: http1.HeaderRetryAfter,
+				Value: strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)}}
+		}
+		return r
+	}
+	return &http1.Response{Status: 502}
+}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,130 @@
+// Package directory follows the directory's list of providers by its watch.
+package directory
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"plankrouter/internal/config"
+	"plankrouter/internal/http1"
+	"plankrouter/internal/sockets"
+)
+
+const (
+	wait       = 20 * time.Second // for news, as the directory is asked to
+	patience   = 2 * time.Second  // beyond that wait, before the call has failed
+	dialWithin = 1 * time.Second
+	backoffMin = 50 * time.Millisecond
+	backoffMax = 2 * time.Second
+)
+
+// Watch is the standing call to the directory.
+type Watch struct {
+	Address string
+	Budget  *sockets.Budget
+	Told    func(config.List) // takes each answer that tells anything, in order
+
+	Answers, Failures atomic.Int64
+
+	revision uint64
+	whole    bool // the next call asks for the whole list
+	conn     *sockets.Socket
+	br       *bufio.Reader
+}
+
+// Run watches from revision on until ctx ends.
+func (w *Watch) Run(ctx context.Context, revision uint64) error {
+	w.revision = revision
+	w.whole = revision == 0
+	defer w.hangUp()
+	for backoff := backoffMin; ctx.Err() == nil; {
+		err := w.call(ctx)
+		if err == nil {
+			w.Answers.Add(1)
+			backoff = backoffMin
+			continue // at once: a watch goes on only if the next call comes within 200 ms
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		w.Failures.Add(1)
+		log.Printf("directory=%s state=failed err=%q retry_within=%s", w.Address, err, backoff)
+		w.hangUp()
+		w.whole = true // changes may have been missed
+		select {
+		case <-ctx.Done():
+		case <-time.After(backoff/2 + rand.N(backoff/2)):
+		}
+		backoff = min(2*backoff, backoffMax)
+	}
+	return nil
+}
+
+func (w *Watch) hangUp() {
+	if w.conn != nil {
+		w.conn.Close()
+		w.conn = nil
+	}
+}
+
+// target is the next call's.
+func (w *Watch) target() string {
+	if w.whole {
+		return http1.PathList
+	}
+	return http1.PathList + "?index=" + strconv.FormatUint(w.revision, 10) +
+		"&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
+}
+
+func (w *Watch) call(ctx context.Context) error {
+	if w.conn == nil {
+		if !w.Budget.Reserve() {
+			return errors.New("no socket left")
+		}
+		nc, err := (&net.Dialer{Timeout: dialWithin}).DialContext(ctx, "tcp", w.Address)
+		if err != nil {
+			w.Budget.Release()
+			return err
+		}
+		w.conn = w.Budget.Adopt(nc)
+		w.br = http1.NewReader(nc)
+	}
+	conn := w.conn
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	if err := w.conn.SetDeadline(time.Now().Add(wait + patience)); err != nil {
+		return err
+	}
+	if _, err := w.conn.Write(http1.AppendRequest(nil, "GET", w.target(), w.Address, nil, nil)); err != nil {
+		return err
+	}
+	resp, err := http1.ReadResponse(w.br)
+	if err != nil {
+		return err
+	}
+	if resp.Status != 200 {
+		return fmt.Errorf("status %d", resp.Status)
+	}
+	list, err := config.ParseList(resp.Body)
+	if err != nil {
+		return err
+	}
+	if w.whole && !list.Complete {
+		return errors.New("asked for the whole list, got a part")
+	}
+	w.whole, w.revision = false, list.Revision
+	if list.Complete || len(list.Members) > 0 {
+		w.Told(list)
+	}
+	if resp.Close {
+		w.hangUp()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ending/ending.go
@@ -0,0 +1,101 @@
+// Package ending names every way in which a connection, or what was under way on it, can end.
+package ending
+
+import "plankrouter/logic"
+
+// Ending is one such way.
+type Ending uint8
+
+// The endings. Those above Answered leave nothing under way; those up to Unwritten prove that an invoker
+// call never ran; after the rest it may have.
+const (
+	Open Ending = iota // not ended
+
+	// Of a connection between two invocations, on either side.
+	IdleRetired  // left idle too long, or closed to make room for another
+	PeerClosed   // the other side closed it
+	Unasked      // bytes came that nobody had asked for
+	LastAnswer   // the answer that went out or came in was said to be the last
+	Stopped      // the sidecar is being stopped
+	ConsumerGone // the consumer left while its invocation was held
+	BadInput     // what the consumer sent is malformed
+	WriteFailed  // the answer could not be written to the consumer
+
+	// Of an invoker call or a probe: answered.
+	Served      // 200 and a whole body
+	ServerError // an answer that is neither a 200 nor a provider's word that it has not run
+	Declined    // the provider's word that it has not run
+
+	// Of an invoker call or a probe: never ran.
+	NoSocket       // the limit on sockets left none for it
+	Refused        // the connection was refused or came to nothing
+	ConnectTimeout // the connection did not come up in time
+	Drained        // the provider was draining or gone before the first byte was written
+	Unwritten      // the connection broke, or time was up, before the last byte was written
+	Withdrawn      // called off before the last byte was written
+
+	// Of an invoker call or a probe: may have run.
+	ResetByPeer // the connection broke or ended before the whole answer had come
+	Malformed   // what came back is no HTTP answer, or too large a one
+	TimedOut    // nothing came back in time
+	CalledOff   // the sidecar stopped waiting
+
+	count
+)
+
+var table = [count]struct {
+	name   string
+	status logic.Status
+}{
+	Open:           {"open", logic.NotSent},
+	IdleRetired:    {"idle_retired", logic.NotSent},
+	PeerClosed:     {"peer_closed", logic.NotSent},
+	Unasked:        {"unasked", logic.NotSent},
+	LastAnswer:     {"last_answer", logic.NotSent},
+	Stopped:        {"stopped", logic.NotSent},
+	ConsumerGone:   {"consumer_gone", logic.Cancelled},
+	BadInput:       {"bad_input", logic.NotSent},
+	WriteFailed:    {"write_failed", logic.Cancelled},
+	Served:         {"served", logic.OK},
+	ServerError:    {"server_error", logic.Failed},
+	Declined:       {"declined", logic.Full},
+	NoSocket:       {"no_socket", logic.NotSent},
+	Refused:        {"refused", logic.NoConnection},
+	ConnectTimeout: {"connect_timeout", logic.NoConnection},
+	Drained:        {"drained", logic.NoConnection},
+	Unwritten:      {"unwritten", logic.NoConnection},
+	Withdrawn:      {"withdrawn", logic.NotSent},
+	ResetByPeer:    {"reset", logic.Reset},
+	Malformed:      {"malformed", logic.Reset},
+	TimedOut:       {"timed_out", logic.TimedOut},
+	CalledOff:      {"called_off", logic.Cancelled},
+}
+
+// Status is the decision module's word for the ending of an invoker call or a probe.
+func (e Ending) Status() logic.Status { return table[e].status }
+
+func (e Ending) String() string { return table[e].name }
+
+// Unsent turns an ending into the one that applies while the last byte has not been written: nothing that
+// the provider has not wholly received can have run.
+func (e Ending) Unsent() Ending {
+	switch e {
+	case CalledOff:
+		return Withdrawn
+	case TimedOut, ResetByPeer, Malformed:
+		return Unwritten
+	}
+	return e
+}
+
+// Counts counts endings.
+type Counts [count]int
+
+// Each calls f with every ending that has been counted, in a fixed order.
+func (c *Counts) Each(f func(Ending, int)) {
+	for e, n := range c {
+		if n > 0 {
+			f(Ending(e), n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/invocation/invocation.go
@@ -0,0 +1,55 @@
+// Package invocation holds what a front hands to the core and gets back from it. Nothing in it belongs to
+// one protocol: a second front, or a library inside an application, speaks to the core in the same words.
+package invocation
+
+import "time"
+
+// Field is one named attribute that travels with an invocation or its answer.
+type Field struct{ Name, Value string }
+
+// Invocation is one request of a consumer.
+type Invocation struct {
+	ID       string // the consumer's own, passed on unchanged
+	Class    int    // position in the settings
+	Tenant   int    // position in the settings; -1 = none that they name
+	Again    bool   // the consumer marked it as a repetition
+	SentAt   time.Time
+	Patience time.Duration // how long the consumer waits, from SentAt
+
+	Verb   string // what to do
+	Target string // to what
+	Fields []Field
+	Body   []byte
+
+	// Answer takes the one final answer. It must not block.
+	Answer func(Answer)
+}
+
+// Kind says what a final answer means to the consumer.
+type Kind uint8
+
+// The kinds. Refused promises that trying again is harmless; Failed promises nothing.
+const (
+	Served Kind = iota
+	Refused
+	Failed
+)
+
+// Answer is the final answer to an invocation.
+type Answer struct {
+	Kind       Kind
+	RetryAfter time.Duration // with Refused: when to come back; 0 = no advice
+	Fields     []Field       // with Served: the provider's
+	Body       []byte        // with Served: the provider's, unchanged
+}
+
+// Core takes invocations from any front.
+type Core interface {
+	// Take hands over an invocation; its Answer is called exactly once, unless Abandon comes first. False
+	// means that the core has stopped and will never answer.
+	Take(*Invocation) bool
+	// Abandon says that the consumer no longer waits.
+	Abandon(*Invocation)
+	// Ready reports whether an invocation could be served now.
+	Ready() bool
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,329 @@
+// Package sidecar is the decision module's host: its events come straight from the sockets, its actions go
+// straight to them. One goroutine owns the module, the table of invocations, the providers and the timers.
+// All others send it events, and it never waits for a socket.
+package sidecar
+
+import (
+	"container/heap"
+	"context"
+	"hash/fnv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"plankrouter/internal/config"
+	"plankrouter/internal/ending"
+	"plankrouter/internal/invocation"
+	"plankrouter/internal/provider"
+	"plankrouter/internal/sockets"
+	"plankrouter/logic"
+)
+
+const (
+	eventsAhead  = 1024                   // events that may wait before their senders do
+	probeTimeout = 200 * time.Millisecond // an answer that took longer says nothing of the present
+	retirePart   = 0.8                    // of the time after which a provider closes an idle connection
+	graceMargin  = 100 * time.Millisecond // before the end of a drain's grace: a first byte may take its time
+)
+
+// Sidecar is the host of one Balancer.
+type Sidecar struct {
+	cfg     *config.Config
+	bal     *logic.Balancer
+	invoker *provider.Invoker
+	clock   clock
+	zones   map[string]int
+	ready   atomic.Bool
+	events  chan event
+	stopped <-chan struct{}
+
+	held      map[logic.RequestID]*held
+	byInv     map[*invocation.Invocation]logic.RequestID
+	calls     map[*provider.Call]attempt
+	providers map[logic.ServerID]*known
+	serverIDs map[string]logic.ServerID
+	timers    timers
+	next      logic.RequestID
+	actions   []logic.Action
+	pending   []logic.Event // for the module, in order
+	stepping  bool
+
+	counts Counts
+}
+
+// Counts is what the core has taken in, sent and answered.
+type Counts struct {
+	Taken, Gone, Sent, Probes, Lists int
+	Served, Refused, Failed          int
+	Calls, Asked, Idle               ending.Counts // endings of invoker calls, probes and idle connections
+}
+
+// held is an invocation that has no final answer yet, or whose invoker call is still out.
+type held struct {
+	inv      *invocation.Invocation
+	attempts int
+	call     *provider.Call
+	answered bool
+}
+
+// known is a provider that the directory has named.
+type known struct {
+	pool     provider.Pool
+	health   logic.Health
+	notAfter time.Time // of a first byte, once it drains or is gone
+	calls    int       // and probes under way
+}
+
+// attempt is what an invoker call or a probe is for.
+type attempt struct {
+	probe   bool
+	request logic.RequestID
+	number  int
+	server  logic.ServerID
+}
+
+// event is something that another goroutine has seen.
+type event interface{ apply(*Sidecar) }
+
+type (
+	arrived   struct{ inv *invocation.Invocation }
+	abandoned struct{ inv *invocation.Invocation }
+	callEnded provider.Result
+	connFree  struct{ conn *provider.Conn }
+	connEnded struct {
+		conn *provider.Conn
+		how  ending.Ending
+	}
+	told    config.List
+	reading struct{ to chan<- Counts }
+)
+
+// New returns a Sidecar that knows the providers of cfg.Known. Its goroutines belong to group.
+func New(ctx context.Context, group *errgroup.Group, cfg *config.Config, budget *sockets.Budget) (*Sidecar, error) {
+	bal, err := logic.New(cfg.Logic, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	s := &Sidecar{cfg: cfg, bal: bal, clock: newClock(), zones: map[string]int{}, stopped: ctx.Done(),
+		events: make(chan event, eventsAhead), held: map[logic.RequestID]*held{},
+		byInv: map[*invocation.Invocation]logic.RequestID{}, calls: map[*provider.Call]attempt{},
+		providers: map[logic.ServerID]*known{}, serverIDs: map[string]logic.ServerID{}}
+	for i, name := range cfg.Settings.Dcs {
+		s.zones[name] = i
+	}
+	s.invoker = provider.NewInvoker(ctx, group, budget, cfg.ConnectTimeout, s)
+	s.step(logic.Event{Kind: logic.Started})
+	cached := cfg.Known
+	cached.Complete = true
+	s.list(cached)
+	return s, nil
+}
+
+// Run carries out the module's decisions until ctx ends.
+func (s *Sidecar) Run(ctx context.Context) error {
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		alarm.Reset(s.untilNext())
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-s.events:
+			e.apply(s)
+		case <-alarm.C:
+		}
+		s.due()
+	}
+}
+
+func (s *Sidecar) send(e event) bool {
+	select {
+	case s.events <- e:
+		return true
+	case <-s.stopped:
+		return false
+	}
+}
+
+// Take, Abandon and Ready make the Sidecar an invocation.Core.
+func (s *Sidecar) Take(inv *invocation.Invocation) bool { return s.send(arrived{inv}) }
+
+// Abandon says that the consumer is gone.
+func (s *Sidecar) Abandon(inv *invocation.Invocation) { s.send(abandoned{inv}) }
+
+// Ready reports whether there is a provider to send to.
+func (s *Sidecar) Ready() bool { return s.ready.Load() }
+
+// Told takes news from the directory.
+func (s *Sidecar) Told(l config.List) { s.send(told(l)) }
+
+// CallEnded, ConnFree and ConnEnded make the Sidecar a provider.Sink.
+func (s *Sidecar) CallEnded(r provider.Result) {
+	if !s.send(callEnded(r)) && r.Conn != nil {
+		r.Conn.Discard()
+	}
+}
+
+// ConnFree offers a connection that its call did not need.
+func (s *Sidecar) ConnFree(c *provider.Conn) {
+	if !s.send(connFree{c}) {
+		c.Discard()
+	}
+}
+
+// ConnEnded says that an idle connection is no more.
+func (s *Sidecar) ConnEnded(c *provider.Conn, how ending.Ending) { s.send(connEnded{c, how}) }
+
+// Counts asks for the present figures; after Run has ended it reads the last ones.
+func (s *Sidecar) Counts() Counts {
+	to := make(chan Counts, 1)
+	if s.send(reading{to}) {
+		select {
+		case c := <-to:
+			return c
+		case <-s.stopped:
+		}
+	}
+	return s.counts
+}
+
+func (e reading) apply(s *Sidecar) { e.to <- s.counts }
+
+func (e arrived) apply(s *Sidecar) {
+	s.counts.Taken++
+	s.next++
+	inv := e.inv
+	s.held[s.next], s.byInv[inv] = &held{inv: inv}, s.next
+	s.step(logic.Event{Kind: logic.Arrival, Request: s.next, Class: inv.Class, Tenant: inv.Tenant,
+		Left: config.Millis(inv.Patience - time.Since(inv.SentAt)), Again: inv.Again})
+}
+
+func (e abandoned) apply(s *Sidecar) {
+	id, waits := s.byInv[e.inv]
+	if !waits { // answered a moment ago
+		return
+	}
+	s.counts.Gone++
+	s.close(id, s.held[id])
+	s.step(logic.Event{Kind: logic.ClientGone, Request: id})
+}
+
+// answer gives the one final answer, if it is still owed.
+func (s *Sidecar) answer(id logic.RequestID, a invocation.Answer) {
+	h := s.held[id]
+	if h == nil || h.answered {
+		return
+	}
+	switch a.Kind {
+	case invocation.Served:
+		s.counts.Served++
+	case invocation.Refused:
+		s.counts.Refused++
+	case invocation.Failed:
+		s.counts.Failed++
+	}
+	h.inv.Answer(a)
+	s.close(id, h)
+}
+
+func (s *Sidecar) close(id logic.RequestID, h *held) {
+	h.answered = true
+	delete(s.byInv, h.inv)
+	if h.call == nil {
+		delete(s.held, id)
+	}
+}
+
+func (e callEnded) apply(s *Sidecar) { s.ended(provider.Result(e)) }
+
+// ended turns the end of an invoker call or a probe into the module's event. Every Send comes by here once.
+func (s *Sidecar) ended(r provider.Result) {
+	a := s.calls[r.Call]
+	delete(s.calls, r.Call)
+	k := s.providers[a.server]
+	if k != nil {
+		k.calls--
+	}
+	if r.Conn != nil {
+		connFree{r.Conn}.apply(s)
+	}
+	took := config.Millis(time.Since(r.Call.SentAt))
+	if a.probe {
+		s.counts.Asked[r.Ending]++
+		s.step(logic.Event{Kind: logic.ProbeDone, Server: a.server, Status: r.Ending.Status(), Took: took,
+			Report: r.Report})
+		return
+	}
+	s.counts.Calls[r.Ending]++
+	if r.Ending == ending.Served {
+		s.answer(a.request, invocation.Answer{Kind: invocation.Served, Fields: r.Fields, Body: r.Body})
+	}
+	h := s.held[a.request]
+	h.call = nil
+	if h.answered {
+		delete(s.held, a.request)
+	}
+	s.step(logic.Event{Kind: logic.AttemptDone, Request: a.request, Attempt: a.number,
+		Server: a.server, Status: r.Ending.Status(), Took: took, Final: h.answered, Report: r.Report})
+}
+
+// step gives the module an event and carries out what it decides. Carrying out an action may end a call at
+// once; that event waits until all that the module decided before is done.
+func (s *Sidecar) step(e logic.Event) {
+	s.pending = append(s.pending, e)
+	if s.stepping {
+		return
+	}
+	s.stepping = true
+	for len(s.pending) > 0 {
+		next := s.pending[0]
+		s.pending = s.pending[1:]
+		s.actions = s.bal.Handle(s.clock.now(), &next, s.actions[:0])
+		for i := range s.actions {
+			s.do(&s.actions[i])
+		}
+	}
+	s.stepping = false
+}
+
+func (s *Sidecar) untilNext() time.Duration {
+	if len(s.timers) == 0 {
+		return time.Hour
+	}
+	return max(0, time.Until(s.timers[0].at))
+}
+
+func (s *Sidecar) due() {
+	for len(s.timers) > 0 && !time.Now().Before(s.timers[0].at) {
+		t := heap.Pop(&s.timers).(timer)
+		if t.call == nil {
+			s.step(logic.Event{Kind: logic.TimerDue, Timer: t.handle})
+		} else {
+			s.stop(t.call, ending.TimedOut)
+		}
+	}
+}
+
+// stop gives up a call that has not ended yet.
+func (s *Sidecar) stop(c *provider.Call, why ending.Ending) {
+	if _, out := s.calls[c]; !out {
+		return
+	}
+	if how, stopped := c.Stop(why); stopped {
+		s.ended(provider.Result{Call: c, Ending: how})
+	}
+}
+
+// serverID is the provider's number: the same in every life of its process and of this one.
+func (s *Sidecar) serverID(id string) logic.ServerID {
+	n, have := s.serverIDs[id]
+	if !have {
+		h := fnv.New32a()
+		h.Write([]byte(id))
+		for n = logic.ServerID(h.Sum32()); s.providers[n] != nil; n++ {
+		}
+		s.serverIDs[id] = n
+	}
+	return n
+}
--- /dev/null
+++ b/internal/sidecar/time.go
@@ -0,0 +1,41 @@
+package sidecar
+
+import (
+	"time"
+
+	"plankrouter/internal/provider"
+	"plankrouter/logic"
+)
+
+// clock gives the module its time: Unix milliseconds at the start plus what has passed since by the
+// monotonic clock. The providers' start times are Unix milliseconds too, and a step of the wall clock must not
+// move deadlines.
+type clock struct{ start time.Time }
+
+func newClock() clock { return clock{time.Now()} }
+
+func (c clock) now() logic.Ms {
+	return float64(c.start.UnixMicro())/1e3 + float64(time.Since(c.start))/1e6
+}
+
+// timer is one that the module has set, or the end of a call's time.
+type timer struct {
+	at     time.Time
+	handle uint64
+	call   *provider.Call
+}
+
+// timers is a heap, the earliest first.
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/sockets/sockets.go
@@ -0,0 +1,128 @@
+// Package sockets keeps the connections of all kinds together under one limit. Idle ones make room for new
+// ones, the least recently used first.
+package sockets
+
+import (
+	"container/list"
+	"net"
+	"sync"
+)
+
+// Budget is the limit and what is held under it. It is safe for concurrent use.
+type Budget struct {
+	mu    sync.Mutex
+	most  int
+	used  int
+	idle  list.List // of *Socket, least recently used first
+	freed chan struct{}
+}
+
+// NewBudget allows for most sockets.
+func NewBudget(most int) *Budget { return &Budget{most: most, freed: make(chan struct{}, 1)} }
+
+// Reserve takes one place under the limit, closing the idle socket least recently used if need be. The place
+// goes to a Socket by Adopt, or back by Release.
+func (b *Budget) Reserve() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used >= b.most {
+		oldest := b.idle.Front()
+		if oldest == nil {
+			return false
+		}
+		oldest.Value.(*Socket).close()
+	}
+	b.used++
+	return true
+}
+
+// Release gives back a place that was not adopted.
+func (b *Budget) Release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.release()
+}
+
+func (b *Budget) release() {
+	b.used--
+	select {
+	case b.freed <- struct{}{}:
+	default:
+	}
+}
+
+// Freed tells one waiter that a place has been given back or a socket has become idle.
+func (b *Budget) Freed() <-chan struct{} { return b.freed }
+
+// Used is the number of places taken.
+func (b *Budget) Used() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Adopt binds a reserved place to a connection.
+func (b *Budget) Adopt(c net.Conn) *Socket { return &Socket{Conn: c, budget: b} }
+
+// Socket is a connection that counts under the limit until it is closed.
+type Socket struct {
+	net.Conn
+	budget *Budget
+	idle   *list.Element
+	closed bool
+}
+
+// Idle marks the socket as one that may be closed to make room.
+func (s *Socket) Idle() {
+	b := s.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s.idle == nil && !s.closed {
+		s.idle = b.idle.PushBack(s)
+		select {
+		case b.freed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Busy takes the mark back. False means that the socket has been closed meanwhile.
+func (s *Socket) Busy() bool {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.unmark()
+	return !s.closed
+}
+
+func (s *Socket) unmark() {
+	if s.idle != nil {
+		s.budget.idle.Remove(s.idle)
+		s.idle = nil
+	}
+}
+
+// Close closes the connection and gives its place back; further calls do nothing.
+func (s *Socket) Close() error {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	return s.close()
+}
+
+func (s *Socket) close() error {
+	if s.closed {
+		return nil
+	}
+	s.closed = true
+	s.unmark()
+	err := s.Conn.Close()
+	s.budget.release()
+	return err
+}
+
+// CloseWrite tells the other side that nothing more comes, where the connection has a way to say so.
+func (s *Socket) CloseWrite() error {
+	if c, ok := s.Conn.(interface{ CloseWrite() error }); ok {
+		return c.CloseWrite()
+	}
+	return nil
+}
