Read the load report from a probe's body

A trace of the first probe answers showed the report in the body, under the settings' names; resultOf in internal/provider/call.go looked at Srv-Load only.

--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -70,6 +70,7 @@
 
 	address string
 	message []byte
+	probe   bool
 	cancel  context.CancelFunc
 	wrote   chan struct{} // closed when the write has returned
 
@@ -89,7 +90,7 @@
 
 // NewProbe words a question for the provider's load.
 func NewProbe(address string) *Call {
-	return &Call{address: address, wrote: make(chan struct{}),
+	return &Call{address: address, wrote: make(chan struct{}), probe: true,
 		message: http1.AppendRequest(nil, "GET", http1.PathLoad, address, nil, nil)}
 }
 
@@ -217,7 +218,7 @@
 }
 
 // resultOf reads an answer for what it says to the decision module.
-func resultOf(r *http1.Response) Result {
+func (c *Call) resultOf(r *http1.Response) Result {
 	out := Result{Ending: ending.ServerError, Body: r.Body}
 	switch {
 	case r.Status == 200:
@@ -229,6 +230,9 @@
 	if load := r.Header.Get(http1.HeaderLoad); load != "" {
 		out.Report = config.ParseReport([]byte(load))
 	}
+	if c.probe && out.Ending == ending.Served { // without it the module would judge by its own durations alone
+		out.Report = config.ParseReport(r.Body)
+	}
 	return out
 }
 
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -107,7 +107,7 @@
 
 // finish hands over the answer and reports whether the connection may serve another call.
 func (c *Conn) finish(call *Call, resp *http1.Response) bool {
-	r := resultOf(resp)
+	r := call.resultOf(resp)
 	if call.sent(c) && !resp.Close && c.br.Buffered() == 0 {
 		r.Conn = c
 		c.unbind()
