Play recorded exchanges against the whole program; advise when to come back

A refusal now tells when to try again, chosen in logic (comeBack). Connections are dialled through the socket budget, so that a test can stand in for the network. Provider connections end with the program: their readers held it open after SIGTERM. A connection that ended before its call was bound no longer leaves the call waiting.

--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -27,14 +27,14 @@
 
 const (
 	serveOn       = 500 * time.Millisecond // after SIGTERM: consumers are still arriving
-	memoryPart    = 0.7                    // of the limit: the collector works harder beyond it
+	memoryPart    = 0.7                    // of the limit: beyond it the collector works harder
 	socketReserve = 24                     // descriptors that are not connections, and closes under way
 )
 
 func main() {
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds)
 	if err := run(); err != nil {
-		fmt.Fprintf(os.Stderr, "plankrouter: %v\n", err)
+		log.Printf("state=failed err=%q", err)
 		os.Exit(1)
 	}
 }
@@ -52,64 +52,77 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	budget := sockets.NewBudget(cfg.Limits.Sockets - socketReserve)
+	return serve(cfg, l, sockets.TCP, signals)
+}
+
+// program is the running parts.
+type program struct {
+	cfg    *config.Config
+	budget *sockets.Budget
+	core   *sidecar.Sidecar
+	watch  *directory.Watch
+	front  *consumer.Server
+}
 
-	// Two lifetimes: the front ends first, and the core only when the front has answered all that it took.
-	core, stop := context.WithCancel(context.Background())
+// serve runs the sidecar until a signal ends it and all that it has taken is answered.
+func serve(cfg *config.Config, l net.Listener, dial sockets.Dialer, signals <-chan os.Signal) error {
+	outer, stop := context.WithCancel(context.Background())
 	defer stop()
-	group, ctx := errgroup.WithContext(core)
-	car, err := sidecar.New(ctx, group, cfg, budget)
-	if err != nil {
+	group, ctx := errgroup.WithContext(outer)
+	p := program{cfg: cfg, budget: sockets.NewBudget(cfg.Limits.Sockets-socketReserve, dial)}
+	var err error
+	if p.core, err = sidecar.New(ctx, group, cfg, p.budget); err != nil {
 		return err
 	}
-	watch := &directory.Watch{Address: cfg.Discovery, Budget: budget, Told: car.Told}
-	front := consumer.New(cfg, car, budget)
-	group.Go(func() error { return car.Run(ctx) })
-	group.Go(func() error { return watch.Run(ctx, cfg.Known.Revision) })
+	p.watch = &directory.Watch{Address: cfg.Discovery, Budget: p.budget, Told: p.core.Told}
+	p.front = consumer.New(cfg, p.core, p.budget)
+	group.Go(func() error { return p.core.Run(ctx) })
+	group.Go(func() error { return p.watch.Run(ctx, cfg.Known.Revision) })
 	group.Go(func() error {
-		defer stop()
-		return front.Serve(ctx, l)
-	})
-	group.Go(func() error {
-		var leave <-chan time.Time
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case sig := <-signals:
-				if sig == syscall.SIGUSR1 {
-					report(cfg.Name, car.Counts(), front, watch, budget)
-				} else if leave == nil {
-					log.Printf("name=%s state=stopping signal=%s", cfg.Name, sig)
-					leave = time.After(serveOn)
-				}
-			case <-leave:
-				front.Drain(l)
-				leave = make(chan time.Time)
-			}
-		}
+		defer stop() // the core's life ends when the front has answered all that it took
+		return p.front.Serve(ctx, l)
 	})
+	group.Go(func() error { p.obey(ctx, signals, l); return nil })
 	log.Printf("name=%s state=started listen=%s providers=%d", cfg.Name, l.Addr(), len(cfg.Known.Members))
 	err = group.Wait()
-	report(cfg.Name, car.Counts(), front, watch, budget)
+	p.report()
 	return err
 }
 
+// obey acts on signals until ctx ends.
+func (p *program) obey(ctx context.Context, signals <-chan os.Signal, l net.Listener) {
+	var leave <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				p.report()
+			} else if leave == nil {
+				log.Printf("name=%s state=stopping signal=%q", p.cfg.Name, s)
+				leave = time.After(serveOn)
+			}
+		case <-leave:
+			p.front.Drain(l)
+		}
+	}
+}
+
 // report prints the counters.
-func report(name string, c sidecar.Counts, front *consumer.Server, watch *directory.Watch, budget *sockets.Budget) {
+func (p *program) report() {
+	c, f, w := p.core.Counts(), p.front, p.watch
 	log.Printf("name=%s counters=core taken=%d consumer_gone=%d sent=%d probes=%d lists=%d served=%d refused=%d failed=%d",
-		name, c.Taken, c.Gone, c.Sent, c.Probes, c.Lists, c.Served, c.Refused, c.Failed)
-	log.Printf("name=%s counters=front connections=%d not_taken=%d served=%d refused=%d failed=%d sockets=%d",
-		name, front.Connections.Load(), front.NotTaken.Load(), front.Served.Load(), front.Refused.Load(),
-		front.Failed.Load(), budget.Used())
-	log.Printf("name=%s counters=directory answers=%d failures=%d", name, watch.Answers.Load(), watch.Failures.Load())
-	consumers := front.Endings()
+		p.cfg.Name, c.Taken, c.Gone, c.Sent, c.Probes, c.Lists, c.Served, c.Refused, c.Failed)
+	log.Printf("name=%s counters=front connections=%d not_taken=%d sockets=%d",
+		p.cfg.Name, f.Connections.Load(), f.NotTaken.Load(), p.budget.Used())
+	log.Printf("name=%s counters=directory answers=%d failures=%d", p.cfg.Name, w.Answers.Load(), w.Failures.Load())
 	for _, e := range []struct {
 		of     string
-		counts *ending.Counts
-	}{{"calls", &c.Calls}, {"probes", &c.Asked}, {"idle_connections", &c.Idle}, {"consumers", &consumers}} {
+		counts ending.Counts
+	}{{"calls", c.Calls}, {"probes", c.Asked}, {"idle_connections", c.Idle}, {"consumers", f.Endings()}} {
 		var b strings.Builder
 		e.counts.Each(func(how ending.Ending, n int) { fmt.Fprintf(&b, " %s=%d", how, n) })
-		log.Printf("name=%s counters=ended of=%s%s", name, e.of, b.String())
+		log.Printf("name=%s counters=ended of=%s%s", p.cfg.Name, e.of, b.String())
 	}
 }
--- /dev/null
+++ b/cmd/plankrouter/play_test.go
@@ -0,0 +1,277 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"plankrouter/internal/config"
+)
+
+// The exchanges in testdata/ are played against the whole program, in a bubble where time passes only when a
+// step says so. A line that starts with "--- " is a step; what follows up to the next one are its bytes, with
+// CRLF for each line's end, or none where a line ends with \. A comment before the first step says what the
+// exchange guards against. Connections are named by who they belong to: c1 is the first that a consumer opens,
+// p1#2 the second that the program opens to provider p1, dir#1 the first to the directory.
+//
+//	c1 sends | p1#1 sends | dir#1 sends    write the bytes, opening a consumer's connection if need be
+//	c1 gets | p1#1 gets | dir#1 gets       all that has come since the last look is just these bytes
+//	c1 closes                              the party closes its connection
+//	wait 150ms                             time passes
+//	dial p1 refused | hangs | 700ms | works   what becomes of connections to p1 from now on
+//	signal                                 SIGTERM
+//	exits                                  the program has ended without an error
+//	settings key=value ...                 before the program starts: see base
+var update = flag.Bool("update", false, "record what the program sends as what it should send")
+
+const base = `{"name":"n1","listen":"c:1","discovery":"dir:1","seed":"1","limits":{"sockets":%[1]s},
+"known":{"revision":7,"complete":true,"members":[%[2]s]},
+"settings":{"Balancers":1,"Discovery":"pushed","RoundMs":5,"Dcs":["a","b"],"Locality":0,
+"Limits":{"ConnIdleMs":60000,"ConnectTimeoutMs":%[5]s,"MaxAttempts":3,"MayCancel":true,"Probes":%[3]s,"MaxRetryAfterMs":1200},
+"Report":{"Names":["active","avg_ms"]},"Realms":[{"Name":"acme","QuotaPerS":%[4]s}],"OverShareWorth":0.2,
+"Safety":{"StartCapacity":0.3,"WarmWithinMs":8000,"TipMultiple":4,"FallMs":3000,"DrainGraceMs":750},
+"RequestClasses":[{"Name":"tile","AimMs":750,"HardLimitMs":2500,"Credit":1,"Repeat":"pure"},
+{"Name":"order","AimMs":300,"HardLimitMs":1000,"Credit":5,"Repeat":"side_effect"}]}}`
+
+// end is one end of a connection that the test holds; what arrives is collected as it comes.
+type end struct {
+	net.Conn
+	mu   sync.Mutex
+	got  bytes.Buffer
+	over bool
+}
+
+func hold(c net.Conn) *end {
+	e := &end{Conn: c}
+	go func() {
+		b := make([]byte, 4096)
+		for {
+			n, err := c.Read(b)
+			e.mu.Lock()
+			e.got.Write(b[:n])
+			e.over = e.over || err != nil
+			e.mu.Unlock()
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return e
+}
+
+// take returns what has come since the last call, in the form of the exchange files.
+func (e *end) take() string {
+	if e == nil {
+		return "(no connection)\n"
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := strings.ReplaceAll(e.got.String(), "\r\n", "\n")
+	e.got.Reset()
+	if s != "" && !strings.HasSuffix(s, "\n") {
+		s += "\\\n"
+	}
+	if e.over {
+		s += "(closed)\n"
+	}
+	return s
+}
+
+// stage is the world around the program.
+type stage struct {
+	mu    sync.Mutex
+	ends  map[string]*end
+	opens map[string]int
+	dials map[string]string
+	conns chan net.Conn
+	shut  chan struct{}
+	once  sync.Once
+}
+
+func (g *stage) dial(ctx context.Context, address string) (net.Conn, error) {
+	name, _, _ := strings.Cut(address, ":")
+	g.mu.Lock()
+	how := g.dials[name]
+	g.mu.Unlock()
+	switch how {
+	case "refused":
+		return nil, errors.New("refused")
+	case "hangs":
+		how = "1h"
+	}
+	if late, err := time.ParseDuration(how); err == nil {
+		select {
+		case <-time.After(late):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	mine, theirs := net.Pipe()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.opens[name]++
+	g.ends[fmt.Sprintf("%s#%d", name, g.opens[name])] = hold(theirs)
+	return mine, nil
+}
+
+func (g *stage) Accept() (net.Conn, error) {
+	select {
+	case c := <-g.conns:
+		return c, nil
+	case <-g.shut:
+		return nil, net.ErrClosed
+	}
+}
+
+func (g *stage) Close() error   { g.once.Do(func() { close(g.shut) }); return nil }
+func (g *stage) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (g *stage) end(name string) *end {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ends[name]
+}
+
+func TestExchanges(t *testing.T) {
+	log.SetOutput(io.Discard)
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no exchanges: %v", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			raw, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var played string
+			synctest.Test(t, func(t *testing.T) { played = play(t, string(raw)) })
+			if *update {
+				err = os.WriteFile(file, []byte(played), 0o644)
+			}
+			if diff := cmp.Diff(string(raw), played); diff != "" && !*update || err != nil {
+				t.Errorf("as recorded (-), as played (+): %v\n%s", err, diff)
+			}
+		})
+	}
+}
+
+// play returns the exchange as it went: the same text, but for what the program sent.
+func play(t *testing.T, text string) string {
+	parts := strings.Split(text, "\n--- ")
+	out := []string{parts[0]}
+	g := &stage{ends: map[string]*end{}, opens: map[string]int{}, dials: map[string]string{},
+		conns: make(chan net.Conn), shut: make(chan struct{})}
+	set := map[string]string{"sockets": "64", "probes": "false", "quota": "1000", "providers": "p1", "connect": "150"}
+	signals := make(chan os.Signal, 2)
+	var result chan error
+	start := func() {
+		if result != nil {
+			return
+		}
+		result = make(chan error, 1)
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, fmt.Appendf(nil, base, set["sockets"], members(set["providers"]), set["probes"],
+			set["quota"], set["connect"]), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := config.Load(func(key string) string { return map[string]string{"GW_CONFIG": path}[key] })
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { result <- serve(cfg, g, g.dial, signals) }()
+		synctest.Wait()
+	}
+	for _, part := range parts[1:] {
+		head, body, _ := strings.Cut(part, "\n")
+		word := strings.Fields(head)
+		if word[0] != "settings" {
+			start()
+		}
+		switch {
+		case word[0] == "settings":
+			for _, kv := range word[1:] {
+				k, v, _ := strings.Cut(kv, "=")
+				set[k] = v
+			}
+		case word[0] == "wait":
+			d, err := time.ParseDuration(word[1])
+			if err != nil {
+				t.Error(err)
+			}
+			time.Sleep(d)
+		case word[0] == "dial":
+			g.mu.Lock()
+			g.dials[word[1]] = word[2]
+			g.mu.Unlock()
+		case word[0] == "signal":
+			signals <- syscall.SIGTERM
+		case word[0] == "exits":
+			if err := <-result; err != nil {
+				t.Errorf("exit: %v", err)
+			}
+			result <- nil
+		case word[1] == "sends":
+			e := g.end(word[0])
+			if e == nil && word[0][0] == 'c' {
+				mine, theirs := net.Pipe()
+				e = hold(theirs)
+				g.mu.Lock()
+				g.ends[word[0]] = e
+				g.mu.Unlock()
+				select {
+				case g.conns <- mine:
+				case <-g.shut:
+					theirs.Close()
+				}
+			}
+			if e == nil {
+				t.Errorf("%s has no connection", word[0])
+				break
+			}
+			e.SetWriteDeadline(time.Now().Add(time.Second))
+			io.WriteString(e, strings.ReplaceAll(strings.ReplaceAll(body+"\n", "\n", "\r\n"), "\\\r\n", ""))
+		case word[1] == "gets":
+			body = strings.TrimSuffix(g.end(word[0]).take(), "\n")
+		case word[1] == "closes" && g.end(word[0]) != nil:
+			g.end(word[0]).Close()
+		default:
+			t.Errorf("impossible step %q", head)
+		}
+		synctest.Wait()
+		if part = head; body != "" {
+			part += "\n" + body
+		}
+		out = append(out, part)
+	}
+	signals <- syscall.SIGTERM
+	for _, e := range g.ends {
+		e.Close()
+	}
+	<-result
+	return strings.Join(out, "\n--- ")
+}
+
+// members words the list of providers: each name is an id too, at port 1.
+func members(names string) string {
+	var lines []string
+	for name := range strings.SplitSeq(names, ",") {
+		lines = append(lines, fmt.Sprintf(`{"id":%q,"host_port":"%[1]s:1","locality":"a","phase":"SERVING"}`, name))
+	}
+	return strings.Join(lines, ",")
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -135,10 +135,8 @@
 		}
 		seen[k.Name] = true
 	}
-	for i, m := range c.Known.Members {
-		if err := m.Check(); err != nil {
-			return fmt.Errorf("known.members[%d].%w", i, err)
-		}
+	if faults := c.Known.clean(); len(faults) > 0 {
+		return fmt.Errorf("known.%w", faults[0])
 	}
 	if c.Logic, err = s.Logic(); err != nil {
 		return fmt.Errorf("settings.%w", err)
@@ -149,32 +147,30 @@
 	return nil
 }
 
-// Check says what is wrong with a line of the list. Without a phase that is known nothing may be sent there.
-func (m *Member) Check() error {
-	switch {
-	case m.ID == "":
-		return errors.New("id: missing")
-	case m.Phase != Serving && m.Phase != Draining && m.Phase != Deleted:
-		return fmt.Errorf("phase: unknown word %q", m.Phase)
-	}
-	if _, _, err := net.SplitHostPort(m.Address); err != nil && m.Phase == Serving {
-		return fmt.Errorf("host_port: %q is not host:port", m.Address)
+// clean takes out the lines that nothing can be done with and says what is wrong with them.
+func (l *List) clean() (faults []error) {
+	kept := l.Members[:0]
+	for i, m := range l.Members {
+		_, _, err := net.SplitHostPort(m.Address)
+		switch {
+		case m.ID == "":
+			faults = append(faults, fmt.Errorf("members[%d].id: missing", i))
+		case err != nil && m.Phase == Serving:
+			faults = append(faults, fmt.Errorf("members[%d].host_port: %q is not host:port", i, m.Address))
+		default:
+			kept = append(kept, m)
+		}
 	}
-	return nil
+	l.Members = kept
+	return faults
 }
 
-// ParseList reads what the directory answered.
-func ParseList(raw []byte) (List, error) {
-	var l List
-	if err := json.Unmarshal(raw, &l); err != nil {
-		return l, err
-	}
-	for i, m := range l.Members {
-		if err := m.Check(); err != nil {
-			return l, fmt.Errorf("members[%d].%w", i, err)
-		}
+// ParseList reads what the directory answered, and the faults of the lines that it left out.
+func ParseList(raw []byte) (l List, faults []error, err error) {
+	if err = json.Unmarshal(raw, &l); err != nil {
+		return l, nil, err
 	}
-	return l, nil
+	return l, l.clean(), nil
 }
 
 // Duration converts milliseconds.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -20,10 +20,10 @@
 	OverShareWorth float64
 	RoundMs        float64
 	Limits         struct {
-		ConnIdleMs, ConnectTimeoutMs  float64
-		MaxAttempts                   int
-		MaxRetryAfterMs               float64
-		MayCancel, Probes, RetryAfter bool
+		ConnIdleMs, ConnectTimeoutMs float64
+		MaxAttempts                  int
+		MaxRetryAfterMs              float64
+		MayCancel, Probes            bool
 	}
 	Prices  struct{ CrossZone, Waste float64 }
 	Realms  []Realm
@@ -68,9 +68,7 @@
 		TipMultiple: s.Safety.TipMultiple, TipWindow: s.Safety.FallMs,
 		CrossPrice: s.Prices.CrossZone, WastePrice: s.Prices.Waste,
 	}
-	if s.Limits.RetryAfter {
-		cfg.MaxRetryAfter = s.Limits.MaxRetryAfterMs
-	}
+	cfg.MaxRetryAfter = s.Limits.MaxRetryAfterMs // always: where clients are not handed the advice it does no harm
 	switch s.Discovery {
 	case "on_request":
 		cfg.AskForList = true
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -37,7 +37,7 @@
 	budget  *sockets.Budget
 	dialect dialect
 
-	Connections, Served, Refused, Failed, NotTaken atomic.Int64
+	Connections, NotTaken atomic.Int64
 
 	mu      sync.Mutex
 	conns   map[*conn]bool // true = a message is under way
@@ -52,7 +52,7 @@
 
 // Serve accepts connections until Drain or the end of ctx, and returns when the last one has ended.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	defer context.AfterFunc(ctx, func() { s.Drain(l) })()
+	defer context.AfterFunc(ctx, func() { s.hangUp(l) })()
 	var conns errgroup.Group
 	defer conns.Wait()
 	for {
@@ -101,6 +101,16 @@
 	}
 }
 
+// hangUp ends all at once: the core has stopped and answers no more.
+func (s *Server) hangUp(l net.Listener) {
+	s.Drain(l)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.socket.Close()
+	}
+}
+
 // Endings returns how the connections have ended so far.
 func (s *Server) Endings() ending.Counts {
 	s.mu.Lock()
@@ -215,7 +225,6 @@
 		return nil, ending.Open
 	}
 	inv.Answer = func(a invocation.Answer) {
-		c.server.count(a.Kind)
 		r := response(a)
 		r.Close = req.Close
 		c.reply(r)
@@ -226,17 +235,6 @@
 	return inv, ending.Open
 }
 
-func (s *Server) count(k invocation.Kind) {
-	switch k {
-	case invocation.Served:
-		s.Served.Add(1)
-	case invocation.Refused:
-		s.Refused.Add(1)
-	case invocation.Failed:
-		s.Failed.Add(1)
-	}
-}
-
 // reply never blocks: there is room for the one answer that is owed.
 func (c *conn) reply(r *http1.Response) { c.answers <- r }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"log"
 	"math/rand/v2"
-	"net"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -20,7 +19,7 @@
 
 const (
 	wait       = 20 * time.Second // for news, as the directory is asked to
-	patience   = 2 * time.Second  // beyond that wait, before the call has failed
+	patience   = 4 * time.Second  // beyond that wait, before the call has failed
 	dialWithin = 1 * time.Second
 	backoffMin = 50 * time.Millisecond
 	backoffMax = 2 * time.Second
@@ -86,20 +85,20 @@
 
 func (w *Watch) call(ctx context.Context) error {
 	if w.conn == nil {
-		if !w.Budget.Reserve() {
-			return errors.New("no socket left")
-		}
-		nc, err := (&net.Dialer{Timeout: dialWithin}).DialContext(ctx, "tcp", w.Address)
-		if err != nil {
-			w.Budget.Release()
+		var err error
+		if w.conn, err = w.Budget.Dial(ctx, w.Address, dialWithin); err != nil {
+			w.conn = nil
 			return err
 		}
-		w.conn = w.Budget.Adopt(nc)
-		w.br = http1.NewReader(nc)
+		w.br = http1.NewReader(w.conn)
 	}
 	conn := w.conn
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	if err := w.conn.SetDeadline(time.Now().Add(wait + patience)); err != nil {
+	within := patience
+	if !w.whole {
+		within += wait
+	}
+	if err := w.conn.SetDeadline(time.Now().Add(within)); err != nil {
 		return err
 	}
 	if _, err := w.conn.Write(http1.AppendRequest(nil, "GET", w.target(), w.Address, nil, nil)); err != nil {
@@ -112,10 +111,13 @@
 	if resp.Status != 200 {
 		return fmt.Errorf("status %d", resp.Status)
 	}
-	list, err := config.ParseList(resp.Body)
+	list, faults, err := config.ParseList(resp.Body)
 	if err != nil {
 		return err
 	}
+	for _, fault := range faults { // one bad line must not hide the others
+		log.Printf("directory=%s state=line_skipped err=%q", w.Address, fault)
+	}
 	if w.whole && !list.Complete {
 		return errors.New("asked for the whole list, got a part")
 	}
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"os"
 	"strconv"
 	"sync"
@@ -42,15 +41,14 @@
 	ctx    context.Context
 	group  *errgroup.Group
 	budget *sockets.Budget
-	dialer net.Dialer
+	within time.Duration // for a connection to come up
 	sink   Sink
 }
 
 // NewInvoker returns an Invoker whose goroutines belong to group and whose connections end with ctx.
 func NewInvoker(ctx context.Context, group *errgroup.Group, budget *sockets.Budget, connect time.Duration,
 	sink Sink) *Invoker {
-	return &Invoker{ctx: ctx, group: group, budget: budget, sink: sink,
-		dialer: net.Dialer{Timeout: connect, KeepAlive: -1}}
+	return &Invoker{ctx: ctx, group: group, budget: budget, within: connect, sink: sink}
 }
 
 // stage is how far a call has come.
@@ -94,14 +92,9 @@
 		message: http1.AppendRequest(nil, "GET", http1.PathLoad, address, nil, nil)}
 }
 
-// Start sends the call on the pool's connection, or on a new one if conn is nil. Unless it returns Open, the
-// call has ended and nothing more is heard of it.
-func (v *Invoker) Start(c *Call, conn *Conn) ending.Ending {
+// Start sends the call on the pool's connection, or on a new one if conn is nil.
+func (v *Invoker) Start(c *Call, conn *Conn) {
 	c.SentAt = time.Now()
-	if conn == nil && !v.budget.Reserve() {
-		c.stage = ended
-		return ending.NoSocket
-	}
 	ctx, cancel := context.WithCancel(v.ctx)
 	c.cancel = cancel
 	v.group.Go(func() error {
@@ -109,26 +102,25 @@
 		v.run(ctx, c, conn)
 		return nil
 	})
-	return ending.Open
 }
 
 func (v *Invoker) run(ctx context.Context, c *Call, conn *Conn) {
 	if conn != nil && !conn.usable() { // it ended between being taken and now, with nothing sent on it
-		conn.close()
-		if conn = nil; !v.budget.Reserve() {
-			c.end(v.sink, Result{Ending: ending.NoSocket})
-			return
-		}
+		conn.Close()
+		conn = nil
 	}
 	if conn == nil {
-		nc, err := v.dialer.DialContext(ctx, "tcp", c.address)
+		socket, err := v.budget.Dial(ctx, c.address, v.within)
 		if err != nil {
-			v.budget.Release()
 			c.end(v.sink, Result{Ending: dialEnding(err)})
 			return
 		}
-		conn = newConn(v.budget.Adopt(nc), c.address, v.sink)
-		v.group.Go(func() error { conn.read(); return nil })
+		conn = newConn(socket, c.address, v.sink)
+		v.group.Go(func() error {
+			defer context.AfterFunc(v.ctx, conn.Close)()
+			conn.read()
+			return nil
+		})
 	}
 	switch e := c.begin(conn); e {
 	case ending.Open:
@@ -153,7 +145,10 @@
 }
 
 func dialEnding(err error) ending.Ending {
-	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+	switch {
+	case errors.Is(err, sockets.ErrNone):
+		return ending.NoSocket
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
 		return ending.ConnectTimeout
 	}
 	return ending.Refused
@@ -169,8 +164,9 @@
 	case !c.notAfter.IsZero() && time.Now().After(c.notAfter):
 		// The list said so while the connection came up: a drain counts from the first byte of a send.
 		return ending.Drained
+	case !conn.bind(c): // it ended meanwhile, and nobody would wait for the answer
+		return ending.Unwritten
 	}
-	conn.bind(c)
 	c.conn, c.stage = conn, writing
 	return ending.Open
 }
@@ -198,7 +194,7 @@
 	c.stage = ended
 	c.cancel()
 	if c.conn != nil {
-		c.conn.close()
+		c.conn.Close()
 	}
 	return why, true
 }
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -34,20 +34,18 @@
 	return &Conn{Address: address, socket: s, br: http1.NewReader(s), sink: sink}
 }
 
-func (c *Conn) bind(call *Call) {
+// bind gives the connection to a call, or takes it back, and reports whether it is still usable.
+func (c *Conn) bind(call *Call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.call = call
+	return !c.over
 }
 
-func (c *Conn) unbind() { c.bind(nil) }
-
-func (c *Conn) usable() bool { return !c.isBroken() }
-
-func (c *Conn) isBroken() bool {
+func (c *Conn) usable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.over
+	return !c.over
 }
 
 // expire leaves the reader a moment for an answer that has come already.
@@ -58,7 +56,8 @@
 	c.socket.SetReadDeadline(time.Now().Add(lastLook))
 }
 
-func (c *Conn) close() {
+// Close ends the connection; a call on it is lost.
+func (c *Conn) Close() {
 	c.mu.Lock()
 	c.over = true
 	c.mu.Unlock()
@@ -91,7 +90,7 @@
 		}
 		resp, err := http1.ReadResponse(c.br)
 		if err != nil {
-			c.close()
+			c.Close()
 			e := ending.ResetByPeer
 			if errors.Is(err, http1.ErrMalformed) {
 				e = ending.Malformed
@@ -110,9 +109,9 @@
 	r := call.resultOf(resp)
 	if call.sent(c) && !resp.Close && c.br.Buffered() == 0 {
 		r.Conn = c
-		c.unbind()
+		c.bind(nil)
 	} else {
-		c.close()
+		c.Close()
 	}
 	return call.end(c.sink, r) && r.Conn != nil
 }
@@ -166,7 +165,7 @@
 		if c.socket.Busy() && c.usable() && c.socket.SetReadDeadline(time.Time{}) == nil {
 			return c
 		}
-		c.close()
+		c.Close()
 	}
 	return nil
 }
@@ -175,7 +174,7 @@
 // crosses the provider's close is reset, and may not be sent again if it may not run twice.
 func (p *Pool) Put(c *Conn, retire time.Duration) {
 	if c.Address != p.Address || !c.usable() || c.socket.SetReadDeadline(time.Now().Add(retire)) != nil {
-		c.close()
+		c.Close()
 		return
 	}
 	c.socket.Idle()
@@ -195,13 +194,7 @@
 // Close closes all.
 func (p *Pool) Close() {
 	for _, c := range p.idle {
-		c.close()
+		c.Close()
 	}
 	p.idle = nil
 }
-
-// Len is the number of idle connections.
-func (p *Pool) Len() int { return len(p.idle) }
-
-// Discard closes a connection that no pool wants.
-func (c *Conn) Discard() { c.close() }
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -62,10 +62,7 @@
 	if !k.notAfter.IsZero() {
 		c.NotAfter(k.notAfter)
 	}
-	if how := s.invoker.Start(c, k.pool.Take()); how != ending.Open {
-		s.ended(provider.Result{Call: c, Ending: how})
-		return
-	}
+	s.invoker.Start(c, k.pool.Take())
 	// The module often gives an attempt until its request's own deadline, for which it has set a timer too. The
 	// time-out must win that race: called off by the deadline instead, the attempt would teach the module nothing,
 	// and it would judge the providers by the answers that came in time alone.
@@ -73,27 +70,42 @@
 }
 
 func (e connFree) apply(s *Sidecar) {
-	for _, k := range s.providers {
-		if k.pool.Address == e.conn.Address && k.health == logic.Ready {
-			k.pool.Put(e.conn, time.Duration(retirePart*float64(s.cfg.ConnIdle)))
-			return
-		}
+	if k := s.at(e.conn.Address); k != nil && k.health == logic.Ready {
+		k.pool.Put(e.conn, time.Duration(retirePart*float64(s.cfg.ConnIdle)))
+	} else {
+		e.conn.Close()
 	}
-	e.conn.Discard()
 }
 
 func (e connEnded) apply(s *Sidecar) {
 	s.counts.Idle[e.how]++
+	if k := s.at(e.conn.Address); k != nil {
+		k.pool.Drop(e.conn)
+	}
+}
+
+// at returns the provider that now answers at the address, or nil.
+func (s *Sidecar) at(address string) *known {
 	for _, k := range s.providers {
-		if k.pool.Address == e.conn.Address {
-			k.pool.Drop(e.conn)
+		if k.pool.Address == address {
+			return k
 		}
 	}
+	return nil
 }
 
 func (e told) apply(s *Sidecar) { s.list(config.List(e)) }
 
-var healths = map[string]logic.Health{config.Serving: logic.Ready, config.Draining: logic.Draining, config.Deleted: logic.Gone}
+// health reads a phase. One that is unknown gets no new work: it is not the one that asks for it.
+func health(phase string) logic.Health {
+	switch phase {
+	case config.Serving:
+		return logic.Ready
+	case config.Deleted:
+		return logic.Gone
+	}
+	return logic.Draining
+}
 
 // list takes the directory's word: the table first, then the module.
 func (s *Sidecar) list(l config.List) {
@@ -107,7 +119,7 @@
 			zone = z
 		}
 		named[id] = true
-		lines = append(lines, logic.ServerInfo{ID: id, Zone: zone, Cell: m.Cell, Health: healths[m.Phase],
+		lines = append(lines, logic.ServerInfo{ID: id, Zone: zone, Cell: m.Cell, Health: health(m.Phase),
 			StartedAt: m.UpSince})
 		k := s.providers[id]
 		if k == nil {
@@ -118,7 +130,7 @@
 			k.pool.Close() // the same provider elsewhere: nobody answers for it at the old place
 			k.pool.Address = m.Address
 		}
-		s.setHealth(id, k, healths[m.Phase], told)
+		s.setHealth(id, k, health(m.Phase), told)
 	}
 	for id, k := range s.providers {
 		if l.Complete && !named[id] {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -43,7 +43,8 @@
 	byInv     map[*invocation.Invocation]logic.RequestID
 	calls     map[*provider.Call]attempt
 	providers map[logic.ServerID]*known
-	serverIDs map[string]logic.ServerID
+	serverIDs map[string]logic.ServerID // of all that were ever named
+	numbers   map[logic.ServerID]bool   // those given out
 	timers    timers
 	next      logic.RequestID
 	actions   []logic.Action
@@ -110,7 +111,8 @@
 	s := &Sidecar{cfg: cfg, bal: bal, clock: newClock(), zones: map[string]int{}, stopped: ctx.Done(),
 		events: make(chan event, eventsAhead), held: map[logic.RequestID]*held{},
 		byInv: map[*invocation.Invocation]logic.RequestID{}, calls: map[*provider.Call]attempt{},
-		providers: map[logic.ServerID]*known{}, serverIDs: map[string]logic.ServerID{}}
+		providers: map[logic.ServerID]*known{}, serverIDs: map[string]logic.ServerID{},
+		numbers: map[logic.ServerID]bool{}}
 	for i, name := range cfg.Settings.Dcs {
 		s.zones[name] = i
 	}
@@ -163,14 +165,14 @@
 // CallEnded, ConnFree and ConnEnded make the Sidecar a provider.Sink.
 func (s *Sidecar) CallEnded(r provider.Result) {
 	if !s.send(callEnded(r)) && r.Conn != nil {
-		r.Conn.Discard()
+		r.Conn.Close()
 	}
 }
 
 // ConnFree offers a connection that its call did not need.
 func (s *Sidecar) ConnFree(c *provider.Conn) {
 	if !s.send(connFree{c}) {
-		c.Discard()
+		c.Close()
 	}
 }
 
@@ -324,9 +326,9 @@
 	if !have {
 		h := fnv.New32a()
 		h.Write([]byte(id))
-		for n = logic.ServerID(h.Sum32()); s.providers[n] != nil; n++ {
+		for n = logic.ServerID(h.Sum32()); s.numbers[n]; n++ {
 		}
-		s.serverIDs[id] = n
+		s.serverIDs[id], s.numbers[n] = n, true
 	}
 	return n
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -4,10 +4,24 @@
 
 import (
 	"container/list"
+	"context"
+	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
+// ErrNone says that the limit leaves no socket, and that no idle one can make room.
+var ErrNone = errors.New("no socket left under the limit")
+
+// Dialer opens a connection to host:port.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// TCP dials plainly. It sends no keep-alive: a silent machine is noticed by what it does not answer.
+func TCP(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", address)
+}
+
 // Budget is the limit and what is held under it. It is safe for concurrent use.
 type Budget struct {
 	mu    sync.Mutex
@@ -15,10 +29,28 @@
 	used  int
 	idle  list.List // of *Socket, least recently used first
 	freed chan struct{}
+	dial  Dialer
 }
 
-// NewBudget allows for most sockets.
-func NewBudget(most int) *Budget { return &Budget{most: most, freed: make(chan struct{}, 1)} }
+// NewBudget allows for most sockets; dial opens those that this side opens.
+func NewBudget(most int, dial Dialer) *Budget {
+	return &Budget{most: most, dial: dial, freed: make(chan struct{}, 1)}
+}
+
+// Dial opens a connection under the limit, or fails with ErrNone.
+func (b *Budget) Dial(ctx context.Context, address string, within time.Duration) (*Socket, error) {
+	if !b.Reserve() {
+		return nil, ErrNone
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	c, err := b.dial(ctx, address)
+	if err != nil {
+		b.Release()
+		return nil, err
+	}
+	return b.Adopt(c), nil
+}
 
 // Reserve takes one place under the limit, closing the idle socket least recently used if need be. The place
 // goes to a Socket by Adopt, or back by Release.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -835,14 +835,21 @@
 	act := Action{Kind: Fail, Request: r.id}
 	if b.mayRefuse(r) {
 		b.shed++
-		if act.Kind = Refuse; r.over {
-			act.After = b.cfg.MaxRetryAfter
-		}
+		act.Kind, act.After = Refuse, b.comeBack(r)
 	}
 	b.out = append(b.out, act)
 	b.abandon(r)
 }
 
+// comeBack advises when to try again: beyond its share a tenant finds no room soon; else by the time that what
+// the servers now work on has left.
+func (b *Balancer) comeBack(r *request) Ms {
+	if r.over {
+		return b.cfg.MaxRetryAfter
+	}
+	return min(b.cfg.MaxRetryAfter, max(b.fleetLatency, serverPrior))
+}
+
 // abandon stops the work on a request that nobody waits for.
 func (b *Balancer) abandon(r *request) {
 	if !r.out {
