--- a/cmd/plankrouter/play_test.go
+++ b/cmd/plankrouter/play_test.go
@@ -260,10 +260,10 @@
 		out = append(out, part)
 	}
 	signals <- syscall.SIGTERM
+	<-result
 	for _, e := range g.ends {
 		e.Close()
 	}
-	<-result
 	return strings.Join(out, "\n--- ")
 }
 
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"plankrouter/logic"
+)
+
+const good = `{"name":"n1","listen":"127.0.0.1:3000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":100,"sockets":512},"unknown":[{"x":1}],
+"known":{"revision":41,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:1","phase":"SERVING"}]},
+"settings":{"Discovery":"pushed","RoundMs":5,"Limits":{"ConnIdleMs":60000,"ConnectTimeoutMs":150,"MaxRetryAfterMs":1200},
+"Safety":{"DrainGraceMs":700},"RequestClasses":[{"Name":"tile","AimMs":750,"HardLimitMs":2500,"Repeat":"pure"}]}}`
+
+func load(t *testing.T, text string, env map[string]string) (*Config, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(func(key string) string {
+		if key == "GW_CONFIG" {
+			return path
+		}
+		return env[key]
+	})
+}
+
+func TestLoad(t *testing.T) {
+	c, err := load(t, good, map[string]string{"GW_LISTEN": "127.0.0.2:1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	type told struct {
+		name, listen, discovery string
+		seed                    uint64
+		memory, sockets         int
+		idle, connect, grace    time.Duration
+		revision                uint64
+		advice                  float64
+	}
+	got := told{c.Name, c.Listen, c.Discovery, c.Seed, c.Limits.MemoryMB, c.Limits.Sockets, c.ConnIdle, c.ConnectTimeout,
+		c.DrainGrace, c.Known.Revision, c.Logic.MaxRetryAfter}
+	want := told{"n1", "127.0.0.2:1", "127.0.0.1:8500", 0x8c1f30d27a5be964, 100, 512, time.Minute, 150 * time.Millisecond,
+		700 * time.Millisecond, 41, 1200}
+	if diff := cmp.Diff(want, got, cmp.AllowUnexported(told{})); diff != "" {
+		t.Error(diff)
+	}
+	c, err = load(t, strings.NewReplacer(`"memory_mb":100,"sockets":512`, "", `"cores":1.0,`, "", `"ConnIdleMs":60000,`, "").Replace(good), nil)
+	if err != nil || c.Limits.MemoryMB != defaultMemoryMB || c.Limits.Sockets != defaultSockets || c.ConnIdle != defaultIdle {
+		t.Errorf("defaults: %+v, %v", c.Limits, err)
+	}
+}
+
+func TestFaultyKeyIsNamed(t *testing.T) {
+	for want, swap := range map[string][2]string{
+		"GW_CONFIG":                           {`{"name"`, `["name"`},
+		"listen:":                             {"127.0.0.1:3000", "127.0.0.1"},
+		"discovery:":                          {"127.0.0.1:8500", ""},
+		"seed:":                               {"8c1f30d27a5be964", "xyz"},
+		"limits.sockets:":                     {`"sockets":512`, `"sockets":3`},
+		"limits.memory_mb:":                   {`"memory_mb":100`, `"memory_mb":-1`},
+		"known.members[0].host_port:":         {"127.0.0.1:1\"", "nowhere\""},
+		"known.members[0].id:":                {"s-1", ""},
+		"settings.Discovery:":                 {"pushed", "guessed"},
+		"settings.Limits.ConnIdleMs:":         {"60000", "-1"},
+		"settings.Limits.ConnectTimeoutMs:":   {"150", "0.5"},
+		"settings.Safety.DrainGraceMs:":       {"700", "-700"},
+		"settings.RequestClasses[0].Name:":    {`"Name":"tile"`, `"Name":""`},
+		"settings.RequestClasses[0].Repeat:":  {"pure", "perhaps"},
+		"settings: logic: class 0":            {`"AimMs":750`, `"AimMs":0`},
+		"settings: logic: no request classes": {`"RequestClasses"`, `"Others"`},
+		"settings: logic: negative":           {`"RoundMs":5`, `"RoundMs":-5`},
+	} {
+		text := strings.Replace(good, swap[0], swap[1], 1)
+		if _, err := load(t, text, nil); text == good || err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %v", want, err)
+		}
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "GW_CONFIG") {
+		t.Errorf("without a file: %v", err)
+	}
+}
+
+func TestReportIsReadByName(t *testing.T) {
+	for text, want := range map[string]logic.Report{
+		`{"active":7,"avg_ms":12.5,"cpu":0.3}`: {HasRIF: true, RIF: 7, HasLatency: true, Latency: 12.5},
+		`{"err_rps":2,"active":-1}`:            {HasErrors: true, Errors: 2},
+		`{"active":"7"}`:                       {},
+		``:                                     {},
+	} {
+		if diff := cmp.Diff(want, ParseReport([]byte(text))); diff != "" {
+			t.Errorf("%s: %s", text, diff)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ending/ending_test.go
@@ -0,0 +1,34 @@
+package ending
+
+import (
+	"testing"
+
+	"plankrouter/logic"
+)
+
+// What proves that an invoker call never ran decides whether an order may be sent again: no ending may slip over to
+// the other side.
+func TestWhatNeverRan(t *testing.T) {
+	never := map[Ending]bool{Declined: true, NoSocket: true, Refused: true, ConnectTimeout: true, Drained: true,
+		Unwritten: true, Withdrawn: true}
+	names := map[string]bool{}
+	for e := Served; e < count; e++ {
+		if e.Status().NeverRan() != never[e] {
+			t.Errorf("%s: status %d", e, e.Status())
+		}
+		if e == Served != (e.Status() == logic.OK) {
+			t.Errorf("%s: status %d", e, e.Status())
+		}
+	}
+	for e := Open; e < count; e++ {
+		if e.String() == "" || names[e.String()] {
+			t.Errorf("ending %d is called %q", e, e)
+		}
+		names[e.String()] = true
+	}
+	for _, e := range []Ending{ResetByPeer, Malformed, TimedOut, CalledOff} {
+		if !e.Unsent().Status().NeverRan() {
+			t.Errorf("%s before the last byte: %s", e, e.Unsent())
+		}
+	}
+}
