--- a/logic/logic.go
+++ b/logic/logic.go
@@ -841,8 +841,8 @@
 	b.abandon(r)
 }
 
-// comeBack advises when to try again: beyond its share a tenant finds no room soon; else by the time that what
-// the servers now work on has left.
+// comeBack advises when to try again: not soon for a tenant beyond its share, else by the time that what the
+// servers now work on has left.
 func (b *Balancer) comeBack(r *request) Ms {
 	if r.over {
 		return b.cfg.MaxRetryAfter
