Spare consumer connections that are about to carry a request when sockets run out

A consumer opens a connection when all it has are busy, so those new or just answered, which Reserve in internal/sockets closed as idle, were about to be used.

--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -29,6 +29,10 @@
 	lingerMost    = 256 << 10
 	lingerFor     = 500 * time.Millisecond
 	acceptPause   = 5 * time.Millisecond
+
+	// A consumer opens a connection when all it has are busy. One that is new, or has just been answered, is thus
+	// about to carry a request, which would be lost if the connection were closed to make room.
+	spareAfter = 1 * time.Second
 )
 
 // Server is the front.
@@ -59,6 +63,7 @@
 		for !s.budget.Reserve() { // the kernel's backlog holds the consumer until there is room
 			select {
 			case <-s.budget.Freed():
+			case <-time.After(acceptPause): // some connection may have been idle for long enough now
 			case <-ctx.Done():
 				return nil
 			}
@@ -156,8 +161,8 @@
 }
 
 func (c *conn) read() ending.Ending {
-	c.socket.Idle()
-	_, err := c.br.Peek(1)
+	c.socket.Idle(spareAfter)
+	err := c.next()
 	for {
 		if err != nil {
 			return idleEnding(err)
@@ -169,7 +174,7 @@
 		if e != ending.Open {
 			return e
 		}
-		_, err = c.br.Peek(1) // the next message, or the consumer's end
+		err = c.next() // the next message, or the consumer's end
 		if err != nil {
 			select {
 			case e = <-c.written:
@@ -191,6 +196,16 @@
 	}
 }
 
+// next waits for the first byte of a message.
+func (c *conn) next() error {
+	_, err := c.br.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.socket.Leaving() && !c.socket.Quiet() {
+		c.socket.SetReadDeadline(time.Time{}) // a request has come in just before: it is served and then the last
+		_, err = c.br.Peek(1)
+	}
+	return err
+}
+
 // message reads one message and sees to it that it gets an answer: from the core, if it is an invocation,
 // which is then returned.
 func (c *conn) message() (*invocation.Invocation, ending.Ending) {
@@ -250,7 +265,7 @@
 }
 
 func (c *conn) writeOne(r *http1.Response) ending.Ending {
-	r.Close = r.Close || c.server.isClosing()
+	r.Close = r.Close || c.server.isClosing() || c.socket.Leaving()
 	c.socket.SetWriteDeadline(time.Now().Add(writeWithin))
 	if _, err := c.socket.Write(http1.AppendResponse(nil, r)); err != nil {
 		c.socket.Close()
@@ -266,7 +281,7 @@
 		}
 		return ending.LastAnswer
 	}
-	c.socket.Idle()
+	c.socket.Idle(spareAfter)
 	c.setBusy(false)
 	return ending.Open
 }
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -162,7 +162,7 @@
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if c.socket.Busy() && c.usable() && c.socket.SetReadDeadline(time.Time{}) == nil {
+		if c.socket.Busy() && !c.socket.Leaving() && c.usable() && c.socket.SetReadDeadline(time.Time{}) == nil {
 			return c
 		}
 		c.Close()
@@ -177,7 +177,7 @@
 		c.Close()
 		return
 	}
-	c.socket.Idle()
+	c.socket.Idle(0)
 	p.idle = append(p.idle, c)
 }
 
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -8,9 +8,12 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
+const mostLeaving = 16 // the descriptors that those being closed may hold beyond the limit
+
 // ErrNone says that the limit leaves no socket, and that no idle one can make room.
 var ErrNone = errors.New("no socket left under the limit")
 
@@ -24,12 +27,13 @@
 
 // Budget is the limit and what is held under it. It is safe for concurrent use.
 type Budget struct {
-	mu    sync.Mutex
-	most  int
-	used  int
-	idle  list.List // of *Socket, least recently used first
-	freed chan struct{}
-	dial  Dialer
+	mu      sync.Mutex
+	most    int
+	used    int
+	leaving int       // whose place has been given away and which are not closed yet
+	idle    list.List // of *Socket, least recently used first
+	freed   chan struct{}
+	dial    Dialer
 }
 
 // NewBudget allows for most sockets; dial opens those that this side opens.
@@ -52,22 +56,60 @@
 	return b.Adopt(c), nil
 }
 
-// Reserve takes one place under the limit, closing the idle socket least recently used if need be. The place
+// Reserve takes one place under the limit, that of the idle socket least recently used if need be. The place
 // goes to a Socket by Adopt, or back by Release.
 func (b *Budget) Reserve() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.used >= b.most {
 		oldest := b.idle.Front()
-		if oldest == nil {
+		for now := time.Now(); oldest != nil && now.Before(oldest.Value.(*Socket).spare); {
+			oldest = oldest.Next()
+		}
+		if oldest == nil || b.leaving >= mostLeaving {
 			return false
 		}
-		oldest.Value.(*Socket).close()
+		oldest.Value.(*Socket).leave()
 	}
 	b.used++
 	return true
 }
 
+// leave gives the socket's place away and wakes its reader, which closes it. Only the reader can tell whether a
+// request has come in meanwhile: closed from here, the connection would take that along, and it would be lost.
+func (s *Socket) leave() {
+	s.unmark()
+	s.leaving = true
+	s.budget.used--
+	s.budget.leaving++
+	s.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// Leaving reports whether the socket's place has been given away.
+func (s *Socket) Leaving() bool {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	return s.leaving
+}
+
+// Quiet reports whether nothing that has come in is still unread.
+func (s *Socket) Quiet() bool {
+	sys, ok := s.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return true
+	}
+	waiting := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		waiting, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err != nil || waiting <= 0
+}
+
 // Release gives back a place that was not adopted.
 func (b *Budget) Release() {
 	b.mu.Lock()
@@ -77,6 +119,10 @@
 
 func (b *Budget) release() {
 	b.used--
+	b.tell()
+}
+
+func (b *Budget) tell() {
 	select {
 	case b.freed <- struct{}{}:
 	default:
@@ -101,20 +147,19 @@
 	net.Conn
 	budget *Budget
 	idle   *list.Element
-	closed bool
+	spare  time.Time // not before
+
+	leaving, closed bool
 }
 
-// Idle marks the socket as one that may be closed to make room.
-func (s *Socket) Idle() {
+// Idle marks the socket as one that may be closed to make room once it has been idle for so long.
+func (s *Socket) Idle(after time.Duration) {
 	b := s.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s.idle == nil && !s.closed {
-		s.idle = b.idle.PushBack(s)
-		select {
-		case b.freed <- struct{}{}:
-		default:
-		}
+	if s.idle == nil && !s.closed && !s.leaving {
+		s.idle, s.spare = b.idle.PushBack(s), time.Now().Add(after)
+		b.tell()
 	}
 }
 
@@ -147,7 +192,12 @@
 	s.closed = true
 	s.unmark()
 	err := s.Conn.Close()
-	s.budget.release()
+	if s.leaving {
+		s.budget.leaving--
+		s.budget.tell()
+	} else {
+		s.budget.release()
+	}
 	return err
 }
 
