End idle consumer connections by their readers when the front closes

Found by reading: a connection accepted while Drain ran was in no state that Drain looked at, and stayed open with an idle consumer, so that the program would not have ended before SIGKILL; and closing an idle connection from outside could take a request along that its reader had just got. Now a deadline wakes the reader, which looks once more.

--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -87,6 +87,9 @@
 		c.br = http1.NewReader(c.socket)
 		s.mu.Lock()
 		s.conns[c] = false
+		if s.closing { // accepted at the last moment: it may still bring one request
+			c.wind(lingerFor)
+		}
 		s.mu.Unlock()
 		conns.Go(func() error { c.run(); return nil })
 	}
@@ -101,7 +104,7 @@
 	s.closing = true
 	for c, busy := range s.conns {
 		if !busy {
-			c.socket.Close()
+			c.wind(0)
 		}
 	}
 }
@@ -196,16 +199,21 @@
 	}
 }
 
-// next waits for the first byte of a message.
+// next waits for the first byte of a message. Its deadline passes when the connection is to end while idle; what has
+// come in just before that is still taken, and its answer is the last.
 func (c *conn) next() error {
 	_, err := c.br.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.socket.Leaving() && !c.socket.Quiet() {
-		c.socket.SetReadDeadline(time.Time{}) // a request has come in just before: it is served and then the last
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.socket.Quiet() {
+		c.socket.SetReadDeadline(time.Now().Add(lingerFor))
 		_, err = c.br.Peek(1)
 	}
 	return err
 }
 
+// wind ends the connection as soon as it is idle. Its reader does that, not the caller: a request that the reader has
+// just got would be lost.
+func (c *conn) wind(after time.Duration) { c.socket.SetReadDeadline(time.Now().Add(after)) }
+
 // message reads one message and sees to it that it gets an answer: from the core, if it is an invocation,
 // which is then returned.
 func (c *conn) message() (*invocation.Invocation, ending.Ending) {
@@ -275,7 +283,7 @@
 		// What the consumer has sent beyond the request would turn a plain close into a reset, and that could
 		// overtake the answer: say that this is the end, and wait a little for the consumer's.
 		c.socket.CloseWrite()
-		c.socket.SetReadDeadline(time.Now().Add(lingerFor))
+		c.wind(lingerFor)
 		if r.Status == 400 {
 			return ending.BadInput
 		}
@@ -293,7 +301,7 @@
 	defer s.mu.Unlock()
 	s.conns[c] = busy
 	if !busy && s.closing {
-		c.socket.Close()
+		c.wind(0)
 	}
 }
 
--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -6,8 +6,7 @@
 // Ending is one such way.
 type Ending uint8
 
-// The endings. Those above Answered leave nothing under way; those up to Unwritten prove that an invoker
-// call never ran; after the rest it may have.
+// The endings, by what had been under way.
 const (
 	Open Ending = iota // not ended
 
