--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -168,7 +168,7 @@
 	err := c.next()
 	for {
 		if err != nil {
-			return idleEnding(err)
+			return ending.OfIdle(err)
 		}
 		if c.setBusy(true); !c.socket.Busy() {
 			return ending.IdleRetired
@@ -304,13 +304,3 @@
 		c.wind(0)
 	}
 }
-
-func idleEnding(err error) ending.Ending {
-	switch {
-	case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
-		return ending.IdleRetired
-	case errors.Is(err, io.EOF):
-		return ending.PeerClosed
-	}
-	return ending.ResetByPeer
-}
--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -1,7 +1,14 @@
 // Package ending names every way in which a connection, or what was under way on it, can end.
 package ending
 
-import "plankrouter/logic"
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+
+	"plankrouter/logic"
+)
 
 // Ending is one such way.
 type Ending uint8
@@ -87,6 +94,19 @@
 	return e
 }
 
+// OfIdle reads how the reader of an idle connection was ended; without an error it got bytes that nobody asked for.
+func OfIdle(err error) Ending {
+	switch {
+	case err == nil:
+		return Unasked
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
+		return IdleRetired
+	case errors.Is(err, io.EOF):
+		return PeerClosed
+	}
+	return ResetByPeer
+}
+
 // Counts counts endings.
 type Counts [count]int
 
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
-	"net"
 	"os"
 	"sync"
 	"time"
@@ -81,7 +79,7 @@
 		switch {
 		case call == nil:
 			c.socket.Close()
-			c.sink.ConnEnded(c, idleEnding(err))
+			c.sink.ConnEnded(c, ending.OfIdle(err))
 			return
 		case err != nil:
 			c.socket.Close()
@@ -139,18 +137,6 @@
 	call.end(c.sink, Result{Ending: e})
 }
 
-func idleEnding(err error) ending.Ending {
-	switch {
-	case err == nil:
-		return ending.Unasked
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
-		return ending.IdleRetired
-	case errors.Is(err, io.EOF):
-		return ending.PeerClosed
-	}
-	return ending.ResetByPeer
-}
-
 // Pool is one provider's idle connections. It belongs to one goroutine.
 type Pool struct {
 	Address string
