Reload the configuration on SIGHUP and move the watch to the directory it names

Cause: main.go run() notified SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP had its default effect; directory.Watch had one fixed Address. Now config.Reload reads the file by the same Load, the file's discovery going before GW_DISCOVERY, which is as old as the process; Watch.Move ends the present call and asks the new directory for the whole list. A bad file changes nothing and is logged with its key; keys that differ but are fixed are named.

--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -47,17 +47,18 @@
 	runtime.GOMAXPROCS(1) // one core is all there is; more threads would only wait for one another
 	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)))
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return serve(cfg, l, sockets.TCP, signals)
+	return serve(cfg, os.Getenv, l, sockets.TCP, signals)
 }
 
 // program is the running parts.
 type program struct {
 	cfg    *config.Config
+	getenv func(string) string
 	budget *sockets.Budget
 	core   *sidecar.Sidecar
 	watch  *directory.Watch
@@ -65,16 +66,18 @@
 }
 
 // serve runs the sidecar until a signal ends it and all that it has taken is answered.
-func serve(cfg *config.Config, l net.Listener, dial sockets.Dialer, signals <-chan os.Signal) error {
+func serve(cfg *config.Config, getenv func(string) string, l net.Listener, dial sockets.Dialer,
+	signals <-chan os.Signal) error {
 	outer, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(outer)
-	p := program{cfg: cfg, budget: sockets.NewBudget(cfg.Limits.Sockets-socketReserve, dial)}
+	p := program{cfg: cfg, getenv: getenv, budget: sockets.NewBudget(cfg.Limits.Sockets-socketReserve, dial)}
 	var err error
 	if p.core, err = sidecar.New(ctx, group, cfg, p.budget); err != nil {
 		return err
 	}
-	p.watch = &directory.Watch{Address: cfg.Discovery, Budget: p.budget, Told: p.core.Told}
+	p.watch = &directory.Watch{Budget: p.budget, Told: p.core.Told}
+	p.watch.Move(cfg.Discovery)
 	p.front = consumer.New(cfg, p.core, p.budget)
 	group.Go(func() error { return p.core.Run(ctx) })
 	group.Go(func() error { return p.watch.Run(ctx, cfg.Known.Revision) })
@@ -97,9 +100,12 @@
 		case <-ctx.Done():
 			return
 		case s := <-signals:
-			if s == syscall.SIGUSR1 {
+			switch {
+			case s == syscall.SIGUSR1:
 				p.report()
-			} else if leave == nil {
+			case s == syscall.SIGHUP:
+				p.reload()
+			case leave == nil:
 				log.Printf("name=%s state=stopping signal=%q", p.cfg.Name, s)
 				leave = time.After(serveOn)
 			}
@@ -109,6 +115,21 @@
 	}
 }
 
+// reload reads the configuration anew and moves to the directory that it now names. All else holds from start to end:
+// what differs is said, and what is bad changes nothing.
+func (p *program) reload() {
+	cfg, err := config.Reload(p.getenv)
+	if err != nil {
+		log.Printf("name=%s state=reload_failed err=%q", p.cfg.Name, err)
+		return
+	}
+	for _, key := range p.cfg.Fixed(cfg) {
+		log.Printf("name=%s state=reload key=%s err=%q", p.cfg.Name, key, "takes effect at the next start")
+	}
+	log.Printf("name=%s state=reloaded discovery=%s", p.cfg.Name, cfg.Discovery)
+	p.watch.Move(cfg.Discovery)
+}
+
 // report prints the counters.
 func (p *program) report() {
 	c, f, w := p.core.Counts(), p.front, p.watch
--- a/cmd/plankrouter/play_test.go
+++ b/cmd/plankrouter/play_test.go
@@ -35,11 +35,12 @@
 //	wait 150ms                             time passes
 //	dial p1 refused | hangs | 700ms | works   what becomes of connections to p1 from now on
 //	signal                                 SIGTERM
+//	reload key=value ...                   the configuration file is replaced, as by settings, and SIGHUP comes
 //	exits                                  the program has ended without an error
 //	settings key=value ...                 before the program starts: see base
 var update = flag.Bool("update", false, "record what the program sends as what it should send")
 
-const base = `{"name":"n1","listen":"c:1","discovery":"dir:1","seed":"1","limits":{"sockets":%[1]s},
+const base = `{"name":"n1","listen":"c:1","discovery":%[6]q,"seed":"1","limits":{"sockets":%[1]s},
 "known":{"revision":7,"complete":true,"members":[%[2]s]},
 "settings":{"Balancers":1,"Discovery":"pushed","RoundMs":5,"Dcs":["a","b"],"Locality":0,
 "Limits":{"ConnIdleMs":60000,"ConnectTimeoutMs":%[5]s,"MaxAttempts":3,"MayCancel":true,"Probes":%[3]s,"MaxRetryAfterMs":1200},
@@ -177,24 +178,31 @@
 	out := []string{parts[0]}
 	g := &stage{ends: map[string]*end{}, opens: map[string]int{}, dials: map[string]string{},
 		conns: make(chan net.Conn), shut: make(chan struct{})}
-	set := map[string]string{"sockets": "64", "probes": "false", "quota": "1000", "providers": "p1", "connect": "150"}
+	set := map[string]string{"sockets": "64", "probes": "false", "quota": "1000", "providers": "p1", "connect": "150",
+		"discovery": "dir:1"}
 	signals := make(chan os.Signal, 2)
 	var result chan error
+	path := filepath.Join(t.TempDir(), "config.json")
+	getenv := func(key string) string {
+		return map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": "dir:1"}[key]
+	}
+	write := func() {
+		if err := os.WriteFile(path, fmt.Appendf(nil, base, set["sockets"], members(set["providers"]), set["probes"],
+			set["quota"], set["connect"], set["discovery"]), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
 	start := func() {
 		if result != nil {
 			return
 		}
 		result = make(chan error, 1)
-		path := filepath.Join(t.TempDir(), "config.json")
-		if err := os.WriteFile(path, fmt.Appendf(nil, base, set["sockets"], members(set["providers"]), set["probes"],
-			set["quota"], set["connect"]), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		cfg, err := config.Load(func(key string) string { return map[string]string{"GW_CONFIG": path}[key] })
+		write()
+		cfg, err := config.Load(getenv)
 		if err != nil {
 			t.Fatal(err)
 		}
-		go func() { result <- serve(cfg, g, g.dial, signals) }()
+		go func() { result <- serve(cfg, getenv, g, g.dial, signals) }()
 		synctest.Wait()
 	}
 	for _, part := range parts[1:] {
@@ -204,11 +212,15 @@
 			start()
 		}
 		switch {
-		case word[0] == "settings":
+		case word[0] == "settings" || word[0] == "reload":
 			for _, kv := range word[1:] {
 				k, v, _ := strings.Cut(kv, "=")
 				set[k] = v
 			}
+			if word[0] == "reload" {
+				write()
+				signals <- syscall.SIGHUP
+			}
 		case word[0] == "wait":
 			d, err := time.ParseDuration(word[1])
 			if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -89,6 +90,35 @@
 	return c, c.check()
 }
 
+// Reload reads the file anew. What it says of the directory goes before GW_DISCOVERY: the environment is that of the
+// start, and the file is newer.
+func Reload(getenv func(string) string) (*Config, error) {
+	return Load(func(key string) string {
+		if key == "GW_DISCOVERY" {
+			return ""
+		}
+		return getenv(key)
+	})
+}
+
+// Fixed names the keys that differ in next but can't change while the program runs.
+func (c *Config) Fixed(next *Config) (keys []string) {
+	for _, k := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", c.Name == next.Name},
+		{"listen", c.Listen == next.Listen},
+		{"limits", c.Limits == next.Limits},
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 // check fills in defaults and rejects what the program can't work with.
 func (c *Config) check() error {
 	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -100,3 +100,27 @@
 		}
 	}
 }
+
+// The environment is that of the start: what the file says of the directory since then goes before it.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": "127.0.0.9:1", "GW_NAME": "n7"}
+	read := func(text string, how func(func(string) string) (*Config, error)) *Config {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c, err := how(func(key string) string { return env[key] })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	old := read(good, Load)
+	next := read(strings.Replace(good, `"sockets":512`, `"sockets":600`, 1), Reload)
+	if diff := cmp.Diff([]string{"127.0.0.9:1", "127.0.0.1:8500", "n7"}, []string{old.Discovery, next.Discovery, next.Name}); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"limits"}, old.Fixed(next)); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -9,6 +9,7 @@
 	"log"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,42 +28,75 @@
 
 // Watch is the standing call to the directory.
 type Watch struct {
-	Address string
-	Budget  *sockets.Budget
-	Told    func(config.List) // takes each answer that tells anything, in order
+	Budget *sockets.Budget
+	Told   func(config.List) // takes each answer that tells anything, in order
 
 	Answers, Failures atomic.Int64
 
+	mu      sync.Mutex
+	address string             // where the next call goes
+	leave   context.CancelFunc // ends the present one; nil = none
+
+	at       string // where the present call goes
 	revision uint64
 	whole    bool // the next call asks for the whole list
 	conn     *sockets.Socket
 	br       *bufio.Reader
 }
 
-// Run watches from revision on until ctx ends.
+// Move sends the watch to address, at once: what another directory counts as told is not what this one does, so the
+// first call there asks for the whole list.
+func (w *Watch) Move(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if address == w.address {
+		return
+	}
+	w.address = address
+	if w.leave != nil {
+		w.leave()
+	}
+}
+
+// stay returns a context that ends when the watch is to move, having moved it if it was.
+func (w *Watch) stay(ctx context.Context) (context.Context, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ctx, w.leave = context.WithCancel(ctx)
+	moved := w.at != w.address
+	w.at = w.address
+	return ctx, moved
+}
+
+// Run watches from revision on until ctx ends; Move, called before, says where.
 func (w *Watch) Run(ctx context.Context, revision uint64) error {
-	w.revision = revision
-	w.whole = revision == 0
+	w.revision, w.whole, w.at = revision, revision == 0, w.address
 	defer w.hangUp()
 	for backoff := backoffMin; ctx.Err() == nil; {
-		err := w.call(ctx)
-		if err == nil {
+		here, moved := w.stay(ctx)
+		if moved {
+			w.hangUp()
+			w.whole, backoff = true, backoffMin
+		}
+		err := w.call(here)
+		if here.Err() == nil && err == nil {
 			w.Answers.Add(1)
 			backoff = backoffMin
+			w.leave()
 			continue // at once: a watch goes on only if the next call comes within 200 ms
 		}
-		if ctx.Err() != nil {
-			break
-		}
-		w.Failures.Add(1)
-		log.Printf("directory=%s state=failed err=%q retry_within=%s", w.Address, err, backoff)
-		w.hangUp()
-		w.whole = true // changes may have been missed
-		select {
-		case <-ctx.Done():
-		case <-time.After(backoff/2 + rand.N(backoff/2)):
+		if here.Err() == nil {
+			w.Failures.Add(1)
+			log.Printf("directory=%s state=failed err=%q retry_within=%s", w.at, err, backoff)
+			w.hangUp()
+			w.whole = true // changes may have been missed
+			select {
+			case <-here.Done():
+			case <-time.After(backoff/2 + rand.N(backoff/2)):
+			}
+			backoff = min(2*backoff, backoffMax)
 		}
-		backoff = min(2*backoff, backoffMax)
+		w.leave()
 	}
 	return nil
 }
@@ -86,7 +120,7 @@
 func (w *Watch) call(ctx context.Context) error {
 	if w.conn == nil {
 		var err error
-		if w.conn, err = w.Budget.Dial(ctx, w.Address, dialWithin); err != nil {
+		if w.conn, err = w.Budget.Dial(ctx, w.at, dialWithin); err != nil {
 			w.conn = nil
 			return err
 		}
@@ -101,7 +135,7 @@
 	if err := w.conn.SetDeadline(time.Now().Add(within)); err != nil {
 		return err
 	}
-	if _, err := w.conn.Write(http1.AppendRequest(nil, "GET", w.target(), w.Address, nil, nil)); err != nil {
+	if _, err := w.conn.Write(http1.AppendRequest(nil, "GET", w.target(), w.at, nil, nil)); err != nil {
 		return err
 	}
 	resp, err := http1.ReadResponse(w.br)
@@ -116,7 +150,7 @@
 		return err
 	}
 	for _, fault := range faults { // one bad line must not hide the others
-		log.Printf("directory=%s state=line_skipped err=%q", w.Address, fault)
+		log.Printf("directory=%s state=line_skipped err=%q", w.at, fault)
 	}
 	if w.whole && !list.Complete {
 		return errors.New("asked for the whole list, got a part")
