Pass late answers on and ask for more room at admission, so that fewer clients ask again

A trace of the module's refusals (temporary log lines) showed nearly all of them in admits(), class tile by its own expected response, with fit.of(tile) at 4.75 after 1.3 s where later it is 1.3 to 2. Causes: (1) onArrival cut endAt to the aim where late answers earn nothing, so that attempts were given up there, the client asked again, and the servers, which a cancel does not stop, did both; (2) sample() learned from the first answers, which are the quick ones and make reports too short; (3) admits() asked for 1.35 times the mean response, while responses have a long tail.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,11 +35,12 @@
 	crossPerAim = 8.0 // a zone crossing of price p counts as p x this x the aim in added latency
 	missPerAim  = 2.0 // a failure of probability p counts as p x this x the aim in added latency
 
-	serverPrior = 50.0 // ms of service time assumed before any report or answer
-	latencyStep = 0.3  // part of the way that an unreported service time moves with an answer
-	fitPrior    = 6.0  // requests side by side before any sample: waiting must be shown, not feared
-	fitWeight   = 2.0  // samples that a prior weighs
-	fitMemory   = 5e3  // ms in which samples of response times fade by e
+	serverPrior  = 50.0 // ms of service time assumed before any report or answer
+	latencyStep  = 0.3  // part of the way that an unreported service time moves with an answer
+	firstAnswers = 1500 // ms from the start in which the quick requests alone are answered
+	fitPrior     = 6.0  // requests side by side before any sample: waiting must be shown, not feared
+	fitWeight    = 2.0  // samples that a prior weighs
+	fitMemory    = 5e3  // ms in which samples of response times fade by e
 
 	evidenceHalf = 4e3  // ms in which outcomes lose half their weight; then a bad server is tried again
 	missPrior    = 2.0  // weight of a server's innocence: one failure alone takes no server out
@@ -51,7 +52,7 @@
 
 	// Admission.
 	roomLeast    = 0.05   // part of the expected response that must be left beyond it
-	roomWaste    = 3.0    // the same for each unit of the price of wasted work
+	roomWaste    = 8.0    // the same for each unit of the price of wasted work
 	crowdMost    = 4.5    // response over an unhindered one: past it a queue only adds waiting
 	crowdPower   = 0.4    // how that falls with a request's worth: 1 + (crowdMost-1) x worth^this
 	peerWorth    = 1.5    // times a request's worth: classes worth more keep their room against it
@@ -63,7 +64,7 @@
 
 	retryPart    = 0.1   // further attempts a request, at most: keeps retries from becoming the load
 	retryBurst   = 10.0  // further attempts that may be saved up
-	timeoutTimes = 4.0   // expected responses after which what may be repeated is tried elsewhere
+	timeoutTimes = 8.0   // expected responses after which what may be repeated is tried elsewhere
 	askAgainMin  = 500.0 // ms before subscribing anew after a failure, doubled each time
 	askAgainMax  = 8e3   // ms
 )
@@ -106,7 +107,7 @@
 	retries            float64
 	requests           map[RequestID]*request
 	shed               int // refused since lastLog
-	lastLog            Ms
+	lastLog, bornAt    Ms
 }
 
 // New returns a Balancer for cfg whose random choices come from seed.
@@ -696,9 +697,6 @@
 	c := &b.cfg.Classes[class]
 	r := &request{id: e.Request, class: class,
 		aimAt: b.now + c.Aim, endAt: b.now + max(0, e.Left-b.margin)}
-	if c.LateWorth == 0 {
-		r.endAt = min(r.endAt, b.now+max(0, c.Aim-b.margin)) // a late answer earns nothing: stop the work
-	}
 	b.requests[r.id] = r
 	b.timer(uint64(r.id), r.endAt-b.now)
 	b.tend(r)
@@ -824,7 +822,7 @@
 func (b *Balancer) sample(s *server, r *request, took Ms, ended float64) {
 	if !s.reported {
 		s.latency = s.service() + latencyStep*(took-s.service())
-	} else if r != nil {
+	} else if r != nil && r.sentAt-b.bornAt >= firstAnswers {
 		b.fit.add(r.class, r.sentRIF+1, min(10, max(0, took-s.network)/r.sentBase), ended)
 	}
 }
@@ -911,6 +909,7 @@
 	b.now, b.out = now, out
 	switch e.Kind {
 	case Started:
+		b.bornAt = now
 		b.timer(tickTimer, tickEvery)
 		if b.cfg.AskForList {
 			b.out = append(b.out, Action{Kind: Subscribe})
