Bind provider connections to their provider and let one goroutine carry their calls

Cause, by reading: sidecar.at found a provider by address, so that a new id at the address of one that is gone got its connections; Conn.read took whatever came once a call was bound, also bytes sent before its last byte was written or still unread in the kernel when the connection was reused. Now a Conn knows its Pool, a Pool is closed with the process it belonged to (new address, new start, drained, gone), and one goroutine looks for unread bytes, writes and reads, so that nothing can slip in between two goroutines.

--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -57,20 +57,20 @@
 const (
 	connecting stage = iota
 	writing          // from here on its last byte may have been written
-	written
+	waiting          // its last byte is written
 	ended
 )
 
-// Call is one invoker call or one probe. It ends exactly once: its goroutine may end it up to the first byte,
-// its connection's reader from there on, and Stop at any time; the first of them wins.
+// Call is one invoker call or one probe. It ends exactly once: by the goroutine that carries it, or by Stop; the first
+// of them wins.
 type Call struct {
 	SentAt time.Time
 
-	address string
+	pool    *Pool
 	message []byte
 	probe   bool
+	ctx     context.Context // ends with the call
 	cancel  context.CancelFunc
-	wrote   chan struct{} // closed when the write has returned
 
 	mu       sync.Mutex
 	stage    stage
@@ -79,68 +79,70 @@
 }
 
 // NewCall words an attempt for inv that is given up after wait.
-func NewCall(address string, inv *invocation.Invocation, wait time.Duration) *Call {
+func NewCall(pool *Pool, inv *invocation.Invocation, wait time.Duration) *Call {
 	fields := append([]invocation.Field{{Name: http1.HeaderID, Value: inv.ID},
 		{Name: http1.HeaderDeadline, Value: strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)}}, inv.Fields...)
-	return &Call{address: address, wrote: make(chan struct{}),
-		message: http1.AppendRequest(nil, inv.Verb, inv.Target, address, fields, inv.Body)}
+	return &Call{pool: pool, message: http1.AppendRequest(nil, inv.Verb, inv.Target, pool.Address, fields, inv.Body)}
 }
 
 // NewProbe words a question for the provider's load.
-func NewProbe(address string) *Call {
-	return &Call{address: address, wrote: make(chan struct{}), probe: true,
-		message: http1.AppendRequest(nil, "GET", http1.PathLoad, address, nil, nil)}
+func NewProbe(pool *Pool) *Call {
+	return &Call{pool: pool, probe: true,
+		message: http1.AppendRequest(nil, "GET", http1.PathLoad, pool.Address, nil, nil)}
 }
 
-// Start sends the call on the pool's connection, or on a new one if conn is nil.
-func (v *Invoker) Start(c *Call, conn *Conn) {
+// Start sends the call on an idle connection of its provider, or on a new one.
+func (v *Invoker) Start(c *Call) {
 	c.SentAt = time.Now()
-	ctx, cancel := context.WithCancel(v.ctx)
-	c.cancel = cancel
-	v.group.Go(func() error {
-		defer cancel()
-		v.run(ctx, c, conn)
-		return nil
-	})
-}
-
-func (v *Invoker) run(ctx context.Context, c *Call, conn *Conn) {
-	if conn != nil && !conn.usable() { // it ended between being taken and now, with nothing sent on it
-		conn.Close()
-		conn = nil
+	c.ctx, c.cancel = context.WithCancel(v.ctx)
+	if !c.pool.offer(c) {
+		v.group.Go(func() error { v.run(c); return nil })
 	}
-	if conn == nil {
-		socket, err := v.budget.Dial(ctx, c.address, v.within)
+}
+
+// run opens a connection for the call and stays with it until it ends. A call that finds it ended when it was to be
+// carried, with nothing sent, gets another connection.
+func (v *Invoker) run(c *Call) {
+	for c != nil {
+		socket, err := v.budget.Dial(c.ctx, c.pool.Address, v.within)
 		if err != nil {
 			c.end(v.sink, Result{Ending: dialEnding(err)})
 			return
 		}
-		conn = newConn(socket, c.address, v.sink)
-		v.group.Go(func() error {
-			defer context.AfterFunc(v.ctx, conn.Close)()
-			conn.read()
-			return nil
-		})
-	}
-	switch e := c.begin(conn); e {
-	case ending.Open:
-	case ending.Withdrawn: // ended by Stop while it connected
-		v.sink.ConnFree(conn)
-		return
-	default:
-		c.end(v.sink, Result{Ending: e})
-		v.sink.ConnFree(conn)
-		return
-	}
-	_, err := conn.socket.Write(c.message)
-	c.mu.Lock()
-	if err == nil && c.stage == writing {
-		c.stage = written
+		conn := newConn(socket, c.pool)
+		stop := context.AfterFunc(v.ctx, conn.Close)
+		c = v.serve(conn, c)
+		stop()
 	}
-	c.mu.Unlock()
-	close(c.wrote)
-	if err != nil { // the reader ends the call: an answer may have come before the break
-		conn.expire()
+}
+
+// serve carries calls on the connection until it ends, and returns the one that it could not begin.
+func (v *Invoker) serve(conn *Conn, c *Call) *Call {
+	for {
+		switch e := c.begin(conn); e {
+		case ending.Open:
+			r, again := conn.carry(c)
+			if r.Conn = conn; !again {
+				conn.Close()
+				r.Conn = nil
+			}
+			if !c.end(v.sink, r) || !again {
+				conn.Close()
+				return nil
+			}
+		default: // ended by Stop, or too late for its provider: another call may use the connection
+			if e != ending.Withdrawn {
+				c.end(v.sink, Result{Ending: e})
+			}
+			v.sink.ConnFree(conn)
+		}
+		next, how := conn.idle()
+		if how != ending.Open {
+			conn.Close()
+			v.sink.ConnEnded(conn, how)
+			return next
+		}
+		c = next
 	}
 }
 
@@ -164,13 +166,22 @@
 	case !c.notAfter.IsZero() && time.Now().After(c.notAfter):
 		// The list said so while the connection came up: a drain counts from the first byte of a send.
 		return ending.Drained
-	case !conn.bind(c): // it ended meanwhile, and nobody would wait for the answer
-		return ending.Unwritten
 	}
 	c.conn, c.stage = conn, writing
 	return ending.Open
 }
 
+// written notes that the last byte is written, and reports whether the call still waits for its answer.
+func (c *Call) written() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stage == ended {
+		return false
+	}
+	c.stage = waiting
+	return true
+}
+
 // NotAfter forbids a first byte later than t.
 func (c *Call) NotAfter(t time.Time) {
 	c.mu.Lock()
@@ -207,6 +218,7 @@
 		return false
 	}
 	c.stage = ended
+	c.cancel()
 	c.mu.Unlock()
 	r.Call = c
 	sink.CallEnded(r)
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -12,46 +12,37 @@
 	"plankrouter/internal/sockets"
 )
 
-const lastLook = 50 * time.Millisecond
+// lump is what a kernel takes at once. Only a larger message takes so long to write that an answer could come before
+// its end.
+const lump = 8 << 10
 
-// Conn is one connection to a provider. It carries one call at a time; its reader stays on it between calls
-// and so sees when the provider closes it.
+// Conn is one connection to a provider. One goroutine carries its calls, one after another, and watches it between
+// them: whatever comes while there is no call on it belongs to nobody, and so does what comes before a call's last
+// byte is written.
 type Conn struct {
-	Address string
-
+	pool   *Pool // of the provider that it was opened to
 	socket *sockets.Socket
 	br     *bufio.Reader
-	sink   Sink
 
 	mu   sync.Mutex
-	call *Call
-	over bool // no further call may use it
-}
-
-func newConn(s *sockets.Socket, address string, sink Sink) *Conn {
-	return &Conn{Address: address, socket: s, br: http1.NewReader(s), sink: sink}
+	next *Call // to carry, once the goroutine has seen that nothing had come in
+	over bool  // no further call may use it
 }
 
-// bind gives the connection to a call, or takes it back, and reports whether it is still usable.
-func (c *Conn) bind(call *Call) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.call = call
-	return !c.over
+func newConn(s *sockets.Socket, pool *Pool) *Conn {
+	return &Conn{pool: pool, socket: s, br: http1.NewReader(s)}
 }
 
-func (c *Conn) usable() bool {
+// offer gives the idle connection its next call, unless it has ended.
+func (c *Conn) offer(call *Call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.over
-}
-
-// expire leaves the reader a moment for an answer that has come already.
-func (c *Conn) expire() {
-	c.mu.Lock()
-	c.over = true
-	c.mu.Unlock()
-	c.socket.SetReadDeadline(time.Now().Add(lastLook))
+	if c.over {
+		return false
+	}
+	c.next = call
+	c.socket.SetReadDeadline(time.Unix(1, 0)) // wakes the goroutine
+	return true
 }
 
 // Close ends the connection; a call on it is lost.
@@ -62,104 +53,78 @@
 	c.socket.Close()
 }
 
-// read waits for answers until the connection ends.
-func (c *Conn) read() {
-	for {
-		_, err := c.br.Peek(1)
-		c.mu.Lock()
-		call := c.call
-		if errors.Is(err, os.ErrDeadlineExceeded) && call != nil && !c.over {
-			c.mu.Unlock() // taken for a call at the very moment when it was to be retired
-			continue
-		}
-		if err != nil || call == nil {
-			c.over = true
-		}
-		c.mu.Unlock()
-		switch {
-		case call == nil:
-			c.socket.Close()
-			c.sink.ConnEnded(c, ending.OfIdle(err))
-			return
-		case err != nil:
-			c.socket.Close()
-			call.lost(c, ending.ResetByPeer)
-			return
-		}
-		resp, err := http1.ReadResponse(c.br)
-		if err != nil {
-			c.Close()
-			e := ending.ResetByPeer
-			if errors.Is(err, http1.ErrMalformed) {
-				e = ending.Malformed
-			}
-			call.lost(c, e)
-			return
-		}
-		if !c.finish(call, resp) {
-			return
+// idle waits for the next call. How says why the connection can't carry it, or has ended without one; Open = it can.
+func (c *Conn) idle() (call *Call, how ending.Ending) {
+	_, err := c.br.Peek(1)
+	c.mu.Lock()
+	call, c.next = c.next, nil
+	c.over = c.over || call == nil
+	c.mu.Unlock()
+	if call != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = c.socket.SetReadDeadline(time.Time{})
+		if err == nil && c.socket.Quiet() {
+			return call, ending.Open
 		}
 	}
+	return call, ending.OfIdle(err)
 }
 
-// finish hands over the answer and reports whether the connection may serve another call.
-func (c *Conn) finish(call *Call, resp *http1.Response) bool {
-	r := call.resultOf(resp)
-	if call.sent(c) && !resp.Close && c.br.Buffered() == 0 {
-		r.Conn = c
-		c.bind(nil)
-	} else {
-		c.Close()
+// carry makes the call and reports how it ended, with the answer if there was one, and whether the connection may be
+// used again.
+func (c *Conn) carry(call *Call) (r Result, again bool) {
+	var err error
+	rest := call.message
+	if len(rest) > lump {
+		_, err = c.socket.Write(rest[:len(rest)-1])
+		rest = rest[len(rest)-1:]
 	}
-	return call.end(c.sink, r) && r.Conn != nil
-}
-
-// sent reports whether the last byte was written, ending a write that the provider did not wait for.
-func (call *Call) sent(c *Conn) bool {
-	select {
-	case <-call.wrote:
-	default:
-		c.socket.SetWriteDeadline(time.Unix(1, 0)) // no effect on a write that is through
-		<-call.wrote
-		c.socket.SetWriteDeadline(time.Time{})
+	if err == nil && !c.socket.Quiet() {
+		return Result{Ending: ending.Unwritten}, false
 	}
-	call.mu.Lock()
-	defer call.mu.Unlock()
-	return call.stage == written
-}
-
-// lost ends a call whose connection broke: a part of a request can't have run, and once the kernel has taken
-// the last byte nobody knows.
-func (call *Call) lost(c *Conn, e ending.Ending) {
-	if !call.sent(c) {
-		e = e.Unsent()
+	if err == nil {
+		_, err = c.socket.Write(rest)
+	}
+	if err != nil { // a part of a request can't have run
+		return Result{Ending: ending.Unwritten}, false
+	}
+	if !call.written() {
+		return Result{}, false
+	}
+	resp, err := http1.ReadResponse(c.br)
+	switch {
+	case errors.Is(err, http1.ErrMalformed):
+		return Result{Ending: ending.Malformed}, false
+	case err != nil: // the kernel has taken the last byte, and nobody knows
+		return Result{Ending: ending.ResetByPeer}, false
 	}
-	call.end(c.sink, Result{Ending: e})
+	return call.resultOf(resp), !resp.Close && c.br.Buffered() == 0 && c.socket.Quiet()
 }
 
-// Pool is one provider's idle connections. It belongs to one goroutine.
+// Pool is one provider's idle connections at one address. It belongs to one goroutine.
 type Pool struct {
 	Address string
 	idle    []*Conn // most lately used last
+	closed  bool
 }
 
-// Take returns the connection most lately used, or nil: the others grow idle and are retired.
-func (p *Pool) Take() *Conn {
+// offer gives the call to the connection most lately used, if there is any: the others grow idle and are retired.
+func (p *Pool) offer(call *Call) bool {
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if c.socket.Busy() && !c.socket.Leaving() && c.usable() && c.socket.SetReadDeadline(time.Time{}) == nil {
-			return c
+		if c.socket.Busy() && !c.socket.Leaving() && c.offer(call) {
+			return true
 		}
 		c.Close()
 	}
-	return nil
+	return false
 }
 
 // Put keeps a connection for at most retire, which must end well before the provider closes it: a call that
 // crosses the provider's close is reset, and may not be sent again if it may not run twice.
-func (p *Pool) Put(c *Conn, retire time.Duration) {
-	if c.Address != p.Address || !c.usable() || c.socket.SetReadDeadline(time.Now().Add(retire)) != nil {
+func (c *Conn) Put(retire time.Duration) {
+	p := c.pool
+	if p.closed || c.socket.SetReadDeadline(time.Now().Add(retire)) != nil {
 		c.Close()
 		return
 	}
@@ -167,8 +132,9 @@
 	p.idle = append(p.idle, c)
 }
 
-// Drop forgets a connection that has ended.
-func (p *Pool) Drop(c *Conn) {
+// Drop forgets the connection, which has ended.
+func (c *Conn) Drop() {
+	p := c.pool
 	for i, have := range p.idle {
 		if have == c {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
@@ -177,10 +143,11 @@
 	}
 }
 
-// Close closes all.
+// Close closes all, and those to come: the provider is gone, drains or lives elsewhere now, and who answers at its
+// address from now on is somebody else.
 func (p *Pool) Close() {
 	for _, c := range p.idle {
 		c.Close()
 	}
-	p.idle = nil
+	p.idle, p.closed = nil, true
 }
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"container/heap"
 	"log"
 	"time"
@@ -28,7 +29,7 @@
 	case logic.Probe:
 		if k := s.providers[a.Server]; k != nil {
 			s.counts.Probes++
-			s.start(k, provider.NewProbe(k.pool.Address), attempt{probe: true, server: a.Server}, probeTimeout)
+			s.start(k, provider.NewProbe(k.pool), attempt{probe: true, server: a.Server}, probeTimeout)
 		}
 	case logic.SetTimer:
 		heap.Push(&s.timers, timer{at: s.now.Add(config.Duration(a.After)), handle: a.Timer})
@@ -50,7 +51,7 @@
 	}
 	s.counts.Sent++
 	wait := config.Duration(a.After)
-	h.call = provider.NewCall(k.pool.Address, h.inv, wait)
+	h.call = provider.NewCall(k.pool, h.inv, wait)
 	h.attempts++
 	s.start(k, h.call, attempt{request: a.Request, number: h.attempts - 1, server: a.Server}, wait)
 }
@@ -62,36 +63,21 @@
 	if !k.notAfter.IsZero() {
 		c.NotAfter(k.notAfter)
 	}
-	s.invoker.Start(c, k.pool.Take())
+	s.invoker.Start(c)
 	// The module often gives an attempt until its request's own deadline, for which it has set a timer too. The
 	// time-out must win that race: called off by the deadline instead, the attempt would teach the module nothing,
 	// and it would judge the providers by the answers that came in time alone.
 	heap.Push(&s.timers, timer{at: s.now.Add(wait - timeoutLead), call: c})
 }
 
-func (e connFree) apply(s *Sidecar) {
-	if k := s.at(e.conn.Address); k != nil && k.health == logic.Ready {
-		k.pool.Put(e.conn, time.Duration(retirePart*float64(s.cfg.ConnIdle)))
-	} else {
-		e.conn.Close()
-	}
-}
+func (e connFree) apply(s *Sidecar) { s.keep(e.conn) }
+
+// keep lets the connection's provider use it again.
+func (s *Sidecar) keep(c *provider.Conn) { c.Put(time.Duration(retirePart * float64(s.cfg.ConnIdle))) }
 
 func (e connEnded) apply(s *Sidecar) {
 	s.counts.Idle[e.how]++
-	if k := s.at(e.conn.Address); k != nil {
-		k.pool.Drop(e.conn)
-	}
-}
-
-// at returns the provider that now answers at the address, or nil.
-func (s *Sidecar) at(address string) *known {
-	for _, k := range s.providers {
-		if k.pool.Address == address {
-			return k
-		}
-	}
-	return nil
+	e.conn.Drop()
 }
 
 func (e told) apply(s *Sidecar) { s.list(config.List(e)) }
@@ -123,13 +109,14 @@
 			StartedAt: m.UpSince})
 		k := s.providers[id]
 		if k == nil {
-			k = &known{health: logic.Ready}
+			k = &known{health: logic.Ready, pool: &provider.Pool{Address: m.Address}}
 			s.providers[id] = k
 		}
-		if m.Address != "" && m.Address != k.pool.Address {
-			k.pool.Close() // the same provider elsewhere: nobody answers for it at the old place
-			k.pool.Address = m.Address
+		if m.Address != "" && m.Address != k.pool.Address || m.UpSince != k.upSince {
+			k.pool.Close() // another process: nobody answers for it at the old place or on the old connections
+			k.pool = &provider.Pool{Address: cmp.Or(m.Address, k.pool.Address)}
 		}
+		k.upSince = m.UpSince
 		s.setHealth(id, k, health(m.Phase), told)
 	}
 	for id, k := range s.providers {
@@ -154,7 +141,9 @@
 	k.health = h
 	switch {
 	case h == logic.Ready:
-		k.notAfter = time.Time{}
+		if k.notAfter = (time.Time{}); was != logic.Ready {
+			k.pool = &provider.Pool{Address: k.pool.Address}
+		}
 	case was == logic.Ready:
 		k.pool.Close()
 		k.notAfter = told.Add(max(0, s.cfg.DrainGrace-graceMargin))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -72,7 +72,8 @@
 
 // known is a provider that the directory has named.
 type known struct {
-	pool     provider.Pool
+	pool     *provider.Pool
+	upSince  float64 // of its process
 	health   logic.Health
 	notAfter time.Time // of a first byte, once it drains or is gone
 	calls    int       // and probes under way
@@ -250,7 +251,7 @@
 		k.calls--
 	}
 	if r.Conn != nil {
-		connFree{r.Conn}.apply(s)
+		s.keep(r.Conn)
 	}
 	took := config.Millis(time.Since(r.Call.SentAt))
 	if a.probe {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -92,7 +92,7 @@
 	return s.leaving
 }
 
-// Quiet reports whether nothing that has come in is still unread.
+// Quiet reports whether nothing that has come in is still unread, the other side's close included.
 func (s *Socket) Quiet() bool {
 	sys, ok := s.Conn.(syscall.Conn)
 	if !ok {
@@ -107,7 +107,7 @@
 		var b [1]byte
 		waiting, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err != nil || waiting <= 0
+	return err != nil || waiting < 0
 }
 
 // Release gives back a place that was not adopted.
