--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -133,8 +133,8 @@
 // report prints the counters.
 func (p *program) report() {
 	c, f, w := p.core.Counts(), p.front, p.watch
-	log.Printf("name=%s counters=core taken=%d consumer_gone=%d sent=%d probes=%d lists=%d served=%d refused=%d failed=%d",
-		p.cfg.Name, c.Taken, c.Gone, c.Sent, c.Probes, c.Lists, c.Served, c.Refused, c.Failed)
+	log.Printf("name=%s counters=core taken=%d conflicts=%d consumer_gone=%d sent=%d probes=%d lists=%d served=%d "+
+		"refused=%d failed=%d", p.cfg.Name, c.Taken, c.Conflicts, c.Gone, c.Sent, c.Probes, c.Lists, c.Served, c.Refused, c.Failed)
 	log.Printf("name=%s counters=front connections=%d not_taken=%d sockets=%d",
 		p.cfg.Name, f.Connections.Load(), f.NotTaken.Load(), p.budget.Used())
 	log.Printf("name=%s counters=directory answers=%d failures=%d", p.cfg.Name, w.Answers.Load(), w.Failures.Load())
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -45,7 +45,10 @@
 	KeyScope, Repeat                                    string
 }
 
-var repeats = map[string]logic.Repeat{"pure": logic.Safe, "token": logic.Keyed, "side_effect": logic.Unsafe}
+// Pure is what Repeat says of a class that is safe to repeat.
+const Pure = "pure"
+
+var repeats = map[string]logic.Repeat{Pure: logic.Safe, "token": logic.Keyed, "side_effect": logic.Unsafe}
 
 var scopes = map[string]logic.Scope{"all": logic.ScopeAll, "zone": logic.ScopeZone, "cell": logic.ScopeCell}
 
@@ -128,16 +131,25 @@
 	}
 }
 
-// ParseReport reads a load report in JSON. What can't be read is no report.
+// ParseReport reads a load report in JSON. What can't be read is no report, and null is no figure.
 func ParseReport(raw []byte) (r logic.Report) {
-	var values map[string]float64
+	var values map[string]*float64
 	if json.Unmarshal(raw, &values) != nil {
 		return r
 	}
 	for name, v := range values {
-		if v >= 0 {
-			fields[name].Put(&r, v)
+		if v != nil && *v >= 0 {
+			fields[name].Put(&r, *v)
 		}
 	}
 	return r
 }
+
+// Whole says whether a report has all that the module uses of what the deployment's reports hold.
+func (s *Settings) Whole(r logic.Report) bool {
+	var all logic.Report
+	for _, f := range s.ReportFields() {
+		f.Put(&all, 0)
+	}
+	return r.HasRIF == all.HasRIF && r.HasLatency == all.HasLatency && r.HasErrors == all.HasErrors
+}
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -24,15 +24,22 @@
 )
 
 const (
-	messageWithin = 10 * time.Second // for a request, from its first byte
-	writeWithin   = 5 * time.Second  // for an answer
-	lingerMost    = 256 << 10
+	lookEvery     = 2 * time.Second         // whether an idle connection may stay; one that has brought nothing yet may not
+	messageWithin = 2 * time.Second         // for a request, from its first byte
+	firstWithin   = 2700 * time.Millisecond // for the first one, from its connection's begin
+	idleMost      = time.Minute
+	writeWithin   = 5 * time.Second // for an answer
+	lingerMost    = 128 << 10
 	lingerFor     = 500 * time.Millisecond
+	floodFor      = 100 * time.Millisecond
 	acceptPause   = 5 * time.Millisecond
 
-	// A consumer opens a connection when all it has are busy. One that is new, or has just been answered, is thus
-	// about to carry a request, which would be lost if the connection were closed to make room.
-	spareAfter = 1 * time.Second
+	// A consumer opens a connection when all it has are busy. One that has just been answered is thus about to carry a
+	// request, which would be lost if the connection were closed to make room. One that is new is so too, but what it
+	// carries comes at once: those that have brought nothing by then are the first to make room.
+	spareAfter    = 1 * time.Second
+	strangerAfter = 25 * time.Millisecond
+	partAfter     = 500 * time.Millisecond // for the rest of its first request
 )
 
 // Server is the front.
@@ -60,7 +67,7 @@
 	var conns errgroup.Group
 	defer conns.Wait()
 	for {
-		for !s.budget.Reserve() { // the kernel's backlog holds the consumer until there is room
+		for !s.budget.Reserve(sockets.Inward) { // the kernel's backlog holds the consumer until there is room
 			select {
 			case <-s.budget.Freed():
 			case <-time.After(acceptPause): // some connection may have been idle for long enough now
@@ -70,7 +77,7 @@
 		}
 		nc, err := l.Accept()
 		if err != nil {
-			s.budget.Release()
+			s.budget.Release(sockets.Inward)
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
@@ -82,13 +89,14 @@
 			continue
 		}
 		s.Connections.Add(1)
-		c := &conn{server: s, socket: s.budget.Adopt(nc), answers: make(chan *http1.Response, 1),
-			written: make(chan ending.Ending, 1), done: make(chan struct{})}
-		c.br = http1.NewReader(c.socket)
+		c := &conn{server: s, socket: s.budget.Adopt(nc, sockets.Inward), began: time.Now()}
+		c.socket.Stranger(strangerAfter)
 		s.mu.Lock()
 		s.conns[c] = false
-		if s.closing { // accepted at the last moment: it may still bring one request
+		if c.idleAt = c.began; s.closing { // accepted at the last moment: it may still bring one request
 			c.wind(lingerFor)
+		} else {
+			c.socket.Extend(c.began.Add(lookEvery))
 		}
 		s.mu.Unlock()
 		conns.Go(func() error { c.run(); return nil })
@@ -132,24 +140,29 @@
 	return s.closing
 }
 
-// conn is one consumer's connection. Its reader looks for the next message or the consumer's end all the
-// time; its writer writes each answer when the core gives it.
+// conn is one consumer's connection. Its reader looks for the next message or the consumer's end all the time and answers
+// what it turns away; once there is an invocation, its writer writes each answer when the core gives it.
 type conn struct {
 	server  *Server
 	socket  *sockets.Socket
 	br      *bufio.Reader
-	answers chan *http1.Response // at most one is under way
+	began   time.Time
+	brought bool                 // a whole message has come
+	known   bool                 // an invocation has come: it is no stranger
+	idleAt  time.Time            // since when no message is under way; guarded by server.mu
+	answers chan *http1.Response // at most one is under way; nil = no writer yet
 	written chan ending.Ending   // how writing it ended; Open = the connection goes on
 	done    chan struct{}
+	writer  errgroup.Group
 }
 
 func (c *conn) run() {
-	var writer errgroup.Group
-	writer.Go(func() error { c.write(); return nil })
+	c.br, c.done = http1.NewReader(c.socket), make(chan struct{})
 	e := c.read()
-	close(c.done)
+	close(c.done) // not answers: the core may just be giving one to a consumer that is gone
 	c.socket.Close()
-	writer.Wait()
+	c.writer.Wait()
+	http1.Free(c.br)
 	c.server.ended(c, e)
 }
 
@@ -164,61 +177,89 @@
 }
 
 func (c *conn) read() ending.Ending {
-	c.socket.Idle(spareAfter)
-	err := c.next()
 	for {
-		if err != nil {
+		if err := c.next(); err != nil {
 			return ending.OfIdle(err)
 		}
-		if c.setBusy(true); !c.socket.Busy() {
-			return ending.IdleRetired
-		}
-		inv, e := c.message()
-		if e != ending.Open {
+		c.setBusy(true)
+		inv, turned, e := c.message()
+		switch {
+		case e != ending.Open:
 			return e
-		}
-		err = c.next() // the next message, or the consumer's end
-		if err != nil {
+		case turned != nil:
+			e = c.writeOne(turned)
+		default:
+			c.serve()
+			if !c.server.core.Take(inv) {
+				return ending.Stopped
+			}
+			err := c.next() // the next message, or the consumer's end
 			select {
 			case e = <-c.written:
 			default:
-				if inv != nil {
+				if err != nil {
 					c.server.core.Abandon(inv)
+					return ending.ConsumerGone
 				}
-				return ending.ConsumerGone
+				e = <-c.written
 			}
-		} else {
-			e = <-c.written
 		}
 		if e != ending.Open {
-			if err == nil {
-				io.CopyN(io.Discard, c.br, lingerMost) // until the deadline that writeOne set
-			}
+			c.linger()
 			return e
 		}
 	}
 }
 
-// next waits for the first byte of a message. Its deadline passes when the connection is to end while idle; what has
-// come in just before that is still taken, and its answer is the last.
+// next waits for the first byte of a message. Its deadline passes when the connection is to end while idle, or when it
+// is time to see whether it is: what has come in just before that is still taken, and its answer is the last.
 func (c *conn) next() error {
-	_, err := c.br.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) && !c.socket.Quiet() {
-		c.socket.SetReadDeadline(time.Now().Add(lingerFor))
-		_, err = c.br.Peek(1)
+	for {
+		_, err := c.br.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if c.stays() {
+			continue
+		}
+		if !c.socket.Quiet() {
+			c.socket.SetReadDeadline(time.Now().Add(lingerFor))
+			_, err = c.br.Peek(1)
+		}
+		return err
 	}
-	return err
+}
+
+// stays reports whether the idle connection may stay until the next look. It may not for long once sockets are scarce: a
+// consumer that has asked nothing for so long opens another just as well.
+func (c *conn) stays() bool {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	idle := time.Since(c.idleAt)
+	return c.brought && !s.closing && idle < idleMost && (idle < lookEvery || !s.budget.Scarce()) &&
+		c.socket.Extend(time.Now().Add(lookEvery))
 }
 
 // wind ends the connection as soon as it is idle. Its reader does that, not the caller: a request that the reader has
 // just got would be lost.
 func (c *conn) wind(after time.Duration) { c.socket.SetReadDeadline(time.Now().Add(after)) }
 
-// message reads one message and sees to it that it gets an answer: from the core, if it is an invocation,
-// which is then returned.
-func (c *conn) message() (*invocation.Invocation, ending.Ending) {
+// message reads one message: an invocation, or what turns it away. Another ending than Open says that there is neither.
+func (c *conn) message() (*invocation.Invocation, *http1.Response, ending.Ending) {
 	began := time.Now()
-	c.socket.SetReadDeadline(began.Add(messageWithin))
+	until := began.Add(messageWithin)
+	if !c.known {
+		c.socket.Stranger(partAfter)
+	}
+	if !c.brought {
+		if first := c.began.Add(firstWithin); first.Before(until) {
+			until = first
+		}
+	}
+	if !c.socket.Extend(until) {
+		c.socket.SetReadDeadline(began.Add(lingerFor))
+	}
 	req, err := http1.ReadRequest(c.br)
 	if err == nil && req.WantsContinue() {
 		_, err = c.socket.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -226,50 +267,59 @@
 	if err == nil {
 		err = req.ReadBody(c.br)
 	}
-	if errors.Is(err, http1.ErrMalformed) {
-		c.reply(&http1.Response{Status: 400, Close: true})
-		return nil, ending.Open
-	}
-	if err != nil || c.socket.SetReadDeadline(time.Time{}) != nil {
-		return nil, ending.BadInput
+	switch {
+	case errors.Is(err, http1.ErrTooLarge):
+		return nil, c.turn(413, true), ending.Open
+	case errors.Is(err, http1.ErrMalformed):
+		return nil, c.turn(400, true), ending.Open
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, c.turn(408, true), ending.Open
+	case err != nil || !c.socket.Busy() || c.socket.SetReadDeadline(time.Time{}) != nil:
+		return nil, nil, ending.BadInput
 	}
+	c.brought = true
 	if req.Method == "GET" && req.Target == http1.PathUp {
 		status := 503
 		if c.server.core.Ready() {
 			status = 200
 		}
-		c.reply(&http1.Response{Status: status, Close: req.Close})
-		return nil, ending.Open
+		return nil, &http1.Response{Status: status, Close: req.Close}, ending.Open
 	}
 	inv, status := c.server.dialect.invocation(req, began)
 	if status != 0 {
-		c.server.NotTaken.Add(1)
-		c.reply(&http1.Response{Status: status, Close: req.Close || status == 400})
-		return nil, ending.Open
+		return nil, c.turn(status, req.Close || status == 400), ending.Open
 	}
-	inv.Answer = func(a invocation.Answer) {
+	c.known = true
+	inv.Answer = func(a invocation.Answer) { // never blocks: there is room for the one answer that is owed
 		r := response(a)
 		r.Close = req.Close
-		c.reply(r)
+		c.answers <- r
 	}
-	if !c.server.core.Take(inv) {
-		return nil, ending.Stopped
-	}
-	return inv, ending.Open
+	return inv, nil, ending.Open
 }
 
-// reply never blocks: there is room for the one answer that is owed.
-func (c *conn) reply(r *http1.Response) { c.answers <- r }
+// turn words an answer that turns a message away before it is taken.
+func (c *conn) turn(status int, last bool) *http1.Response {
+	c.server.NotTaken.Add(1)
+	return &http1.Response{Status: status, Close: last}
+}
 
-func (c *conn) write() {
-	for {
-		select {
-		case <-c.done:
-			return
-		case r := <-c.answers:
-			c.written <- c.writeOne(r)
-		}
+// serve starts the writer.
+func (c *conn) serve() {
+	if c.answers != nil {
+		return
 	}
+	c.answers, c.written = make(chan *http1.Response, 1), make(chan ending.Ending, 1)
+	c.writer.Go(func() error {
+		for {
+			select {
+			case r := <-c.answers:
+				c.written <- c.writeOne(r)
+			case <-c.done:
+				return nil
+			}
+		}
+	})
 }
 
 func (c *conn) writeOne(r *http1.Response) ending.Ending {
@@ -280,27 +330,44 @@
 		return ending.WriteFailed
 	}
 	if r.Close {
-		// What the consumer has sent beyond the request would turn a plain close into a reset, and that could
-		// overtake the answer: say that this is the end, and wait a little for the consumer's.
 		c.socket.CloseWrite()
 		c.wind(lingerFor)
-		if r.Status == 400 {
+		if r.Status == 400 || r.Status == 408 || r.Status == 413 {
 			return ending.BadInput
 		}
 		return ending.LastAnswer
 	}
-	c.socket.Idle(spareAfter)
+	if c.known {
+		c.socket.Idle(spareAfter)
+	} else {
+		c.socket.Stranger(strangerAfter)
+	}
 	c.setBusy(false)
 	return ending.Open
 }
 
+// linger waits a little for the consumer's close, and makes room before any other meanwhile. What it has sent beyond its
+// request would turn a plain close into a reset, and that could overtake the answer. A flood is not read to its end: it
+// gets a moment for the answer to arrive.
+func (c *conn) linger() {
+	c.socket.Stranger(0)
+	if n, _ := io.CopyN(io.Discard, c.br, lingerMost); n == lingerMost {
+		time.Sleep(floodFor)
+	}
+}
+
 // setBusy notes whether a message is under way. One that is not ends when the front is being closed.
 func (c *conn) setBusy(busy bool) {
 	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = busy
-	if !busy && s.closing {
+	if busy {
+		return
+	}
+	if c.idleAt = time.Now(); s.closing {
 		c.wind(0)
+	} else {
+		c.socket.Extend(c.idleAt.Add(lookEvery))
 	}
 }
--- a/internal/consumer/dialect.go
+++ b/internal/consumer/dialect.go
@@ -15,6 +15,7 @@
 type dialect struct {
 	classes map[string]int
 	limits  []time.Duration // the longest that a consumer waits, by class
+	verbs   []string        // the one that a class goes with
 	tenants map[string]int
 }
 
@@ -23,6 +24,7 @@
 	for i, c := range s.Classes {
 		d.classes[c.Name] = i
 		d.limits = append(d.limits, config.Duration(c.HardLimitMs))
+		d.verbs = append(d.verbs, map[bool]string{true: "GET", false: "POST"}[c.Repeat == config.Pure])
 	}
 	for i, r := range s.Realms {
 		d.tenants[r.Name] = i
@@ -38,17 +40,19 @@
 	switch {
 	case !known || path[0] != '/':
 		return nil, 404
-	case r.Method != "GET" && r.Method != "POST":
+	case r.Method != d.verbs[class]:
 		return nil, 405
+	case r.Method == "GET" && len(r.Body) > 0:
+		return nil, 400
 	}
-	id := r.Header.Get(http1.HeaderID)
-	if id == "" {
+	id, _, err := r.Header.Only(http1.HeaderID)
+	if id == "" || err != nil {
 		return nil, 400
 	}
 	patience := d.limits[class]
-	if v := r.Header.Get(http1.HeaderDeadline); v != "" {
-		s, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(s >= 0) || math.IsInf(s, 0) {
+	if v, given, err := r.Header.Only(http1.HeaderDeadline); given {
+		s, bad := strconv.ParseFloat(v, 64)
+		if err != nil || bad != nil || !(s > 0) || math.IsInf(s, 0) {
 			return nil, 400
 		}
 		patience = min(patience, time.Duration(min(s, 3600)*float64(time.Second)))
@@ -80,5 +84,8 @@
 		}
 		return r
 	}
+	if a.Kind == invocation.Conflict {
+		return &http1.Response{Status: 409}
+	}
 	return &http1.Response{Status: 502}
 }
--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -31,6 +31,7 @@
 	Served      // 200 and a whole body
 	ServerError // an answer that is neither a 200 nor a provider's word that it has not run
 	Declined    // the provider's word that it has not run
+	Unreadable  // a probe's answer without the load report that it should bring: it says nothing
 
 	// Of an invoker call or a probe: never ran.
 	NoSocket       // the limit on sockets left none for it
@@ -65,6 +66,7 @@
 	Served:         {"served", logic.OK},
 	ServerError:    {"server_error", logic.Failed},
 	Declined:       {"declined", logic.Full},
+	Unreadable:     {"unreadable", logic.NotSent},
 	NoSocket:       {"no_socket", logic.NotSent},
 	Refused:        {"refused", logic.NoConnection},
 	ConnectTimeout: {"connect_timeout", logic.NoConnection},
--- a/internal/ending/ending_test.go
+++ b/internal/ending/ending_test.go
@@ -10,7 +10,7 @@
 // the other side.
 func TestWhatNeverRan(t *testing.T) {
 	never := map[Ending]bool{Declined: true, NoSocket: true, Refused: true, ConnectTimeout: true, Drained: true,
-		Unwritten: true, Withdrawn: true}
+		Unwritten: true, Withdrawn: true, Unreadable: true} // the last is of probes alone
 	names := map[string]bool{}
 	for e := Served; e < count; e++ {
 		if e.Status().NeverRan() != never[e] {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -10,6 +10,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync"
 
 	"plankrouter/internal/invocation"
 )
@@ -39,8 +40,8 @@
 	return ""
 }
 
-// only returns the value of a name that must not be given twice with different values.
-func (h Header) only(name string) (value string, given bool, err error) {
+// Only returns the value of a name that must not be given twice with different values.
+func (h Header) Only(name string) (value string, given bool, err error) {
 	for _, f := range h {
 		if strings.EqualFold(f.Name, name) {
 			if given && f.Value != value {
@@ -89,6 +90,9 @@
 // other error comes from the connection.
 var ErrMalformed = errors.New("malformed message")
 
+// ErrTooLarge is a breach of the bound on bodies.
+var ErrTooLarge = fmt.Errorf("%w: body too large", ErrMalformed)
+
 // Request is a consumer's message.
 type Request struct {
 	Method, Target string
@@ -106,8 +110,21 @@
 	Close  bool
 }
 
-// NewReader returns a reader whose buffer holds the longest line.
-func NewReader(r io.Reader) *bufio.Reader { return bufio.NewReaderSize(r, maxLine) }
+// readers are those that nobody uses: connections come and go by the hundred, and the buffer is most of what one costs.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxLine) }}
+
+// NewReader returns a reader whose buffer holds the longest line. Free takes it back.
+func NewReader(r io.Reader) *bufio.Reader {
+	br := readers.Get().(*bufio.Reader)
+	br.Reset(r)
+	return br
+}
+
+// Free takes back a reader that nobody uses any more.
+func Free(br *bufio.Reader) {
+	br.Reset(nil)
+	readers.Put(br)
+}
 
 // ReadRequest reads up to the end of the header; ReadBody reads the rest.
 func ReadRequest(br *bufio.Reader) (*Request, error) {
@@ -206,11 +223,11 @@
 // frame decides on the framing. What two readers could take differently is malformed: that is how one
 // request is smuggled inside another.
 func frame(h Header) (f framing, err error) {
-	coding, coded, err := h.only("Transfer-Encoding")
+	coding, coded, err := h.Only("Transfer-Encoding")
 	if err != nil {
 		return f, err
 	}
-	length, sized, err := h.only("Content-Length")
+	length, sized, err := h.Only("Content-Length")
 	switch {
 	case err != nil:
 		return f, err
@@ -235,7 +252,10 @@
 		return 0, fmt.Errorf("%w: length", ErrMalformed)
 	}
 	n, err := strconv.ParseUint(s, base, 63)
-	if err != nil || n > MaxBody {
+	switch {
+	case errors.Is(err, strconv.ErrRange) || err == nil && n > MaxBody:
+		return 0, ErrTooLarge
+	case err != nil:
 		return 0, fmt.Errorf("%w: length", ErrMalformed)
 	}
 	return int(n), nil
@@ -252,7 +272,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(br, MaxBody+1))
 	if err == nil && len(body) > MaxBody {
-		err = fmt.Errorf("%w: body", ErrMalformed)
+		err = ErrTooLarge
 	}
 	return body, err
 }
@@ -279,7 +299,7 @@
 			_, err = readHeader(br) // trailers are not passed on
 			return body, err
 		case len(body)+n > MaxBody:
-			return nil, fmt.Errorf("%w: body", ErrMalformed)
+			return nil, ErrTooLarge
 		}
 		if body, err = readN(br, body, n); err != nil {
 			return nil, err
@@ -429,5 +449,5 @@
 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found",
-	405: "Method Not Allowed", 502: "Bad Gateway",
-	503: "Service Unavailable"}
+	405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
+	502: "Bad Gateway", 503: "Service Unavailable"}
--- a/internal/invocation/invocation.go
+++ b/internal/invocation/invocation.go
@@ -28,11 +28,13 @@
 // Kind says what a final answer means to the consumer.
 type Kind uint8
 
-// The kinds. Refused promises that trying again is harmless; Failed promises nothing.
+// The kinds. Refused promises that trying again is harmless; Failed promises nothing; Conflict says that the invocation
+// was never taken, since another of the same id is open.
 const (
 	Served Kind = iota
 	Refused
 	Failed
+	Conflict
 )
 
 // Answer is the final answer to an invocation.
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -113,6 +113,7 @@
 		stop := context.AfterFunc(v.ctx, conn.Close)
 		c = v.serve(conn, c)
 		stop()
+		http1.Free(conn.br)
 	}
 }
 
--- a/internal/provider/conn_test.go
+++ b/internal/provider/conn_test.go
@@ -27,9 +27,9 @@
 	}
 	defer in.Close()
 	budget := sockets.NewBudget(1, nil)
-	budget.Reserve()
+	budget.Reserve(sockets.Outward)
 	pool := &Pool{Address: "p1:1"}
-	conn := newConn(budget.Adopt(out), pool)
+	conn := newConn(budget.Adopt(out, sockets.Outward), pool)
 	defer conn.Close()
 	if _, err := in.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nmap")); err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -32,7 +32,7 @@
 			s.start(k, provider.NewProbe(k.pool), attempt{probe: true, server: a.Server}, probeTimeout)
 		}
 	case logic.SetTimer:
-		heap.Push(&s.timers, timer{at: s.now.Add(config.Duration(a.After)), handle: a.Timer})
+		heap.Push(&s.timers, &timer{at: s.now.Add(config.Duration(a.After)), handle: a.Timer})
 	case logic.Subscribe: // the directory is watched all the time
 	case logic.Log:
 		log.Printf("decision=%q", a.Text)
@@ -58,16 +58,17 @@
 
 // start sends a call on an idle connection or a new one, and gives it up after wait.
 func (s *Sidecar) start(k *known, c *provider.Call, a attempt, wait time.Duration) {
+	// The module often gives an attempt until its request's own deadline, for which it has set a timer too. The
+	// time-out must win that race: called off by the deadline instead, the attempt would teach the module nothing,
+	// and it would judge the providers by the answers that came in time alone.
+	a.end = &timer{at: s.now.Add(wait - timeoutLead), call: c}
+	heap.Push(&s.timers, a.end)
 	s.calls[c] = a
 	k.calls++
 	if !k.notAfter.IsZero() {
 		c.NotAfter(k.notAfter)
 	}
 	s.invoker.Start(c)
-	// The module often gives an attempt until its request's own deadline, for which it has set a timer too. The
-	// time-out must win that race: called off by the deadline instead, the attempt would teach the module nothing,
-	// and it would judge the providers by the answers that came in time alone.
-	heap.Push(&s.timers, timer{at: s.now.Add(wait - timeoutLead), call: c})
 }
 
 func (e connFree) apply(s *Sidecar) { s.keep(e.conn) }
@@ -109,7 +110,7 @@
 			StartedAt: m.UpSince})
 		k := s.providers[id]
 		if k == nil {
-			k = &known{health: logic.Ready, pool: &provider.Pool{Address: m.Address}}
+			k = &known{name: m.ID, health: logic.Ready, pool: &provider.Pool{Address: m.Address}}
 			s.providers[id] = k
 		}
 		if m.Address != "" && m.Address != k.pool.Address || m.UpSince != k.upSince {
@@ -129,6 +130,8 @@
 		ready = ready || k.health == logic.Ready
 		if k.health == logic.Gone && k.calls == 0 {
 			delete(s.providers, id)
+			delete(s.serverIDs, k.name)
+			delete(s.numbers, id)
 		}
 	}
 	s.ready.Store(ready)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -41,9 +41,10 @@
 
 	held      map[logic.RequestID]*held
 	byInv     map[*invocation.Invocation]logic.RequestID
+	open      map[string]bool // the consumers' ids of what has no final answer yet
 	calls     map[*provider.Call]attempt
 	providers map[logic.ServerID]*known
-	serverIDs map[string]logic.ServerID // of all that were ever named
+	serverIDs map[string]logic.ServerID // of providers, by the directory's ids
 	numbers   map[logic.ServerID]bool   // those given out
 	timers    timers
 	next      logic.RequestID
@@ -57,9 +58,10 @@
 
 // Counts is what the core has taken in, sent and answered.
 type Counts struct {
-	Taken, Gone, Sent, Probes, Lists int
-	Served, Refused, Failed          int
-	Calls, Asked, Idle               ending.Counts // endings of invoker calls, probes and idle connections
+	Taken, Conflicts, Gone  int
+	Sent, Probes, Lists     int
+	Served, Refused, Failed int
+	Calls, Asked, Idle      ending.Counts // endings of invoker calls, probes and idle connections
 }
 
 // held is an invocation that has no final answer yet, or whose invoker call is still out.
@@ -72,6 +74,7 @@
 
 // known is a provider that the directory has named.
 type known struct {
+	name     string
 	pool     *provider.Pool
 	upSince  float64 // of its process
 	health   logic.Health
@@ -85,6 +88,7 @@
 	request logic.RequestID
 	number  int
 	server  logic.ServerID
+	end     *timer // of its time
 }
 
 // event is something that another goroutine has seen.
@@ -111,7 +115,7 @@
 	}
 	s := &Sidecar{cfg: cfg, bal: bal, clock: newClock(), zones: map[string]int{}, stopped: ctx.Done(),
 		events: make(chan event, eventsAhead), held: map[logic.RequestID]*held{},
-		byInv: map[*invocation.Invocation]logic.RequestID{}, calls: map[*provider.Call]attempt{},
+		byInv: map[*invocation.Invocation]logic.RequestID{}, open: map[string]bool{}, calls: map[*provider.Call]attempt{},
 		providers: map[logic.ServerID]*known{}, serverIDs: map[string]logic.ServerID{},
 		numbers: map[logic.ServerID]bool{}}
 	for i, name := range cfg.Settings.Dcs {
@@ -196,9 +200,15 @@
 func (e reading) apply(s *Sidecar) { e.to <- s.counts }
 
 func (e arrived) apply(s *Sidecar) {
+	inv := e.inv
+	if s.open[inv.ID] { // providers could not tell the two apart, and one might get the other's answer
+		s.counts.Conflicts++
+		inv.Answer(invocation.Answer{Kind: invocation.Conflict})
+		return
+	}
+	s.open[inv.ID] = true
 	s.counts.Taken++
 	s.next++
-	inv := e.inv
 	s.held[s.next], s.byInv[inv] = &held{inv: inv}, s.next
 	s.step(logic.Event{Kind: logic.Arrival, Request: s.next, Class: inv.Class, Tenant: inv.Tenant,
 		Left: config.Millis(inv.Patience - time.Since(inv.SentAt)), Again: inv.Again})
@@ -235,6 +245,7 @@
 func (s *Sidecar) close(id logic.RequestID, h *held) {
 	h.answered = true
 	delete(s.byInv, h.inv)
+	delete(s.open, h.inv.ID)
 	if h.call == nil {
 		delete(s.held, id)
 	}
@@ -246,6 +257,9 @@
 func (s *Sidecar) ended(r provider.Result) {
 	a := s.calls[r.Call]
 	delete(s.calls, r.Call)
+	if a.end.index >= 0 { // else it would hold the call, and its connection, until its time was up
+		heap.Remove(&s.timers, a.end.index)
+	}
 	k := s.providers[a.server]
 	if k != nil {
 		k.calls--
@@ -255,6 +269,9 @@
 	}
 	took := config.Millis(time.Since(r.Call.SentAt))
 	if a.probe {
+		if r.Ending == ending.Served && !s.cfg.Settings.Whole(r.Report) {
+			r.Ending = ending.Unreadable
+		}
 		s.counts.Asked[r.Ending]++
 		s.step(logic.Event{Kind: logic.ProbeDone, Server: a.server, Status: r.Ending.Status(), Took: took,
 			Report: r.Report})
@@ -302,7 +319,7 @@
 
 func (s *Sidecar) due() {
 	for len(s.timers) > 0 && !time.Now().Before(s.timers[0].at) {
-		t := heap.Pop(&s.timers).(timer)
+		t := heap.Pop(&s.timers).(*timer)
 		if t.call == nil {
 			s.step(logic.Event{Kind: logic.TimerDue, Timer: t.handle})
 		} else {
--- a/internal/sidecar/time.go
+++ b/internal/sidecar/time.go
@@ -24,19 +24,30 @@
 	at     time.Time
 	handle uint64
 	call   *provider.Call
+	index  int // in timers
 }
 
 // timers is a heap, the earliest first.
-type timers []timer
+type timers []*timer
 
 func (t timers) Len() int           { return len(t) }
 func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index, t[j].index = i, j
+}
+
+func (t *timers) Push(x any) {
+	one := x.(*timer)
+	one.index = len(*t)
+	*t = append(*t, one)
+}
+
 func (t *timers) Pop() any {
 	old := *t
 	last := old[len(old)-1]
-	old[len(old)-1] = timer{}
+	old[len(old)-1] = nil
+	last.index = -1
 	*t = old[:len(old)-1]
 	return last
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -12,7 +12,20 @@
 	"time"
 )
 
-const mostLeaving = 16 // the descriptors that those being closed may hold beyond the limit
+const (
+	mostLeaving  = 16 // the descriptors that those being closed may hold beyond the limit
+	inwardPart   = 2  // connections from consumers may hold one in so many of the sockets,
+	strangerPart = 4  // and strangers among them one in so many
+)
+
+// Side says who opened a connection.
+type Side bool
+
+// The sides. Inward connections leave room for the outward ones, without which nothing could be done for them.
+const (
+	Outward Side = false
+	Inward  Side = true
+)
 
 // ErrNone says that the limit leaves no socket, and that no idle one can make room.
 var ErrNone = errors.New("no socket left under the limit")
@@ -30,10 +43,13 @@
 	mu      sync.Mutex
 	most    int
 	used    int
-	leaving int       // whose place has been given away and which are not closed yet
-	idle    list.List // of *Socket, least recently used first
-	freed   chan struct{}
-	dial    Dialer
+	inward  int // of those used
+	leaving int // whose place has been given away and which are not closed yet
+	// What can make room, as lists of *Socket, in the order in which they do: strangers, which have brought nothing
+	// yet, and idle ones. In each the least recently used is first.
+	strangers, idle list.List
+	freed           chan struct{}
+	dial            Dialer
 }
 
 // NewBudget allows for most sockets; dial opens those that this side opens.
@@ -43,36 +59,62 @@
 
 // Dial opens a connection under the limit, or fails with ErrNone.
 func (b *Budget) Dial(ctx context.Context, address string, within time.Duration) (*Socket, error) {
-	if !b.Reserve() {
+	if !b.Reserve(Outward) {
 		return nil, ErrNone
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	c, err := b.dial(ctx, address)
 	if err != nil {
-		b.Release()
+		b.Release(Outward)
 		return nil, err
 	}
-	return b.Adopt(c), nil
+	return b.Adopt(c, Outward), nil
 }
 
-// Reserve takes one place under the limit, that of the idle socket least recently used if need be. The place
-// goes to a Socket by Adopt, or back by Release.
-func (b *Budget) Reserve() bool {
+// Reserve takes one place under the limit, if need be that of a stranger or of the idle socket least recently used. The
+// place goes to a Socket by Adopt, or back by Release. Inward connections beyond their part make room for one another
+// alone, and strangers beyond theirs: hundreds that say nothing must not keep out those that have something to say.
+func (b *Budget) Reserve(side Side) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.used >= b.most {
-		oldest := b.idle.Front()
-		for now := time.Now(); oldest != nil && now.Before(oldest.Value.(*Socket).spare); {
-			oldest = oldest.Next()
-		}
-		if oldest == nil || b.leaving >= mostLeaving {
-			return false
+	ok := true
+	switch {
+	case side == Inward && b.strangers.Len() >= max(1, b.most/strangerPart):
+		ok = b.takeFrom(&b.strangers, side)
+	case b.used >= b.most || side == Inward && b.inward >= b.most/inwardPart:
+		ok = b.takeFrom(&b.strangers, side) || b.takeFrom(&b.idle, side)
+	}
+	if ok {
+		b.count(side, 1)
+	}
+	return ok
+}
+
+// takeFrom frees the place of the first in the list that may be closed for a socket of that side.
+func (b *Budget) takeFrom(l *list.List, side Side) bool {
+	now := time.Now()
+	for e := l.Front(); e != nil && b.leaving < mostLeaving; e = e.Next() {
+		if s := e.Value.(*Socket); !now.Before(s.spare) && (side == Outward || s.side == Inward) {
+			s.leave()
+			return true
 		}
-		oldest.Value.(*Socket).leave()
 	}
-	b.used++
-	return true
+	return false
+}
+
+func (b *Budget) count(side Side, n int) {
+	b.used += n
+	if side == Inward {
+		b.inward += n
+	}
+}
+
+// Scarce reports whether more than half of the places are taken.
+func (b *Budget) Scarce() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return 2*b.used > b.most
 }
 
 // leave gives the socket's place away and wakes its reader, which closes it. Only the reader can tell whether a
@@ -80,11 +122,18 @@
 func (s *Socket) leave() {
 	s.unmark()
 	s.leaving = true
-	s.budget.used--
+	s.budget.count(s.side, -1)
 	s.budget.leaving++
 	s.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
+// Extend sets the read deadline, unless the socket is to make room: then it reports false, and its reader is to end.
+func (s *Socket) Extend(t time.Time) bool {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	return !s.leaving && s.Conn.SetReadDeadline(t) == nil
+}
+
 // Leaving reports whether the socket's place has been given away.
 func (s *Socket) Leaving() bool {
 	s.budget.mu.Lock()
@@ -111,14 +160,14 @@
 }
 
 // Release gives back a place that was not adopted.
-func (b *Budget) Release() {
+func (b *Budget) Release(side Side) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.release()
+	b.release(side)
 }
 
-func (b *Budget) release() {
-	b.used--
+func (b *Budget) release(side Side) {
+	b.count(side, -1)
 	b.tell()
 }
 
@@ -140,12 +189,14 @@
 }
 
 // Adopt binds a reserved place to a connection.
-func (b *Budget) Adopt(c net.Conn) *Socket { return &Socket{Conn: c, budget: b} }
+func (b *Budget) Adopt(c net.Conn, side Side) *Socket { return &Socket{Conn: c, budget: b, side: side} }
 
 // Socket is a connection that counts under the limit until it is closed.
 type Socket struct {
 	net.Conn
 	budget *Budget
+	side   Side
+	in     *list.List // of those that can make room
 	idle   *list.Element
 	spare  time.Time // not before
 
@@ -153,14 +204,21 @@
 }
 
 // Idle marks the socket as one that may be closed to make room once it has been idle for so long.
-func (s *Socket) Idle(after time.Duration) {
+func (s *Socket) Idle(after time.Duration) { s.mark(&s.budget.idle, after) }
+
+// Stranger is Idle for a connection that has brought nothing yet: it makes room before any other.
+func (s *Socket) Stranger(after time.Duration) { s.mark(&s.budget.strangers, after) }
+
+func (s *Socket) mark(in *list.List, after time.Duration) {
 	b := s.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s.idle == nil && !s.closed && !s.leaving {
-		s.idle, s.spare = b.idle.PushBack(s), time.Now().Add(after)
-		b.tell()
+	if s.closed || s.leaving {
+		return
 	}
+	s.unmark()
+	s.in, s.idle, s.spare = in, in.PushBack(s), time.Now().Add(after)
+	b.tell()
 }
 
 // Busy takes the mark back. False means that the socket has been closed meanwhile.
@@ -173,7 +231,7 @@
 
 func (s *Socket) unmark() {
 	if s.idle != nil {
-		s.budget.idle.Remove(s.idle)
+		s.in.Remove(s.idle)
 		s.idle = nil
 	}
 }
@@ -196,7 +254,7 @@
 		s.budget.leaving--
 		s.budget.tell()
 	} else {
-		s.budget.release()
+		s.budget.release(s.side)
 	}
 	return err
 }
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -22,10 +22,10 @@
 	}
 	defer out.Close()
 	in, err := l.Accept()
-	if err != nil || !b.Reserve() {
+	if err != nil || !b.Reserve(Outward) {
 		t.Fatal(err)
 	}
-	s := b.Adopt(in)
+	s := b.Adopt(in, Outward)
 	defer s.Close()
 	if _, err := out.Write([]byte("ab")); err != nil {
 		t.Fatal(err)
@@ -43,32 +43,79 @@
 	var sockets []*Socket
 	for range 3 {
 		c, _ := net.Pipe()
-		if !b.Reserve() {
+		if !b.Reserve(Outward) {
 			t.Fatal("no place under the limit")
 		}
-		sockets = append(sockets, b.Adopt(c))
+		sockets = append(sockets, b.Adopt(c, Outward))
 	}
-	if b.Reserve() {
+	if b.Reserve(Outward) {
 		t.Error("a place beyond the limit")
 	}
 	sockets[0].Idle(time.Hour) // too lately used
 	sockets[1].Idle(0)
 	sockets[2].Idle(0)
-	if !b.Reserve() || sockets[0].Leaving() || !sockets[1].Leaving() || sockets[2].Leaving() {
+	if !b.Reserve(Outward) || sockets[0].Leaving() || !sockets[1].Leaving() || sockets[2].Leaving() {
 		t.Error("not the one idle for longest has left")
 	}
 	if _, err := sockets[1].Read(make([]byte, 1)); err == nil {
 		t.Error("its reader was not woken")
 	}
-	if !sockets[2].Busy() || b.Reserve() || b.Used() != 3 {
+	if !sockets[2].Busy() || b.Reserve(Outward) || b.Used() != 3 {
 		t.Errorf("a busy one has left; %d used", b.Used())
 	}
 	for _, s := range sockets {
 		s.Close()
 		s.Close()
 	}
-	b.Release()
+	b.Release(Outward)
 	if b.Used() != 0 {
 		t.Errorf("%d places are still taken", b.Used())
 	}
 }
+
+// Connections that have brought nothing make room before any other, and for one another once they hold their part.
+// Those from consumers leave half of the places to those that calls need.
+func TestStrangersMakeRoomFirst(t *testing.T) {
+	b := NewBudget(12, nil)
+	open := func(side Side) *Socket {
+		c, _ := net.Pipe()
+		if !b.Reserve(side) {
+			t.Fatal("no place under the limit")
+		}
+		return b.Adopt(c, side)
+	}
+	known, provider := open(Inward), open(Outward)
+	known.Idle(0) // for longer than any stranger
+	provider.Idle(0)
+	var strangers []*Socket
+	for range 3 {
+		s := open(Inward)
+		s.Stranger(time.Hour)
+		strangers = append(strangers, s)
+	}
+	if b.Reserve(Inward) {
+		t.Error("a fourth stranger beyond a quarter of twelve")
+	}
+	strangers[1].Stranger(0)
+	if open(Inward); !strangers[1].Leaving() || known.Leaving() {
+		t.Error("not the stranger that may be closed has left")
+	}
+	open(Inward)
+	open(Inward)
+	if open(Inward); !known.Leaving() || provider.Leaving() {
+		t.Error("not the idle one of their own has left for a seventh of them")
+	}
+	if b.Reserve(Inward) {
+		t.Error("consumers hold more than half")
+	}
+	strangers[0].Stranger(0)
+	for range 5 {
+		open(Outward)
+	}
+	if open(Outward); !strangers[0].Leaving() || provider.Leaving() {
+		t.Error("one that has been useful has left before a stranger")
+	}
+	if strangers[0].Extend(time.Now()) || !provider.Extend(time.Now()) {
+		t.Error("one that is to leave may stay, or the other way round")
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -341,12 +341,12 @@
 
 func (b *Balancer) onProbe(e *Event) {
 	s := b.byID[e.Server]
-	if s == nil {
+	if s == nil || e.Status == NotSent { // which says nothing of the server
 		return
 	}
 	b.unpool(s)
 	if e.Status != OK {
-		if e.Status != NotSent && e.Status != Full {
+		if e.Status != Full {
 			b.learn(s, probeWeight)
 		}
 		return
@@ -852,6 +852,7 @@
 func (b *Balancer) abandon(r *request) {
 	if !r.out {
 		delete(b.requests, r.id)
+		b.waiting = slices.DeleteFunc(b.waiting, func(w *request) bool { return w == r })
 	} else if b.cfg.Cancel {
 		b.out = append(b.out, Action{Kind: Cancel, Request: r.id, Attempt: r.attempts - 1})
 	}
