--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -119,6 +119,11 @@
 
 // serve carries calls on the connection until it ends, and returns the one that it could not begin.
 func (v *Invoker) serve(conn *Conn, c *Call) *Call {
+	if !conn.socket.Quiet() { // a provider that speaks first is no HTTP server
+		conn.Close()
+		c.end(v.sink, Result{Ending: ending.Unwritten})
+		return nil
+	}
 	for {
 		switch e := c.begin(conn); e {
 		case ending.Open:
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -69,17 +69,17 @@
 	return call, ending.OfIdle(err)
 }
 
-// carry makes the call and reports how it ended, with the answer if there was one, and whether the connection may be
-// used again.
+// carry makes the call, on a connection that is quiet, and reports how it ended, with the answer if there was one, and
+// whether the connection may be used again.
 func (c *Conn) carry(call *Call) (r Result, again bool) {
 	var err error
 	rest := call.message
 	if len(rest) > lump {
 		_, err = c.socket.Write(rest[:len(rest)-1])
 		rest = rest[len(rest)-1:]
-	}
-	if err == nil && !c.socket.Quiet() {
-		return Result{Ending: ending.Unwritten}, false
+		if err == nil && !c.socket.Quiet() {
+			return Result{Ending: ending.Unwritten}, false
+		}
 	}
 	if err == nil {
 		_, err = c.socket.Write(rest)
@@ -97,7 +97,7 @@
 	case err != nil: // the kernel has taken the last byte, and nobody knows
 		return Result{Ending: ending.ResetByPeer}, false
 	}
-	return call.resultOf(resp), !resp.Close && c.br.Buffered() == 0 && c.socket.Quiet()
+	return call.resultOf(resp), !resp.Close && c.br.Buffered() == 0
 }
 
 // Pool is one provider's idle connections at one address. It belongs to one goroutine.
--- a/logic/admission_test.go
+++ b/logic/admission_test.go
@@ -21,6 +21,9 @@
 	g := newRig(t, testConfig(), 4)
 	for id, want := range map[RequestID]bool{1: false, 2: true} {
 		g.now = 1000 + float64(id-1)*firstAnswers
+		for s := range g.b.byID {
+			g.report(s, 1, 40)
+		}
 		s := find(g.arrive(id, 0), Send)
 		g.now += 40
 		g.done(id, 0, s.Server, OK)
@@ -44,3 +47,40 @@
 		}
 	}
 }
+
+// A probe that is under way will answer for all: in a sidecar short of time, more of them only make the answers later.
+// And a busy sidecar, which sees each server many times a second, needs fewer for each request.
+func TestProbesAreBounded(t *testing.T) {
+	g := newRig(t, testConfig(), 4)
+	out := map[ServerID]int{}
+	count := func(acts []Action) {
+		for _, a := range acts {
+			if a.Kind == Probe {
+				out[a.Server]++
+			}
+		}
+	}
+	for id := range RequestID(20) {
+		count(g.do(Event{Kind: Arrival, Request: id, Left: 900}))
+	}
+	for s, n := range out {
+		if n != 1 {
+			t.Errorf("%d probes of server %d under way", n, s)
+		}
+	}
+	clear(out)
+	for id := range RequestID(1000) { // a second of one a millisecond, each answered at once
+		g.now++
+		acts := g.do(Event{Kind: Arrival, Request: 100 + id, Left: 900})
+		for count(acts); len(acts) > 0; acts = acts[1:] {
+			if acts[0].Kind == Probe {
+				g.report(acts[0].Server, 1, 40)
+			}
+		}
+	}
+	for s, n := range out {
+		if n > 1000/probeFresh*2 {
+			t.Errorf("%d probes of server %d in a second", n, s)
+		}
+	}
+}
