Keep evidence against a provider by tenant as well

A temporary log of declined calls: all of one tenant, at 7 of 15 providers, after 61 ms for a record and 92 ms for a tile; the same providers served all others, so that learn(), which counts all outcomes of a server together, never left them out. Ruled out: the age of the connection and the number of calls on it. Test: TestTroubleOfOneTenant.

--- a/logic/admission_test.go
+++ b/logic/admission_test.go
@@ -1,6 +1,9 @@
 package logic
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // An answer after the aim earns nothing, but given up at the aim the client asks again: the work was in vain, and more
 // of it follows. So an attempt is given as long as the client waits.
@@ -84,3 +87,37 @@
 		}
 	}
 }
+
+// A server that turns one tenant's requests away serves the others: it is left out for that tenant alone.
+func TestTroubleOfOneTenant(t *testing.T) {
+	cfg := testConfig()
+	cfg.Tenants, cfg.OverShareWorth = make([]Tenant, 2), 1
+	for i := range cfg.Tenants {
+		cfg.Tenants[i].Quota = 1e3
+	}
+	g := newRig(t, cfg, 4)
+	s := g.b.byID[1]
+	for i := range 12 {
+		r := &request{id: RequestID(i + 1), who: 1 + i%4/3, out: true, endAt: g.now + 900} // the second's is every fourth
+		g.b.requests[r.id] = r
+		g.do(Event{Kind: AttemptDone, Request: r.id, Server: 1, Status: []Status{OK, Full}[r.who-1], Took: 40, Final: true})
+	}
+	for tenant, want := range []bool{true, false} {
+		if got := g.b.suits(s, &request{who: 1 + tenant}); got != want {
+			t.Errorf("tenant %d: suits %t, want %t", tenant, got, want)
+		}
+	}
+	var to []ServerID
+	for id := range RequestID(40) {
+		for s := range g.b.byID {
+			g.report(s, map[bool]float64{true: 0, false: 2}[s == 1], 40) // the least loaded of all
+		}
+		if a := find(g.answer(g.do(Event{Kind: Arrival, Request: 100 + id, Tenant: 1, Left: 900})), Send); a != nil {
+			to = append(to, a.Server)
+			g.done(100+id, 0, a.Server, OK)
+		}
+	}
+	if len(to) != 40 || slices.Contains(to, 1) {
+		t.Errorf("its requests went to %v", to)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -141,22 +141,21 @@
 // ---- Server table: what the list says and what the last report and our own traffic add.
 
 type server struct {
-	info        ServerInfo
-	rank        float64 // this sidecar's order of preference: own zone first, else at random
-	rif         float64 // last probed, plus own sends and minus own answers since
-	latency     Ms      // service time
-	reportAt    Ms
-	network     Ms   // lowest probe round trip
-	reported    bool // latency is the server's own figure
-	out         int
-	expected    Ms      // of the latest attempt sent
-	quietAt     Ms      // last answer, or the first send after all was answered
-	lastSeen    Ms      // time of the last decay of the evidence
-	oks, misses float64 // outcomes, fading
-	failing     float64 // part of what it answers that its last report counts as errors
-	ejected     bool
-	probing     bool   // a probe is under way
-	cold        bucket // cold-start budget
+	info     ServerInfo
+	rank     float64 // this sidecar's order of preference: own zone first, else at random
+	rif      float64 // last probed, plus own sends and minus own answers since
+	latency  Ms      // service time
+	reportAt Ms
+	network  Ms   // lowest probe round trip
+	reported bool // latency is the server's own figure
+	out      int
+	expected Ms      // of the latest attempt sent
+	quietAt  Ms      // last answer, or the first send after all was answered
+	by       []tally // own outcomes: of all, then by tenant
+	failing  float64 // part of what it answers that its last report counts as errors
+	ejected  bool
+	probing  bool   // a probe is under way
+	cold     bucket // cold-start budget
 }
 
 func (b *Balancer) onList(e *Event) {
@@ -177,6 +176,7 @@
 		if s.reportAt == 0 || in.StartedAt != s.info.StartedAt {
 			// A new process: what was known of the old one no longer holds.
 			*s = server{rank: s.rank, network: s.network, out: s.out, reportAt: math.Inf(-1), quietAt: b.now,
+				by:   make([]tally, 1+len(b.buckets)),
 				cold: bucket{b.rng.Float64(), b.now}} // a random part: sidecars must not send at once
 			b.unpool(s)
 		}
@@ -207,17 +207,27 @@
 	b.timer(askTimer, b.askWait*(0.5+b.rng.Float64()))
 }
 
-// ---- Evidence: own outcomes and outstanding work. It guards against servers that answer quickly with
-// errors, fall silent with work in hand, or can't be reached, whatever their reports and the list say.
+// ---- Evidence: own outcomes and missing answers, whatever the reports and the list say of a server.
 
-func (s *server) decay(now Ms) {
-	k := math.Exp2((s.lastSeen - now) / evidenceHalf)
-	s.oks, s.misses, s.lastSeen = s.oks*k, s.misses*k, now
+type tally struct{ oks, misses, at float64 } // fading
+
+// missed is the probability that the server fails a request, by one of its tallies.
+func (s *server) missed(i int, now Ms) float64 {
+	t := &s.by[i]
+	k := math.Exp2((t.at - now) / evidenceHalf)
+	*t = tally{t.oks * k, t.misses * k, now}
+	return t.misses / (t.oks + t.misses + missPrior)
 }
 
-func (b *Balancer) learn(s *server, weight float64) {
-	s.decay(b.now)
-	s.misses += weight
+// learn adds a failure of that weight, or a success if it is 0, to the evidence at all and to the tenant's.
+func (b *Balancer) learn(s *server, who int, weight float64) {
+	for _, i := range slices.Compact([]int{0, who}) {
+		s.missed(i, b.now)
+		t := &s.by[i]
+		if t.misses += weight; weight == 0 {
+			t.oks, t.misses = t.oks+1, t.misses*okShrink
+		}
+	}
 }
 
 // silent: work is in hand and no answer came for far longer than expected.
@@ -231,9 +241,7 @@
 	if b.silent(s) {
 		return 1
 	}
-	s.decay(b.now)
-	told := s.failing * math.Exp2((s.reportAt-b.now)/evidenceHalf)
-	return max(told, s.misses/(s.oks+s.misses+missPrior))
+	return max(s.missed(0, b.now), s.failing*math.Exp2((s.reportAt-b.now)/evidenceHalf))
 }
 
 // excess is how much likelier than the median a server fails: trouble that most share excludes none.
@@ -261,9 +269,8 @@
 	return v[int(q*float64(len(v)-1))]
 }
 
-// ---- Latency: a report's service time leaves out waiting, here or on others, while the paper's latency is
-// the response time at the present RIF. fit rebuilds it from own attempts, pooled over servers: what part of
-// a response is not in the report, by class, and how many requests a server runs side by side.
+// ---- Latency: reports leave out waiting. fit rebuilds the paper's response time at the present RIF from own
+// attempts: what part of it is not in the report, by class, and how many requests a server runs side by side.
 
 type fit struct {
 	xx, xy float64 // of the least-squares line through the origin: waiting over requests in flight
@@ -274,8 +281,7 @@
 // classFit is the mean of one class, as a part of the reported service time.
 type classFit struct{ n, sum, prior float64 }
 
-// age lets old samples fade towards the prior, few requests waiting: a sidecar that refuses for want of room
-// gets no samples, and must not go on believing its last ones.
+// age lets old samples fade: a sidecar that refuses for want of room gets none and must not believe its last.
 func (f *fit) age(now Ms) {
 	k := math.Exp((f.at - now) / fitMemory)
 	f.xx, f.xy, f.at = f.xx*k, f.xy*k, now
@@ -321,8 +327,7 @@
 	return min(1, (b.fracOwn+fracPrior/float64(b.cfg.Balancers))/(b.fracAll+fracPrior))
 }
 
-// ---- Probe pool: the paper's, with one entry a server (a newer answer supersedes the older one). The
-// loads themselves are kept in the server table, so a use raises the RIF that every later pick sees.
+// ---- Probe pool: one entry a server. Loads are in the server table: a use raises the RIF for later picks.
 
 type entry struct {
 	s    *server
@@ -345,7 +350,7 @@
 	b.unpool(s)
 	if e.Status != OK {
 		if e.Status != Full {
-			b.learn(s, probeWeight)
+			b.learn(s, 0, probeWeight)
 		}
 		return
 	}
@@ -382,8 +387,7 @@
 	}
 }
 
-// await is the exception where the pool is short of fresh answers, as in a sidecar with little traffic: the
-// paper's synchronous mode. The request waits for all but one of its own probes, a small part of its aim.
+// await is the paper's synchronous mode, for a pool that is short: wait for all but one of the own probes.
 func (b *Balancer) await(r *request) bool {
 	hold := max(2*b.cfg.Round, syncPart*b.minAim)
 	if b.ready < 2 || r.waits >= syncRounds || r.endAt-b.now < 2*hold {
@@ -418,8 +422,7 @@
 	return int(v + b.rng.Float64())
 }
 
-// reach is the number of servers among which this sidecar normally chooses. It guards against connections of
-// many sidecars to every server: tables of servers fill, and each connection is too rarely used to stay open.
+// reach is the number of servers to choose among: connections of many sidecars to each would fill its table.
 func (b *Balancer) reach() int {
 	return min(b.ready, max(leastReach, connections*b.ready/b.cfg.Balancers))
 }
@@ -453,8 +456,7 @@
 	return n
 }
 
-// tend does the pool's work for one request: probes, ageing, and the alternating removal of the oldest
-// and the worst entry, so that bad servers do not collect in the pool.
+// tend ages the pool and removes the oldest and the worst entry in turn: bad servers must not collect there.
 func (b *Balancer) tend(r *request) {
 	b.age()
 	rate := min(probeRate, float64(b.ready)/(probeFresh*b.arrivals.perMs(b.now)))
@@ -479,10 +481,7 @@
 	b.pool = slices.DeleteFunc(b.pool, func(e entry) bool { return b.now-e.at > limit })
 }
 
-// ---- The pick.
-
-// cost is the latency by which cold entries are compared: the expected response time, plus what the
-// settings price in units of time: a likely failure, a zone crossing.
+// cost compares cold entries: the expected response time plus, as time, likely failures and crossings.
 func (b *Balancer) cost(s *server, r *request) float64 {
 	aim := b.cfg.Classes[r.class].Aim
 	t := b.expect(s, r.class, s.rif) * (1 + rifLean*s.rif/b.fit.sideBySide())
@@ -509,6 +508,11 @@
 	return s.info.Health == Ready && b.mayRepeatAt(s, r) && b.warmEnough(s)
 }
 
+// suits: not even for its tenant alone does the evidence exclude the server.
+func (b *Balancer) suits(s *server, r *request) bool {
+	return b.trusted(s) && s.missed(r.who, b.now) < b.medianMiss+ejectAt
+}
+
 // trusted: the evidence does not exclude the server. One that is idle gets a trial once that has faded.
 func (b *Balancer) trusted(s *server) bool {
 	return b.excess(s) < ejectAt || s.out == 0 && b.miss(s) < ejectAt
@@ -517,7 +521,7 @@
 // best is the pool's choice by the hot-cold rule among the usable entries, and how many of those there are.
 func (b *Balancer) best(r *request) (best *entry, n int) {
 	for i := range b.pool {
-		if e := &b.pool[i]; e.s != r.avoid && b.allowed(e.s, r) && b.trusted(e.s) {
+		if e := &b.pool[i]; e.s != r.avoid && b.allowed(e.s, r) && b.suits(e.s, r) {
 			if n++; best == nil || b.better(e.s, best.s, r) {
 				best = e
 			}
@@ -526,8 +530,7 @@
 	return best, n
 }
 
-// pick is the pool's choice. Below two usable entries it is a random usable server, or, if there is none, one
-// that the rules allow; a further attempt, or one that has waited, takes a single entry.
+// pick is the pool's choice, or, below two usable entries (one for who has waited), a random server.
 func (b *Balancer) pick(r *request) *server {
 	if e, n := b.best(r); n >= 2 || n == 1 && (r.attempts > 0 || r.waits > 0) {
 		s := e.s
@@ -540,7 +543,7 @@
 		switch {
 		case !b.allowed(s, r):
 			return 0
-		case !b.trusted(s):
+		case !b.suits(s, r):
 			return 1
 		case s == r.avoid:
 			return 2
@@ -566,8 +569,7 @@
 	return found
 }
 
-// ---- Admission. It guards against load beyond what servers can finish in time, whatever its source: a
-// jump, one tenant, lost or slowed servers. The least worthy is refused first.
+// ---- Admission. Of load beyond what servers can finish in time, the least worthy is refused first.
 
 type bucket struct { // fills steadily up to a limit
 	tokens float64
@@ -623,9 +625,8 @@
 	return b.cfg.Classes[class].Worth / b.fit.of(class) / most
 }
 
-// ---- Cold-start budget (rule 4): a server that started lately gets no more than what a warm one gets from
-// this sidecar, times the part of its capacity that it must have by now. With every sidecar doing so, the
-// sum stays at the load of warm servers, below the multiple that tips, whatever the sidecars' sizes.
+// ---- Cold-start budget (rule 4): a server that started lately gets no more than what a warm one gets, times
+// the part of its capacity that it must have by now. So do all sidecars, and the sum stays below what tips.
 
 func (b *Balancer) warmth(s *server) float64 {
 	if s.info.StartedAt <= 0 || b.cfg.WarmWithin <= 0 {
@@ -653,11 +654,10 @@
 
 func (r *rate) perMs(now Ms) float64 { return r.v * math.Exp((r.at-now)/rateMemory) / rateMemory }
 
-// ---- Requests and attempts.
-
 type request struct {
 	id                RequestID
-	class, attempts   int
+	class, who        int // who: of the tenant among a server's tallies; 0 = none
+	attempts          int
 	aimAt, endAt      Ms      // the final answer is given by endAt
 	out, done         bool    // an attempt is out; all is answered
 	over              bool    // beyond its tenant's share
@@ -694,7 +694,7 @@
 	b.retries = min(retryBurst, b.retries+retryPart)
 	class := min(max(0, e.Class), len(b.cfg.Classes)-1)
 	c := &b.cfg.Classes[class]
-	r := &request{id: e.Request, class: class,
+	r := &request{id: e.Request, class: class, who: 1 + max(-1, min(e.Tenant, len(b.buckets)-1)),
 		aimAt: b.now + c.Aim, endAt: b.now + max(0, e.Left-b.margin)}
 	b.requests[r.id] = r
 	b.timer(uint64(r.id), r.endAt-b.now)
@@ -733,11 +733,10 @@
 	}
 }
 
-// roomy is the exception to the pool's pick where that pick has no room: a random one of the servers that
-// admit the request by a fresh report, or none. The best of all would draw every sidecar at once.
+// roomy is a random server with room where the pool's pick has none: the best would draw all sidecars.
 func (b *Balancer) roomy(r *request) *server {
 	return b.draw(func(s *server) int {
-		if b.now-s.reportAt <= poolAge && b.allowed(s, r) && b.trusted(s) && b.admits(s, r) {
+		if b.now-s.reportAt <= poolAge && b.allowed(s, r) && b.suits(s, r) && b.admits(s, r) {
 			return 1
 		}
 		return 0
@@ -768,7 +767,10 @@
 
 func (b *Balancer) onAttemptDone(e *Event) {
 	s := b.byID[e.Server]
-	r := b.requests[e.Request]
+	r, who := b.requests[e.Request], 0
+	if r != nil {
+		who = r.who
+	}
 	if s != nil {
 		s.out = max(0, s.out-1)
 		b.outAll--
@@ -776,12 +778,11 @@
 		switch e.Status {
 		case OK:
 			s.quietAt = b.now
-			b.learn(s, 0)
-			s.oks, s.misses = s.oks+1, s.misses*okShrink
+			b.learn(s, who, 0)
 			b.sample(s, r, e.Took, 1)
 		case Failed, Reset, NoConnection, Full:
 			s.quietAt = b.now
-			b.learn(s, 1)
+			b.learn(s, who, 1)
 			if x := s.rif + 1; e.Status == Full { // a server that is full is crowded, whatever its latency
 				b.fit.xx, b.fit.xy = b.fit.xx+x*x, b.fit.xy+x*crowdMost
 			}
@@ -790,7 +791,7 @@
 				b.sample(s, r, e.Took, 0) // the survivors alone would look too fast
 			}
 			if b.silent(s) || r != nil && b.now-r.sentAt > timeoutTimes*r.expected {
-				b.learn(s, 1)
+				b.learn(s, who, 1)
 			}
 		}
 	}
@@ -840,8 +841,7 @@
 	b.abandon(r)
 }
 
-// comeBack advises when to try again: not soon for a tenant beyond its share, else by the time that what the
-// servers now work on has left.
+// comeBack advises when to try again: not soon beyond a share, else when what servers work on has left.
 func (b *Balancer) comeBack(r *request) Ms {
 	if r.over {
 		return b.cfg.MaxRetryAfter
