Let idle consumers make room once they hold a quarter of the sockets

Temporary figures of the sockets: from 2 s on 60 new connections a second, 130 of 180 idle, and none makes room, since a socket is only freed when a new connection comes and consumers, who hold as many as they can, open none: 'no connection left' is on their side.

--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -35,9 +35,10 @@
 	acceptPause   = 5 * time.Millisecond
 
 	// A consumer opens a connection when all it has are busy. One that has just been answered is thus about to carry a
-	// request, which would be lost if the connection were closed to make room. One that is new is so too, but what it
-	// carries comes at once: those that have brought nothing by then are the first to make room.
-	spareAfter    = 1 * time.Second
+	// request, which would be lost if the connection were closed to make room. But a new one waits to carry one now:
+	// the oldest goes, even where consumers ask once and stay and none has been idle for long. One that is new is about
+	// to carry a request too, but that comes at once: those that have brought nothing by then are the first to go.
+	spareAfter    = 100 * time.Millisecond
 	strangerAfter = 25 * time.Millisecond
 	partAfter     = 500 * time.Millisecond // for the rest of its first request
 )
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -15,6 +15,7 @@
 const (
 	mostLeaving  = 16 // the descriptors that those being closed may hold beyond the limit
 	inwardPart   = 2  // connections from consumers may hold one in so many of the sockets,
+	easyPart     = 4  // one in so many while some of them are idle,
 	strangerPart = 4  // and strangers among them one in so many
 )
 
@@ -84,6 +85,10 @@
 		ok = b.takeFrom(&b.strangers, side)
 	case b.used >= b.most || side == Inward && b.inward >= b.most/inwardPart:
 		ok = b.takeFrom(&b.strangers, side) || b.takeFrom(&b.idle, side)
+	case side == Inward && b.inward >= b.most/easyPart:
+		// Consumers have limits too: one whose sockets all hang on to connections that it asked once can't open another
+		// and so can't make the room that it waits for.
+		_ = b.takeFrom(&b.strangers, side) || b.takeFrom(&b.idle, side)
 	}
 	if ok {
 		b.count(side, 1)
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -85,8 +85,8 @@
 		return b.Adopt(c, side)
 	}
 	known, provider := open(Inward), open(Outward)
-	known.Idle(0) // for longer than any stranger
-	provider.Idle(0)
+	known.Idle(time.Hour)
+	provider.Idle(0) // for longer than any other
 	var strangers []*Socket
 	for range 3 {
 		s := open(Inward)
@@ -102,6 +102,7 @@
 	}
 	open(Inward)
 	open(Inward)
+	known.Idle(0)
 	if open(Inward); !known.Leaving() || provider.Leaving() {
 		t.Error("not the idle one of their own has left for a seventh of them")
 	}
@@ -119,3 +120,37 @@
 		t.Error("one that is to leave may stay, or the other way round")
 	}
 }
+
+// Consumers' idle connections make room early, the oldest first: a consumer may hold as many as it can, all but one of
+// them idle, and could not open another to make the room that it waits for. Busy ones are not in the way.
+func TestIdleConsumersMakeRoomEarly(t *testing.T) {
+	b := NewBudget(16, nil)
+	var got []bool
+	var first *Socket
+	for i := range 6 {
+		if !b.Reserve(Inward) {
+			t.Fatal("no place under the limit")
+		}
+		c, _ := net.Pipe()
+		s := b.Adopt(c, Inward)
+		if i == 0 {
+			first = s
+			s.Idle(0)
+		}
+		got = append(got, first.Leaving())
+	}
+	for i, want := range []bool{false, false, false, false, true, true} {
+		if got[i] != want {
+			t.Errorf("with %d connections: the idle one leaves: %t", i+1, got[i])
+		}
+	}
+	if b.Scarce() {
+		t.Error("5 of 16 are scarce")
+	}
+	for range 4 {
+		b.Reserve(Outward)
+	}
+	if !b.Scarce() {
+		t.Error("9 of 16 are plenty")
+	}
+}
