Count a load report that has the requests in flight but no service time

Settings.Whole left out every report that lacks a value, and a provider that has just started may have no service time.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -145,11 +146,8 @@
 	return r
 }
 
-// Whole says whether a report has all that the module uses of what the deployment's reports hold.
+// Whole says whether a report has what the module can't do without, where the deployment's reports hold it: a provider
+// that has just started may have no service time to tell, but it knows what it holds.
 func (s *Settings) Whole(r logic.Report) bool {
-	var all logic.Report
-	for _, f := range s.ReportFields() {
-		f.Put(&all, 0)
-	}
-	return r.HasRIF == all.HasRIF && r.HasLatency == all.HasLatency && r.HasErrors == all.HasErrors
+	return r.HasRIF || !slices.Contains(s.ReportFields(), FieldRIF)
 }
