--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -21,7 +21,9 @@
 	"plankrouter/internal/consumer"
 	"plankrouter/internal/directory"
 	"plankrouter/internal/ending"
+	"plankrouter/internal/handover"
 	"plankrouter/internal/sidecar"
+	"plankrouter/internal/snapshot"
 	"plankrouter/internal/sockets"
 )
 
@@ -40,43 +42,76 @@
 }
 
 func run() error {
+	from, err := handover.Inherited(os.Getenv)
+	if err != nil {
+		return err
+	}
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
+		if from != nil {
+			from.Refuse(err.Error())
+		}
 		return err
 	}
 	runtime.GOMAXPROCS(1) // one core is all there is; more threads would only wait for one another
 	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)))
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	l, err := net.Listen("tcp", cfg.Listen)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP)
+	l, err := listen(cfg, from)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-	return serve(cfg, os.Getenv, l, sockets.TCP, signals)
+	return serve(cfg, os.Getenv, l, sockets.TCP, signals, from)
+}
+
+// listen returns the predecessor's listener, the one that the service manager holds for this process, or a new one.
+func listen(cfg *config.Config, from *handover.Successor) (net.Listener, error) {
+	if from != nil {
+		return from.Listener(), from.Check(cfg.Listen)
+	}
+	l, err := handover.Listener(os.Getenv)
+	if err != nil || l != nil {
+		return l, err
+	}
+	plain, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return plain, nil
 }
 
 // program is the running parts.
 type program struct {
-	cfg    *config.Config
-	getenv func(string) string
-	budget *sockets.Budget
-	core   *sidecar.Sidecar
-	watch  *directory.Watch
-	front  *consumer.Server
+	cfg      *config.Config
+	getenv   func(string) string
+	listener net.Listener
+	budget   *sockets.Budget
+	core     *sidecar.Sidecar
+	watch    *directory.Watch
+	front    *consumer.Server
+	writer   *snapshot.Writer  // nil = snapshots are not kept
+	line     handover.Handover // of processes that take over from one another
+	stop     context.CancelFunc
 }
 
-// serve runs the sidecar until a signal ends it and all that it has taken is answered.
+// serve runs the sidecar until a signal ends it and all that it has taken is answered, or until a successor has it all.
 func serve(cfg *config.Config, getenv func(string) string, l net.Listener, dial sockets.Dialer,
-	signals <-chan os.Signal) error {
+	signals <-chan os.Signal, from *handover.Successor) error {
 	outer, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(outer)
-	p := program{cfg: cfg, getenv: getenv, budget: sockets.NewBudget(cfg.Limits.Sockets-socketReserve, dial)}
+	p := program{cfg: cfg, getenv: getenv, listener: l, stop: stop, line: handover.Handover{From: from},
+		budget: sockets.NewBudget(cfg.Limits.Sockets-socketReserve, dial)}
+	before := p.before(from, time.Now())
 	var err error
-	if p.core, err = sidecar.New(ctx, group, cfg, p.budget); err != nil {
+	if p.core, err = sidecar.New(ctx, group, cfg, p.budget, before); err != nil {
 		return err
 	}
-	if p.watch, err = directory.New(cfg, cfg.Known, p.budget, p.core.Told); err != nil {
+	known := cfg.Known
+	if before != nil {
+		known = before.List.Config()
+	}
+	if p.watch, err = directory.New(cfg, known, p.budget, p.core.Told); err != nil {
 		return err
 	}
 	p.core.Watching(p.watch.Saw)
@@ -85,19 +120,27 @@
 	group.Go(func() error { return p.watch.Run(ctx) })
 	group.Go(func() error {
 		defer stop() // the core's life ends when the front has answered all that it took
+		if err := p.inherit(ctx, group, from); err != nil {
+			return err
+		}
 		return p.front.Serve(ctx, l)
 	})
-	group.Go(func() error { p.obey(ctx, signals, l); return nil })
-	log.Printf("name=%s state=started listen=%s providers=%d", cfg.Name, l.Addr(), len(cfg.Known.Members))
+	if p.writer != nil {
+		group.Go(func() error { return p.writer.Run(ctx) })
+	}
+	group.Go(func() error { p.obey(ctx, group, signals); return nil })
+	log.Printf("name=%s state=started listen=%s providers=%d", cfg.Name, l.Addr(), len(known.Members))
 	err = group.Wait()
 	p.report()
 	return err
 }
 
 // obey acts on signals until ctx ends.
-func (p *program) obey(ctx context.Context, signals <-chan os.Signal, l net.Listener) {
+func (p *program) obey(ctx context.Context, group *errgroup.Group, signals <-chan os.Signal) {
 	var leave <-chan time.Time
 	var stopAt time.Time
+	live, cancel := context.WithCancel(ctx) // until the word to stop, which calls off a handover that is not ready
+	defer cancel()
 	for {
 		select {
 		case <-ctx.Done():
@@ -108,9 +151,15 @@
 				p.report()
 			case s == syscall.SIGHUP:
 				p.reload()
+			case s == syscall.SIGUSR2 && leave == nil:
+				group.Go(func() error { p.handOver(live); return nil })
+			case s == syscall.SIGUSR2:
+				log.Printf("name=%s handover=refused err=%q", p.cfg.Name, "this process has been told to stop")
 			case leave == nil:
 				plan := p.cfg.StopPlan
 				log.Printf("name=%s state=stopping signal=%q last_request_after=%s", p.cfg.Name, s, plan.Last)
+				cancel()
+				notify("STOPPING=1")
 				p.core.Stopping(plan)
 				p.front.Stay()
 				stopAt, leave = time.Now(), time.After(plan.Last)
@@ -119,7 +168,7 @@
 			}
 		case <-leave:
 			log.Printf("name=%s state=leaving sockets=%d", p.cfg.Name, p.budget.Used())
-			p.front.Drain(l)
+			p.front.Drain(p.listener)
 		}
 	}
 }
@@ -144,10 +193,14 @@
 	c, f, w := p.core.Counts(), p.front, p.watch
 	log.Printf("name=%s counters=core taken=%d conflicts=%d consumer_gone=%d sent=%d probes=%d lists=%d served=%d "+
 		"refused=%d failed=%d", p.cfg.Name, c.Taken, c.Conflicts, c.Gone, c.Sent, c.Probes, c.Lists, c.Served, c.Refused, c.Failed)
-	log.Printf("name=%s counters=front connections=%d not_taken=%d sockets=%d",
-		p.cfg.Name, f.Connections.Load(), f.NotTaken.Load(), p.budget.Used())
+	log.Printf("name=%s counters=front connections=%d adopted=%d not_taken=%d sockets=%d",
+		p.cfg.Name, f.Connections.Load(), f.Adopted.Load(), f.NotTaken.Load(), p.budget.Used())
 	log.Printf("name=%s counters=directory answers=%d failures=%d doubts=%d", p.cfg.Name, w.Answers.Load(), w.Failures.Load(),
 		w.Doubts.Load())
+	if s := p.writer; s != nil {
+		log.Printf("name=%s counters=snapshots written=%d failed=%d skipped=%d", p.cfg.Name, s.Written.Load(), s.Failed.Load(),
+			s.Skipped.Load())
+	}
 	for _, e := range []struct {
 		of     string
 		counts ending.Counts
--- /dev/null
+++ b/cmd/plankrouter/succession.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io/fs"
+	"log"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"plankrouter/internal/handover"
+	"plankrouter/internal/snapshot"
+)
+
+// firstListWithin is how long the directory has, before a successor takes over with the list that it was given.
+const firstListWithin = 2 * time.Second
+
+// before returns what this process can go by from an earlier one: the predecessor's state, else the snapshot that was kept.
+// Nil says that there is nothing but the configuration.
+func (p *program) before(from *handover.Successor, now time.Time) *snapshot.Beginning {
+	cfg := p.cfg
+	if cfg.Snapshot.Path != "" {
+		p.writer = &snapshot.Writer{Store: &snapshot.Store{Path: cfg.Snapshot.Path}, Take: p.take, Every: cfg.SnapshotEvery,
+			Seed: cfg.Seed}
+	}
+	var snap *snapshot.Snapshot
+	var err error
+	origin := cfg.Snapshot.Path
+	switch {
+	case from != nil && len(from.State()) > 0:
+		origin = "predecessor"
+		snap, err = snapshot.Decode(from.State())
+	case p.writer != nil:
+		snap, err = p.writer.Store.Read()
+	default:
+		return nil
+	}
+	if err != nil {
+		if !errors.Is(err, fs.ErrNotExist) { // the first start has none
+			log.Printf("name=%s snapshot=%q state=not_used err=%q", cfg.Name, origin, err)
+		}
+		return nil
+	}
+	rules := snapshot.DefaultRules()
+	rules.Program, rules.Deployment, rules.Directory = cfg.Name, snapshot.Fingerprint(&cfg.Settings), cfg.Discovery
+	rules.Classes, rules.Tenants = len(cfg.Settings.Classes), len(cfg.Settings.Realms)
+	begin, dropped := snapshot.Begin(snap, snapshot.FromConfig(cfg.Known, cfg.Discovery, now), now, rules)
+	log.Printf("name=%s snapshot=%q state=used age=%s providers=%d learned_of=%d left_out=%d %s", cfg.Name, origin,
+		now.Sub(snap.TakenAt).Round(time.Millisecond), len(begin.List.Members), len(begin.Learned.Servers), len(dropped),
+		snapshot.Summary(dropped))
+	return &begin
+}
+
+// take returns what the sidecar has learned, or nil if it has stopped or a successor has taken over its file.
+func (p *program) take() *snapshot.Snapshot {
+	if p.front.Passing() {
+		return nil
+	}
+	snap := p.core.Snapshot()
+	if snap != nil {
+		snap.Directory = p.watch.Source()
+	}
+	return snap
+}
+
+// inherit makes this process a predecessor's successor: once the directory has answered, or has had its time, it says that
+// it is ready, and when it may serve it takes the connections that come.
+func (p *program) inherit(ctx context.Context, group *errgroup.Group, from *handover.Successor) error {
+	if from == nil {
+		notify("READY=1")
+		return nil
+	}
+	select {
+	case <-p.watch.First():
+	case <-time.After(firstListWithin):
+	case <-from.Cancelled():
+	case <-ctx.Done():
+	}
+	if err := from.Ready(); err != nil {
+		return err
+	}
+	log.Printf("name=%s handover=taken_over predecessor=%q", p.cfg.Name, from.Hello().Name)
+	group.Go(func() error {
+		err := from.Conns(ctx, func(c *net.TCPConn, note []byte) { p.front.Adopt(c, note) })
+		if ctx.Err() == nil { // else this process is at its end, whatever the other does
+			log.Printf("name=%s handover=complete adopted=%d err=%v", p.cfg.Name, p.front.Adopted.Load(), err)
+		}
+		return nil
+	})
+	return nil
+}
+
+// handOver starts a successor and gives it everything, or goes on as if nothing had been.
+func (p *program) handOver(ctx context.Context) {
+	l, ok := p.listener.(*net.TCPListener)
+	snap := p.take()
+	if !ok || snap == nil {
+		return
+	}
+	state, err := snapshot.Encode(snap, 0)
+	if err != nil {
+		log.Printf("name=%s handover=without_state err=%q", p.cfg.Name, err)
+	}
+	log.Printf("name=%s handover=begun state_bytes=%d", p.cfg.Name, len(state))
+	to, err := p.line.Start(ctx, l, handover.Options{ReadyWithin: p.cfg.ReadyWithin, Name: p.cfg.Name, Address: p.cfg.Listen,
+		State: state})
+	if err != nil {
+		log.Printf("name=%s handover=failed err=%q", p.cfg.Name, err)
+		return
+	}
+	log.Printf("name=%s handover=passing successor=%d", p.cfg.Name, to.Pid())
+	left := p.front.HandOver(func(c net.Conn, note []byte) error { return to.Pass(c.(syscall.Conn), note) })
+	l.SetDeadline(time.Unix(1, 0)) // accepts no more, but keeps the listener
+	select {
+	case <-left:
+		if err := to.Done(); err == nil {
+			log.Printf("name=%s handover=done successor=%d", p.cfg.Name, to.Pid())
+			p.stop()
+			return
+		}
+	case <-to.Lost():
+	}
+	log.Printf("name=%s handover=lost successor=%d", p.cfg.Name, to.Pid())
+	l.SetDeadline(time.Time{})
+	p.front.Resume()
+}
+
+// notify tells the service manager, where there is one.
+func notify(state string) {
+	if err := handover.Notify(state); err != nil {
+		log.Printf("notify=%q err=%q", state, err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,8 @@
 	defaultGrace    = 750 * time.Millisecond
 	leastSockets    = 32 // below this nothing useful can be served
 
+	defaultSnapshot      = 10 * time.Second
+	defaultReady         = 10 * time.Second
 	defaultWait          = time.Second
 	defaultLeastWait     = 250 * time.Millisecond
 	defaultPatience      = time.Second
@@ -73,11 +75,20 @@
 	Known    List     `json:"known"`
 	Settings Settings `json:"settings"`
 	WatchMs  WatchMs  `json:"watch"`
-	Stop     struct { // what follows the word to stop
+	Snapshot struct { // what was learned is kept in a file
+		Path    string  `json:"path"` // "" = it is not
+		EveryMs float64 `json:"every_ms"`
+	} `json:"snapshot"`
+	Handover struct { // to a successor, on SIGUSR2
+		ReadyWithinMs float64 `json:"ready_within_ms"` // the successor has so long to become ready
+	} `json:"handover"`
+	Stop struct { // what follows the word to stop
 		KillAfterMs float64 `json:"kill_after_ms"` // the process may be killed then; 0 = as on the platform
 	} `json:"stop"`
 
 	StopPlan       stopping.Plan      `json:"-"`
+	SnapshotEvery  time.Duration      `json:"-"`
+	ReadyWithin    time.Duration      `json:"-"`
 	Watch          freshness.Settings `json:"-"`
 	Seed           uint64             `json:"-"`
 	Logic          logic.Config       `json:"-"`
@@ -174,6 +185,8 @@
 		{"listen", c.Listen == next.Listen},
 		{"limits", c.Limits == next.Limits},
 		{"watch", c.WatchMs == next.WatchMs},
+		{"snapshot", c.Snapshot == next.Snapshot},
+		{"handover", c.Handover == next.Handover},
 		{"stop", c.Stop == next.Stop},
 		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
 	} {
@@ -237,6 +250,20 @@
 	if kill := c.Stop.KillAfterMs; !(kill >= 0) || kill > mostMs {
 		return fmt.Errorf("stop.kill_after_ms: %g does not lie between 0 and %d", kill, mostMs)
 	}
+	for _, d := range []struct {
+		key  string
+		ms   float64
+		to   *time.Duration
+		none time.Duration
+	}{
+		{"snapshot.every_ms", c.Snapshot.EveryMs, &c.SnapshotEvery, defaultSnapshot},
+		{"handover.ready_within_ms", c.Handover.ReadyWithinMs, &c.ReadyWithin, defaultReady},
+	} {
+		if !(d.ms >= 0) || d.ms > 0 && d.ms < 100 || d.ms > mostMs {
+			return fmt.Errorf("%s: %g does not lie between 100 and %d", d.key, d.ms, mostMs)
+		}
+		*d.to = orDefault(Duration(d.ms), d.none)
+	}
 	c.StopPlan = stopping.For(longest, Duration(c.Stop.KillAfterMs))
 	if err := c.StopPlan.Check(); err != nil {
 		return fmt.Errorf("stop.%w", err)
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -49,25 +49,30 @@
 	budget  *sockets.Budget
 	dialect dialect
 
-	Connections, NotTaken atomic.Int64
+	Connections, Adopted, NotTaken atomic.Int64
 
 	mu      sync.Mutex
-	conns   map[*conn]bool // true = a message is under way
-	staying bool           // idle connections are kept: who loses one finds nobody to open another to
+	conns   map[*conn]bool               // true = a message is under way
+	staying bool                         // idle connections are kept: who loses one finds nobody to open another to
+	pass    func(net.Conn, []byte) error // hands an idle connection to a successor; nil = there is none
+	empty   chan struct{}                // closed when the last connection has ended, once there is a successor
+	resumed chan struct{}                // closed when there is none any more
+	paused  bool                         // none comes in meanwhile
+	closed  chan struct{}                // by Drain
+	running errgroup.Group               // the connections' goroutines
 	closing bool
 	endings ending.Counts
 }
 
 // New returns a front for core.
 func New(cfg *config.Config, core invocation.Core, budget *sockets.Budget) *Server {
-	return &Server{core: core, budget: budget, dialect: newDialect(&cfg.Settings), conns: map[*conn]bool{}}
+	return &Server{core: core, budget: budget, dialect: newDialect(&cfg.Settings), conns: map[*conn]bool{}, closed: make(chan struct{})}
 }
 
 // Serve accepts connections until Drain or the end of ctx, and returns when the last one has ended.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	defer context.AfterFunc(ctx, func() { s.hangUp(l) })()
-	var conns errgroup.Group
-	defer conns.Wait()
+	defer s.running.Wait()
 	for {
 		for !s.budget.Reserve(sockets.Inward) { // the kernel's backlog holds the consumer until there is room
 			select {
@@ -80,6 +85,15 @@
 		nc, err := l.Accept()
 		if err != nil {
 			s.budget.Release(sockets.Inward)
+			if resumed := s.pause(); resumed != nil {
+				select {
+				case <-resumed:
+					continue
+				case <-s.closed:
+				case <-ctx.Done():
+				}
+				return nil
+			}
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
@@ -91,20 +105,33 @@
 			continue
 		}
 		s.Connections.Add(1)
-		c := &conn{server: s, socket: s.budget.Adopt(nc, sockets.Inward), began: time.Now()}
-		c.socket.Stranger(strangerAfter)
 		s.mu.Lock()
-		s.conns[c] = false
-		if c.idleAt = c.began; s.closing { // accepted at the last moment: it may still bring one request
-			c.wind(lingerFor)
-		} else {
-			c.socket.Extend(c.began.Add(lookEvery))
-		}
+		s.admit(nc, "")
 		s.mu.Unlock()
-		conns.Go(func() error { c.run(); return nil })
 	}
 }
 
+// admit serves a connection, with the note of the process that had it before. It is called with mu held.
+func (s *Server) admit(nc net.Conn, note string) {
+	c := &conn{server: s, socket: s.budget.Adopt(nc, sockets.Inward), began: time.Now(), brought: note != "",
+		known: note == noteKnown}
+	if c.known {
+		c.socket.Idle(spareAfter)
+	} else {
+		c.socket.Stranger(strangerAfter)
+	}
+	s.conns[c] = false
+	switch c.idleAt = c.began; {
+	case s.closing: // accepted at the last moment: it may still bring one request
+		c.wind(lingerFor)
+	case s.pass != nil:
+		c.wind(0)
+	default:
+		c.socket.Extend(c.began.Add(lookEvery))
+	}
+	s.running.Go(func() error { c.run(); return nil })
+}
+
 // Stay keeps the connections that are open, however long they are idle, until Drain.
 func (s *Server) Stay() {
 	s.mu.Lock()
@@ -112,13 +139,86 @@
 	s.staying = true
 }
 
+// The notes that go with a connection to a successor: what it has brought so far. A new one has none.
+const (
+	noteBrought = "brought" // a message
+	noteKnown   = "known"   // an invocation
+)
+
+// Adopt serves a connection that a predecessor had, whether or not the limit on sockets leaves room: it is there already.
+func (s *Server) Adopt(nc net.Conn, note []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing { // as it would any that is between two messages
+		nc.Close()
+		return
+	}
+	s.budget.Force(sockets.Inward)
+	s.Adopted.Add(1)
+	s.admit(nc, string(note))
+}
+
+// HandOver passes every connection on as soon as it is between two messages, with a note for the successor's Adopt, and
+// returns a channel that is closed when none is left. What pass fails for stays. The caller then stops the listener by a
+// deadline, which Resume's caller takes back.
+func (s *Server) HandOver(pass func(c net.Conn, note []byte) error) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	empty := make(chan struct{})
+	s.pass, s.empty, s.resumed = pass, empty, make(chan struct{})
+	for c, busy := range s.conns {
+		if !busy {
+			c.wind(0)
+		}
+	}
+	return empty
+}
+
+// Resume ends HandOver: the successor is gone, and this process serves on.
+func (s *Server) Resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pass, s.empty, s.paused = nil, nil, false
+	close(s.resumed)
+}
+
+// Passing reports whether a successor is being given the connections.
+func (s *Server) Passing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pass != nil
+}
+
+// pause notes that no connection comes in any more, and returns a channel that is closed by Resume; nil without HandOver.
+func (s *Server) pause() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pass == nil {
+		return nil
+	}
+	s.paused = true
+	s.leftEmpty()
+	return s.resumed
+}
+
+// leftEmpty tells the one who hands over that no connection is left nor to come. It is called with mu held.
+func (s *Server) leftEmpty() {
+	if s.empty != nil && s.paused && len(s.conns) == 0 {
+		close(s.empty)
+		s.empty = nil
+	}
+}
+
 // Drain closes the listener and the connections that are between two messages. The others end with their
 // answer.
 func (s *Server) Drain(l net.Listener) {
 	l.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closing = true
+	if !s.closing {
+		s.closing = true
+		close(s.closed)
+	}
 	for c, busy := range s.conns {
 		if !busy {
 			c.wind(0)
@@ -179,6 +279,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.leftEmpty()
 	if s.closing && e == ending.IdleRetired {
 		e = ending.Stopped
 	}
@@ -187,7 +288,10 @@
 
 func (c *conn) read() ending.Ending {
 	for {
-		if err := c.next(); err != nil {
+		switch err := c.next(); {
+		case err == errHandedOver:
+			return ending.HandedOver
+		case err != nil:
 			return ending.OfIdle(err)
 		}
 		c.setBusy(true)
@@ -203,6 +307,9 @@
 				return ending.Stopped
 			}
 			err := c.next() // the next message, or the consumer's end
+			if err == errHandedOver {
+				return ending.HandedOver
+			}
 			select {
 			case e = <-c.written:
 			default:
@@ -228,6 +335,9 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
+		if c.handOver() {
+			return errHandedOver
+		}
 		if c.stays() {
 			continue
 		}
@@ -239,6 +349,32 @@
 	}
 }
 
+// errHandedOver is why the reader of a connection that has been handed over ends.
+var errHandedOver = errors.New("handed over")
+
+// handOver gives the connection to a successor, if there is one. All that was read of it has been dealt with, and its
+// reader is here: nobody touches it until the successor has it or has not got it.
+func (c *conn) handOver() bool {
+	c.server.mu.Lock()
+	pass, busy := c.server.pass, c.server.conns[c]
+	c.server.mu.Unlock()
+	if pass == nil || busy || c.br.Buffered() > 0 || c.socket.Leaving() {
+		return false
+	}
+	note := ""
+	switch {
+	case c.known:
+		note = noteKnown
+	case c.brought:
+		note = noteBrought
+	}
+	if err := pass(c.socket.Conn, []byte(note)); err != nil {
+		log.Printf("consumer=%s state=not_handed_over err=%q", c.socket.RemoteAddr(), err)
+		return false
+	}
+	return true
+}
+
 // stays reports whether the idle connection may stay until the next look. It may not for long once sockets are scarce: a
 // consumer that has asked nothing for so long opens another just as well.
 func (c *conn) stays() bool {
@@ -374,7 +510,7 @@
 	if busy {
 		return
 	}
-	if c.idleAt = time.Now(); s.closing {
+	if c.idleAt = time.Now(); s.closing || s.pass != nil {
 		c.wind(0)
 	} else {
 		c.socket.Extend(c.idleAt.Add(lookEvery))
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -31,6 +31,8 @@
 	keeper  *freshness.Keeper
 	address string             // where the next call goes
 	leave   context.CancelFunc // ends the present one; nil = none
+	source  string             // of the list that was told last
+	first   chan struct{}      // closed by the first answer
 
 	at       string // where the present call goes
 	revision uint64
@@ -44,7 +46,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("watch: %w", err)
 	}
-	w := &Watch{Budget: budget, Told: told, keeper: keeper, revision: known.Revision, address: cfg.Discovery}
+	w := &Watch{Budget: budget, Told: told, keeper: keeper, revision: known.Revision, address: cfg.Discovery,
+		source: cfg.Discovery, first: make(chan struct{})}
 	known.Complete = true
 	w.note(known)
 	return w, nil
@@ -64,6 +67,16 @@
 	}
 }
 
+// Source is the directory that told the present list.
+func (w *Watch) Source() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.source
+}
+
+// First is closed by the first answer.
+func (w *Watch) First() <-chan struct{} { return w.first }
+
 // Saw takes a sign of a provider from whoever calls it. Where several speak against the list at once the present call is
 // given up for one that asks for the whole list. It is safe for concurrent use and does not block.
 func (w *Watch) Saw(provider string, sign freshness.Sign) {
@@ -113,11 +126,14 @@
 	list, err := w.call(ctx, c)
 	switch {
 	case err == nil:
-		w.Answers.Add(1)
 		w.mu.Lock()
 		w.keeper.Answered(c, time.Since(began))
 		w.note(list)
+		w.source = w.at
 		w.mu.Unlock()
+		if w.Answers.Add(1) == 1 {
+			close(w.first)
+		}
 		w.revision = list.Revision
 		if list.Complete || len(list.Members) > 0 {
 			w.Told(list) // not under the lock: it may wait for one who wants to tell what it saw
--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -26,6 +26,7 @@
 	ConsumerGone // the consumer left while its invocation was held
 	BadInput     // what the consumer sent is malformed
 	WriteFailed  // the answer could not be written to the consumer
+	HandedOver   // a successor has it now
 
 	// Of an invoker call or a probe: answered.
 	Served      // 200 and a whole body
@@ -64,6 +65,7 @@
 	ConsumerGone:   {"consumer_gone", logic.Cancelled},
 	BadInput:       {"bad_input", logic.NotSent},
 	WriteFailed:    {"write_failed", logic.Cancelled},
+	HandedOver:     {"handed_over", logic.NotSent},
 	Served:         {"served", logic.OK},
 	ServerError:    {"server_error", logic.Failed},
 	Declined:       {"declined", logic.Full},
--- /dev/null
+++ b/internal/handover/control.go
@@ -0,0 +1,125 @@
+package handover
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+var longAgo = time.Unix(1, 0)
+
+// control is one end of the socket between the two processes. It carries packets: each message arrives whole, with its
+// descriptor, or not at all. send is safe for concurrent use; receive is for one goroutine at a time.
+type control struct {
+	*net.UnixConn
+	buf [headLen + maxBody]byte
+}
+
+// pair returns this process's end and the one to be inherited.
+func pair() (*control, *os.File, error) {
+	ends, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_SEQPACKET|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, nil, os.NewSyscallError("socketpair", err)
+	}
+	theirs := os.NewFile(uintptr(ends[1]), "control socket")
+	mine, err := openControl(ends[0])
+	if err != nil {
+		theirs.Close()
+		return nil, nil, err
+	}
+	return mine, theirs, nil
+}
+
+// openControl takes the descriptor over if it is an end of such a socket, and leaves it alone if it is anything else.
+func openControl(fd int) (*control, error) {
+	for option, want := range map[int]int{syscall.SO_DOMAIN: syscall.AF_UNIX, syscall.SO_TYPE: syscall.SOCK_SEQPACKET} {
+		got, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, option)
+		if err == nil && got != want {
+			err = syscall.EPROTOTYPE
+		}
+		if err != nil {
+			return nil, fmt.Errorf("descriptor %d is no control socket: %w", fd, err)
+		}
+	}
+	f := os.NewFile(uintptr(fd), "control socket")
+	defer f.Close()
+	c, err := net.FileConn(f)
+	if err != nil {
+		return nil, err
+	}
+	return &control{UnixConn: c.(*net.UnixConn)}, nil
+}
+
+// send writes a message, and with it a copy of a descriptor if fd is not negative. Without an error it lies in the other
+// end's queue, where only the other process can still get at it, whatever becomes of this one.
+func (c *control) send(m message, fd int) error {
+	var rights []byte
+	if fd >= 0 {
+		rights = syscall.UnixRights(fd)
+	}
+	_, _, err := c.WriteMsgUnix(m.encode(), rights, nil)
+	return err
+}
+
+// sendConn sends a message with the descriptor of a socket, which stays in the non-blocking mode that its users share:
+// File().Fd() would change that for all of them.
+func (c *control) sendConn(m message, s syscall.Conn) error {
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var sent error
+	if err := raw.Control(func(fd uintptr) { sent = c.send(m, int(fd)) }); err != nil {
+		return err
+	}
+	return sent
+}
+
+// receive waits for the next message and the descriptor that came with it, if any. The message is good until the next
+// call. io.EOF, wrapped, says that the other end is closed and that nothing it sent is left.
+func (c *control) receive() (message, *os.File, error) {
+	rights := make([]byte, syscall.CmsgSpace(4))
+	for {
+		n, rn, flags, _, err := c.ReadMsgUnix(c.buf[:], rights)
+		if errors.Is(err, syscall.ECONNRESET) {
+			continue // said once where the other end has left something unread; what it sent comes after that
+		}
+		if err != nil {
+			return message{}, nil, err
+		}
+		f := descriptor(rights[:rn])
+		m, err := decode(c.buf[:n])
+		if flags&syscall.MSG_TRUNC != 0 {
+			err = fmt.Errorf("%w: longer than %d bytes", errMalformed, len(c.buf))
+		}
+		if err != nil && f != nil {
+			f.Close()
+			f = nil
+		}
+		return m, f, err
+	}
+}
+
+// descriptor returns the first descriptor in the control data and closes any more. They are close-on-exec already. None
+// arrives where this process has no number left for it.
+func descriptor(rights []byte) *os.File {
+	var first *os.File
+	parts, _ := syscall.ParseSocketControlMessage(rights)
+	for i := range parts {
+		fds, _ := syscall.ParseUnixRights(&parts[i])
+		for _, fd := range fds {
+			if f := os.NewFile(uintptr(fd), "passed"); first == nil {
+				first = f
+			} else {
+				f.Close()
+			}
+		}
+	}
+	return first
+}
+
+// gone reports whether a write failed because the other end is closed.
+func gone(err error) bool { return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) }
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,282 @@
+package handover
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// start starts a node with a listener by socket activation. What it and its successors print comes line by line, until
+// the last of them has ended.
+func start(t *testing.T) (process *os.Process, address string, out *bufio.Scanner) {
+	l := must(net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}))
+	defer l.Close()
+	f := must(l.File())
+	defer f.Close()
+	cmd := exec.Command("/bin/sh", "-c", `LISTEN_FDS=1 LISTEN_PID=$$ exec "$0"`, os.Args[0])
+	cmd.Env, cmd.ExtraFiles, cmd.Stderr = append(os.Environ(), roleVar+"=node"), []*os.File{f}, os.Stderr
+	out = bufio.NewScanner(must(cmd.StdoutPipe()))
+	must(0, cmd.Start())
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	return cmd.Process, l.Addr().String(), out
+}
+
+// expect reads on to a line with that.
+func expect(t *testing.T, out *bufio.Scanner, want string) {
+	t.Helper()
+	var lines []string
+	for out.Scan() {
+		if lines = append(lines, out.Text()); strings.Contains(out.Text(), want) {
+			return
+		}
+	}
+	t.Fatalf("want %q, got %q", want, lines)
+}
+
+// client is a connection on which nothing takes longer than a test may.
+func client(t *testing.T, address string) *net.TCPConn {
+	c := must(net.Dial("tcp", address)).(*net.TCPConn)
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(time.Minute))
+	return c
+}
+
+// ask sends what is asked, if anything, and returns who answers and with which number; zeros where nobody does.
+func ask(c net.Conn, line string) (pid, number int) {
+	fmt.Fprint(c, line)
+	if _, err := fmt.Fscanln(c, &pid, &number); err != nil {
+		return 0, 0
+	}
+	return pid, number
+}
+
+func servedBy(t *testing.T, pid int, c net.Conn, line string) {
+	t.Helper()
+	if got, _ := ask(c, line); got != pid {
+		t.Errorf("answered by %d, not by %d", got, pid)
+	}
+}
+
+// Whatever becomes of its first successor, the predecessor serves as before, and a second one takes over.
+func TestSuccessors(t *testing.T) {
+	for role, says := range map[string]string{
+		"refuses":       "(exit status 7): it refuses: no room",
+		"other version": "(exit status 7): it refuses: another version",
+		"exits":         "(exit status 3): it ended before it was ready",
+		"deaf":          "(signal: killed): not ready within 100ms",
+		"late":          "(exit status 7): terminated",
+		"wrapped":       "has to be started directly or by exec",
+		"/nowhere":      "start the successor: fork/exec /nowhere",
+		"dies":          "lost",
+		"dies passing":  "lost",
+		"silent":        "lost",
+	} {
+		t.Run(role, func(t *testing.T) {
+			old, address, out := start(t)
+			a, b := client(t, address), client(t, address)
+			ask(b, "a\n")
+			fmt.Fprintf(a, "next %s\n", role)
+			if role == "late" {
+				expect(t, out, "waiting")
+				ask(b, "next node\n")
+				expect(t, out, ErrUnderWay.Error())
+				old.Signal(syscall.SIGTERM)
+			}
+			expect(t, out, says)
+			servedBy(t, old.Pid, a, "")
+			left := []net.Conn{client(t, address)}
+			for _, c := range []net.Conn{a, b} {
+				if pid, _ := ask(c, "b\n"); pid != 0 {
+					left = append(left, c)
+				}
+			}
+			// The one that was taken ends with the successor: nobody can tell what that had done with it.
+			if lost := 3 - len(left); lost != strings.Count(role, "passing") {
+				t.Errorf("%d connections lost", lost)
+			}
+			servedBy(t, old.Pid, left[0], "next node\n")
+			expect(t, out, "all is mine: <nil>")
+			successor, _ := ask(client(t, address), "c\n")
+			for _, c := range left {
+				servedBy(t, successor, c, "c\n")
+			}
+			if successor == old.Pid {
+				t.Error("there is no successor")
+			}
+			fmt.Fprintln(left[0], "end")
+		})
+	}
+}
+
+func TestPredecessorKilledBeforeReady(t *testing.T) {
+	old, address, out := start(t)
+	fmt.Fprintln(client(t, address), "next late")
+	expect(t, out, "waiting")
+	old.Kill()
+	expect(t, out, ErrCancelled.Error())
+	for out.Scan() {
+	}
+	if c, err := net.Dial("tcp", address); err == nil {
+		c.Close()
+		t.Error("somebody still listens")
+	}
+}
+
+func TestPredecessorKilledWhilePassing(t *testing.T) {
+	old, address, out := start(t)
+	a, b, held := client(t, address), client(t, address), client(t, address)
+	fmt.Fprintln(held, "hold") // keeps the predecessor from being done
+	expect(t, out, "holding")
+	ask(a, "a\n")
+	servedBy(t, old.Pid, b, "next node\n")
+	successor, _ := ask(a, "a\n")
+	old.Kill()
+	servedBy(t, 0, held, "")
+	expect(t, out, ErrGone.Error())
+	for _, c := range []net.Conn{a, b, client(t, address)} {
+		servedBy(t, successor, c, "a\n")
+	}
+	fmt.Fprintln(a, "end")
+}
+
+// One client has a request under way whenever the listener and its connection move on, and its next ones are sent
+// already; another one asks all the time, on a kept connection and on new ones. systemd is told each main process.
+func TestTenGenerations(t *testing.T) {
+	supervisor := must(net.ListenUnixgram("unixgram", &net.UnixAddr{Name: filepath.Join(t.TempDir(), "notify")}))
+	defer supervisor.Close()
+	supervisor.SetReadDeadline(time.Now().Add(time.Minute))
+	t.Setenv("NOTIFY_SOCKET", supervisor.LocalAddr().String())
+	process, address, _ := start(t)
+	busy, kept := client(t, address), client(t, address)
+	over, asked := make(chan struct{}), make(chan int)
+	go func() {
+		for n := 1; ; n++ {
+			fresh := client(t, address)
+			_, one := ask(fresh, "a\n")
+			if _, number := ask(kept, "a\n"); one != 1 || number != n {
+				t.Errorf("request %d: lost", n)
+			}
+			fresh.Close()
+			select {
+			case <-over:
+				asked <- n
+				return
+			default:
+			}
+		}
+	}()
+	fmt.Fprint(busy, strings.Repeat("next node\n", 10))
+	told := fmt.Sprintf("MAINPID=%d", process.Pid)
+	for i := 1; i <= 11; i++ {
+		pid, number := ask(busy, "")
+		if number != i || told != fmt.Sprintf("MAINPID=%d", pid) {
+			t.Fatalf("answer %d comes from %d, number %d, and systemd was told %s", i, pid, number, told)
+		}
+		if i == 10 {
+			fmt.Fprintln(busy, "a")
+		}
+		if i <= 10 {
+			var b [64]byte
+			told = string(b[:must(supervisor.Read(b[:]))])
+		}
+	}
+	close(over)
+	if n := <-asked; n < 10 {
+		t.Errorf("only %d requests beside", n)
+	}
+	fmt.Fprintln(busy, "end")
+}
+
+// pipe is the control socket of a successor in this process.
+func pipe() (old *control, getenv func(string) string) {
+	old, theirs, err := pair()
+	must(0, err)
+	defer theirs.Close()
+	fd := must(syscall.Dup(int(theirs.Fd())))
+	return old, func(string) string { return strconv.Itoa(fd) }
+}
+
+func TestBadHellos(t *testing.T) {
+	l := must(net.Listen("tcp", "127.0.0.1:0")).(*net.TCPListener)
+	defer l.Close()
+	for _, tc := range []struct {
+		hello  string
+		socket syscall.Conn
+		want   string
+	}{
+		{`{"version":2,"more":[]}`, l, "speaks handover version 2, this program version 1"},
+		{`{"version":1,"state":16777217}`, l, "state of 16777217 bytes, at most 16777216"},
+		{`{"version":1,"state":-1}`, l, "state of -1 bytes"},
+		{`{"version":1`, l, "malformed"},
+		{`{"version":1}`, client(t, l.Addr().String()), "no listening TCP socket"},
+		{`{"version":1,"state":1}`, l, "kind 's' with 2 bytes within the state"},
+		{`{"version":1,"address":"there"}`, l, `listen on "there", this one on "here"`},
+	} {
+		old, getenv := pipe()
+		old.sendConn(message{kind: kindHello, body: []byte(tc.hello)}, tc.socket)
+		old.send(message{kind: kindState, body: []byte("ab")}, -1)
+		s, err := Inherited(getenv)
+		if err == nil {
+			err = s.Check("here")
+		}
+		m, _, _ := old.receive()
+		if err == nil || !strings.Contains(err.Error(), tc.want) || !strings.Contains(string(m.body), tc.want) {
+			t.Errorf("%s: says %v, tells %c %q", tc.hello, err, m.kind, m.body)
+		}
+	}
+	for _, value := range []string{"x", "-1", "0"} {
+		if _, err := Inherited(func(string) string { return value }); err == nil {
+			t.Errorf("%s=%s is taken", Variable, value)
+		}
+	}
+}
+
+// What a predecessor has sent is taken after its end too, even where that end has left answers unread.
+func TestQueueOutlivesPredecessor(t *testing.T) {
+	old, getenv := pipe()
+	l := must(net.Listen("tcp", "127.0.0.1:0")).(*net.TCPListener)
+	defer l.Close()
+	old.sendConn(message{kind: kindHello, body: []byte(`{"version":1}`)}, l)
+	s := must(Inherited(getenv))
+	old.send(message{kind: kindServe}, -1)
+	must(0, s.Ready())
+	for range 3 {
+		old.sendConn(message{kind: kindConn}, client(t, l.Addr().String()))
+	}
+	taken, next := 0, Handover{From: s}
+	err := s.Conns(t.Context(), func(*net.TCPConn, []byte) {
+		if taken++; taken == 1 && next.claim() {
+			t.Error("it may hand over before it has everything")
+		}
+		old.Close()
+	})
+	if taken != 3 || !errors.Is(err, ErrGone) || !next.claim() {
+		t.Errorf("%d taken, then %v", taken, err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	hello := []byte(`{"version":1,"name":"n1","address":"127.0.0.1:3000","state":5}`)
+	for _, b := range [][]byte{{}, []byte("h1234567"), []byte("?12345678"), message{kind: kindHello, body: hello}.encode(),
+		message{kind: kindConn, number: 1 << 63, body: make([]byte, MaxNote+1)}.encode()} {
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := decode(b)
+		if err == nil && (len(m.body) > maxBody || string(m.encode()) != string(b)) {
+			t.Errorf("%q is read as %q", b, m.encode())
+		}
+		if h, err := decodeHello(m.body); err == nil && (h.Version != Version || h.State < 0 || h.State > MaxState) {
+			t.Errorf("%q is read as %+v", m.body, h)
+		}
+	})
+}
--- /dev/null
+++ b/internal/handover/successor.go
@@ -0,0 +1,250 @@
+package handover
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+)
+
+// Successor is the new process's side of a handover.
+type Successor struct {
+	control   *control
+	hello     Hello
+	listener  *net.TCPListener
+	state     []byte
+	cancelled chan struct{}
+	decided   chan struct{} // closed when it is known whether this process may serve
+	verdict   error         // whether it may not; from then on
+	alone     atomic.Bool   // all is this process's own
+}
+
+// Inherited returns the successor's side if this process was started by a predecessor, nil and nil if not. It waits for
+// the predecessor's hello, listener and state. A hello that it can't work with is refused, and the error says why; so
+// does one for a variable that names no control socket.
+func Inherited(getenv func(string) string) (*Successor, error) {
+	name := getenv(Variable)
+	if name == "" {
+		return nil, nil
+	}
+	fd, err := strconv.Atoi(name)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %s=%q: not a descriptor's number", Variable, name)
+	}
+	c, err := openControl(fd)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %s=%s: %w; unset it to start without a predecessor", Variable, name, err)
+	}
+	s := &Successor{control: c, cancelled: make(chan struct{}), decided: make(chan struct{})}
+	if err := s.greet(); err != nil {
+		return nil, s.Refuse(err.Error())
+	}
+	go s.await()
+	return s, nil
+}
+
+// greet reads the hello and the state.
+func (s *Successor) greet() error {
+	m, f, err := s.control.receive()
+	if err != nil {
+		return err
+	}
+	if m.kind != kindHello {
+		return fmt.Errorf("%w: kind %q instead of a hello", errMalformed, m.kind)
+	}
+	if s.hello, err = decodeHello(m.body); err != nil {
+		return err
+	}
+	if s.listener, err = tcpListener(f); err != nil {
+		return err
+	}
+	var state bytes.Buffer // grows with what comes, not with what is promised
+	for err == nil && state.Len() < s.hello.State {
+		if m, _, err = s.control.receive(); err == nil {
+			if m.kind != kindState || len(m.body) == 0 || state.Len()+len(m.body) > s.hello.State {
+				err = fmt.Errorf("%w: kind %q with %d bytes within the state", errMalformed, m.kind, len(m.body))
+			}
+			state.Write(m.body)
+		}
+	}
+	s.state = state.Bytes()
+	return err
+}
+
+// await learns whether this process may serve.
+func (s *Successor) await() {
+	m, _, err := s.control.receive()
+	switch {
+	case err != nil:
+		s.verdict = ErrCancelled
+	case m.kind != kindServe:
+		s.verdict = fmt.Errorf("%w: kind %q before this process was ready", errMalformed, m.kind)
+	}
+	if s.verdict != nil {
+		close(s.cancelled)
+	}
+	close(s.decided)
+}
+
+// Hello is what the predecessor says of itself.
+func (s *Successor) Hello() Hello { return s.hello }
+
+// Listener is the predecessor's listener, as a copy of this process's own. It must not be accepted from before Ready has
+// returned nil.
+func (s *Successor) Listener() *net.TCPListener { return s.listener }
+
+// State is the predecessor's state blob. It is let go when Ready returns.
+func (s *Successor) State() []byte { return s.state }
+
+// Cancelled is closed when the predecessor ends or calls the handover off before this process serves. It should exit
+// then, whatever it is about: its copy of the listener keeps the address taken.
+func (s *Successor) Cancelled() <-chan struct{} { return s.cancelled }
+
+// Check refuses the handover, with an error that says so, unless this process is told to listen on the address that the
+// predecessor was told.
+func (s *Successor) Check(address string) error {
+	if address == s.hello.Address {
+		return nil
+	}
+	return s.Refuse(fmt.Sprintf("the running process was told to listen on %q, this one on %q: restart instead",
+		s.hello.Address, address))
+}
+
+// Refuse tells the predecessor why this process can't take over, of which it gets up to 1 KiB, and returns that as an
+// error. This process should exit then.
+func (s *Successor) Refuse(reason string) error {
+	s.control.send(message{kind: kindRefuse, body: []byte(reason[:min(len(reason), maxReason)])}, -1)
+	s.Close()
+	return fmt.Errorf("handover refused: %s", reason)
+}
+
+// Ready tells the predecessor that this process can serve, and returns nil when it may: the predecessor accepts no more
+// connections from then on. After an error, ErrCancelled for one, it must not serve and should exit.
+func (s *Successor) Ready() error {
+	err := s.control.send(message{kind: kindReady, number: uint64(os.Getpid())}, -1)
+	if err == nil || gone(err) {
+		<-s.decided
+		err = s.verdict
+	}
+	s.state = nil
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	return nil
+}
+
+// Conns calls take, one at a time, with each connection that the predecessor passes and a note of the caller's own; take
+// should return soon, since the predecessor waits for it before the next. Call it once, after Ready. It returns nil when
+// the predecessor has passed all and exits, and ErrGone when it has ended without a word: in both cases all is this
+// process's own. After any other error, ctx's for one, the predecessor lives and serves again as soon as Close has been
+// called or this process has ended: it should stop accepting first, and end.
+func (s *Successor) Conns(ctx context.Context, take func(c *net.TCPConn, note []byte)) error {
+	defer context.AfterFunc(ctx, func() { s.control.SetDeadline(longAgo) })()
+	if <-s.decided; s.verdict != nil {
+		return fmt.Errorf("handover: %w", s.verdict)
+	}
+	for {
+		m, f, err := s.control.receive()
+		switch {
+		case ctx.Err() != nil:
+			err = ctx.Err() // what may have come just now is not acknowledged: it stays the predecessor's
+		case errors.Is(err, io.EOF):
+			err = ErrGone
+		case err == nil && m.kind == kindConn:
+			if err = s.takeOver(m, f, take); err == nil {
+				continue
+			}
+		case err == nil && m.kind == kindDone:
+			err = s.answer(message{kind: kindDone, number: m.number})
+		case err == nil:
+			err = fmt.Errorf("%w: kind %q among the connections", errMalformed, m.kind)
+		}
+		if err == nil || err == ErrGone {
+			s.alone.Store(true)
+			s.Close()
+		}
+		if err != nil {
+			return fmt.Errorf("handover: %w", err)
+		}
+		return nil
+	}
+}
+
+// takeOver acknowledges a connection before it can be used: without an acknowledgement the predecessor keeps it.
+func (s *Successor) takeOver(m message, f *os.File, take func(*net.TCPConn, []byte)) error {
+	note := bytes.Clone(m.body)
+	c, err := tcpConn(f)
+	if err != nil {
+		reason := err.Error()
+		return s.answer(message{kind: kindLeft, number: m.number, body: []byte(reason[:min(len(reason), maxReason)])})
+	}
+	if err := s.answer(message{kind: kindTaken, number: m.number}); err != nil {
+		c.Close()
+		return err
+	}
+	if c.RemoteAddr() == nil { // reset by its client meanwhile
+		c.Close()
+		return nil
+	}
+	take(c, note)
+	return nil
+}
+
+// answer sends an answer, which a predecessor that is gone needs no more.
+func (s *Successor) answer(m message) error {
+	if err := s.control.send(m, -1); err != nil && !gone(err) {
+		return err
+	}
+	return nil
+}
+
+// Close gives the handover up if it is under way: what the predecessor has not passed stays its own, and it serves on.
+func (s *Successor) Close() error { return s.control.Close() }
+
+var errNoDescriptor = errors.New("no descriptor came with it: this process may have none left under its limit")
+
+// tcpConn makes a connection of its own of what was passed.
+func tcpConn(f *os.File) (*net.TCPConn, error) {
+	if f == nil {
+		return nil, errNoDescriptor
+	}
+	defer f.Close()
+	c, err := net.FileConn(f)
+	if err != nil {
+		return nil, err
+	}
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		c.Close()
+		return nil, errors.New("it is no TCP connection")
+	}
+	return t, nil
+}
+
+// tcpListener is tcpConn for a listener.
+func tcpListener(f *os.File) (*net.TCPListener, error) {
+	if f == nil {
+		return nil, errNoDescriptor
+	}
+	defer f.Close()
+	listens, err := syscall.GetsockoptInt(int(f.Fd()), syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
+	if err != nil {
+		return nil, os.NewSyscallError("getsockopt", err)
+	}
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, err
+	}
+	t, ok := l.(*net.TCPListener)
+	if !ok || listens == 0 {
+		l.Close()
+		return nil, errors.New("it is no listening TCP socket")
+	}
+	return t, nil
+}
--- /dev/null
+++ b/internal/handover/systemd.go
@@ -0,0 +1,34 @@
+package handover
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/coreos/go-systemd/v22/daemon"
+)
+
+// Listener returns the listener that a supervisor has opened for this process by systemd's protocol (LISTEN_PID and
+// LISTEN_FDS, sd_listen_fds(3)); nil and nil if there is none. A successor inherits its predecessor's instead.
+func Listener(getenv func(string) string) (*net.TCPListener, error) {
+	if getenv("LISTEN_PID") != strconv.Itoa(os.Getpid()) {
+		return nil, nil // meant for another process
+	}
+	if n := getenv("LISTEN_FDS"); n != "1" {
+		return nil, fmt.Errorf("handover: LISTEN_FDS=%s: give one listening socket", n)
+	}
+	const first = 3 // after the standard ones
+	l, err := tcpListener(os.NewFile(first, "LISTEN_FDS"))
+	if err != nil {
+		return nil, fmt.Errorf("handover: LISTEN_FDS: descriptor %d: %w", first, err)
+	}
+	return l, nil
+}
+
+// Notify tells the supervisor a state by systemd's protocol (sd_notify(3)): READY=1 once a first process serves,
+// STOPPING=1 when it is told to end. Done tells MAINPID by itself. Where NOTIFY_SOCKET is not set it does nothing.
+func Notify(state string) error {
+	_, err := daemon.SdNotify(false, state)
+	return err
+}
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -29,6 +29,7 @@
 	Fields []invocation.Field // the answer's, where it was Served
 	Body   []byte
 	Idle   time.Duration // of the connection before the call; 0 = it was new
+	Before int           // calls that the connection had carried
 	Conn   *Conn         // may serve another call; nil if it is spent
 }
 
@@ -68,6 +69,9 @@
 // of them wins.
 type Call struct {
 	SentAt time.Time
+	Idle   time.Duration // of the connection before the call
+	Before int           // calls that it had carried
+	hold   time.Duration
 
 	pool    *Pool
 	message []byte
@@ -131,7 +135,8 @@
 		switch e := c.begin(conn); e {
 		case ending.Open:
 			r, again := conn.carry(c)
-			r.Idle = conn.idled
+			r.Idle, r.Before = conn.idled, conn.served
+			conn.served++
 			if r.Conn = conn; !again {
 				conn.Close()
 				r.Conn = nil
@@ -185,6 +190,7 @@
 		return ending.Drained
 	}
 	c.conn, c.stage = conn, writing
+	c.Idle, c.Before = conn.idled, conn.served
 	return ending.Open
 }
 
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -29,6 +29,7 @@
 	socket *sockets.Socket
 	br     *bufio.Reader
 	idled  time.Duration // before its present call
+	served int           // calls that it has carried before that
 
 	mu   sync.Mutex
 	next *Call // to carry, once the goroutine has seen that nothing had come in
@@ -89,6 +90,18 @@
 			return Result{Ending: ending.Unwritten}, false
 		}
 	}
+	if err == nil && call.hold > 0 && len(rest) > 1 {
+		_, err = c.socket.Write(rest[:len(rest)-1])
+		rest = rest[len(rest)-1:]
+		if err == nil {
+			c.socket.SetReadDeadline(time.Now().Add(call.hold))
+			_, perr := c.br.Peek(1)
+			if !errors.Is(perr, os.ErrDeadlineExceeded) {
+				return Result{Ending: ending.Unwritten}, false
+			}
+			c.socket.SetReadDeadline(time.Time{})
+		}
+	}
 	if err == nil {
 		_, err = c.socket.Write(rest)
 	}
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -102,6 +102,7 @@
 // list takes the directory's word: the table first, then the module.
 func (s *Sidecar) list(l config.List) {
 	s.counts.Lists++
+	s.revision = l.Revision
 	told := time.Now()
 	named := map[logic.ServerID]bool{}
 	lines := make([]logic.ServerInfo, 0, len(l.Members))
@@ -115,14 +116,14 @@
 			StartedAt: m.UpSince})
 		k := s.providers[id]
 		if k == nil {
-			k = &known{name: m.ID, health: logic.Ready, pool: &provider.Pool{Address: m.Address}}
+			k = &known{name: m.ID, health: logic.Ready, pool: &provider.Pool{Address: m.Address}, toldAt: told}
 			s.providers[id] = k
 		}
-		if m.Address != "" && m.Address != k.pool.Address || m.UpSince != k.upSince {
+		if m.Address != "" && m.Address != k.pool.Address || m.UpSince != k.line.UpSince {
 			k.pool.Close() // another process: nobody answers for it at the old place or on the old connections
 			k.pool = &provider.Pool{Address: cmp.Or(m.Address, k.pool.Address)}
 		}
-		k.upSince = m.UpSince
+		k.line = m
 		s.setHealth(id, k, health(m.Phase), told)
 	}
 	for id, k := range s.providers {
@@ -146,7 +147,9 @@
 // setHealth notes a provider's state and, when it leaves, the end of the grace for calls that still connect.
 func (s *Sidecar) setHealth(id logic.ServerID, k *known, h logic.Health, told time.Time) {
 	was := k.health
-	k.health = h
+	if k.health = h; h != was {
+		k.toldAt = told
+	}
 	switch {
 	case h == logic.Ready:
 		if k.notAfter = (time.Time{}); was != logic.Ready {
--- /dev/null
+++ b/internal/sidecar/learned.go
@@ -0,0 +1,122 @@
+package sidecar
+
+import (
+	"cmp"
+	"log"
+	"math"
+	"slices"
+	"time"
+
+	"plankrouter/internal/config"
+	"plankrouter/internal/snapshot"
+	"plankrouter/logic"
+)
+
+// Snapshot returns what the sidecar has learned, or nil if it has stopped. Who listens to which directory is filled in by
+// the caller.
+func (s *Sidecar) Snapshot() *snapshot.Snapshot {
+	to := make(chan *snapshot.Snapshot, 1)
+	if s.send(taking{to}) {
+		select {
+		case snap := <-to:
+			return snap
+		case <-s.stopped:
+		}
+	}
+	return nil
+}
+
+func (e taking) apply(s *Sidecar) { e.to <- s.snapshot(time.Now()) }
+
+// snapshot gives the module's state the names by which the next process knows its providers.
+func (s *Sidecar) snapshot(now time.Time) *snapshot.Snapshot {
+	st := s.bal.State()
+	out := &snapshot.Snapshot{TakenAt: now, Program: s.cfg.Name, Deployment: snapshot.Fingerprint(&s.cfg.Settings),
+		Revision: s.revision}
+	names := map[logic.ServerID]string{}
+	for id, k := range s.providers {
+		names[id] = k.name
+		m := k.line
+		phase := m.Phase
+		if k.health == logic.Gone { // it is not on the list any more, but still has work of ours
+			phase = config.Deleted
+		}
+		out.Members = append(out.Members, snapshot.Member{ID: m.ID, Address: k.pool.Address, Locality: m.Locality, Cell: m.Cell,
+			Phase: phase, UpSince: m.UpSince, ToldAt: config.Millis(k.toldAt.Sub(time.Unix(0, 0)))})
+	}
+	slices.SortFunc(out.Members, func(a, b snapshot.Member) int { return cmp.Compare(a.ID, b.ID) })
+	l := &out.Learned
+	*l = snapshot.Learned{Now: s.clock.at(now), FleetLatency: st.FleetLatency, FracOwn: st.FracOwn, FracAll: st.FracAll,
+		Fit:      snapshot.Fit{XX: st.XX, XY: st.XY, At: st.FitAt},
+		Arrivals: snapshot.Rate{V: st.Arrivals.V, At: st.Arrivals.At}, Sends: snapshot.Rate{V: st.Sends.V, At: st.Sends.At}}
+	for _, c := range st.Classes {
+		l.Fit.Classes = append(l.Fit.Classes, snapshot.ClassFit{N: c.N, Sum: c.Sum})
+	}
+	for _, t := range st.Tenants {
+		l.Tenants = append(l.Tenants, snapshot.Bucket{Tokens: t.V, At: once(t.At)})
+	}
+	for _, in := range st.Servers {
+		one := snapshot.LearnedServer{Name: names[in.ID], StartedAt: in.StartedAt, Latency: in.Latency, Reported: in.Reported,
+			ReportAt: once(in.ReportAt), Network: in.Network, Failing: in.Failing}
+		for who, t := range in.Outcomes {
+			if t.Oks+t.Misses > 0 {
+				one.By = append(one.By, snapshot.Tally{Who: uint32(who), Oks: t.Oks, Misses: t.Misses, At: t.At})
+			}
+		}
+		l.Servers = append(l.Servers, one)
+	}
+	slices.SortFunc(l.Servers, func(a, b snapshot.LearnedServer) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// once turns the module's word for a time that never was into the snapshot's, 0; never turns it back.
+func once(at logic.Ms) float64 {
+	if math.IsInf(at, -1) {
+		return 0
+	}
+	return at
+}
+
+func never(at float64) logic.Ms {
+	if at == 0 {
+		return math.Inf(-1)
+	}
+	return at
+}
+
+// restore begins with the list and what was learned before, instead of the configuration's list alone.
+func (s *Sidecar) restore(before *snapshot.Beginning) {
+	s.list(before.List.Config())
+	for _, m := range before.List.Members {
+		if id, have := s.serverIDs[m.ID]; have && m.ToldAt > 0 {
+			s.providers[id].toldAt = time.UnixMilli(int64(m.ToldAt)) // a drain does not begin anew with this process
+		}
+	}
+	l := &before.Learned
+	st := logic.State{XX: l.Fit.XX, XY: l.Fit.XY, FitAt: l.Fit.At, FleetLatency: l.FleetLatency, FracOwn: l.FracOwn,
+		FracAll: l.FracAll, Arrivals: logic.Level{V: l.Arrivals.V, At: l.Arrivals.At}, Sends: logic.Level{V: l.Sends.V, At: l.Sends.At}}
+	for _, c := range l.Fit.Classes {
+		st.Classes = append(st.Classes, logic.Mean{N: c.N, Sum: c.Sum})
+	}
+	for _, t := range l.Tenants {
+		st.Tenants = append(st.Tenants, logic.Level{V: t.Tokens, At: never(t.At)})
+	}
+	for _, in := range l.Servers {
+		id, have := s.serverIDs[in.Name]
+		if !have {
+			continue
+		}
+		one := logic.ServerState{ID: id, StartedAt: in.StartedAt, Latency: in.Latency, Reported: in.Reported,
+			ReportAt: never(in.ReportAt), Network: in.Network, Failing: in.Failing,
+			Outcomes: make([]logic.Tally, 1+len(s.cfg.Logic.Tenants))}
+		for _, t := range in.By {
+			if int(t.Who) < len(one.Outcomes) {
+				one.Outcomes[t.Who] = logic.Tally{Oks: t.Oks, Misses: t.Misses, At: t.At}
+			}
+		}
+		st.Servers = append(st.Servers, one)
+	}
+	if err := s.bal.Restore(&st); err != nil {
+		log.Printf("snapshot=%q state=left_out err=%q", before.List.Directory, err)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/learned_test.go
@@ -0,0 +1,78 @@
+package sidecar
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"plankrouter/internal/config"
+	"plankrouter/internal/snapshot"
+	"plankrouter/internal/sockets"
+	"plankrouter/logic"
+)
+
+// A drain that was told before a restart, and what was learned of a provider, are known to the next process; its own
+// configuration knows neither. The drain has begun when it was told, and a provider's next process is a stranger.
+func TestRestartRemembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		group, ctx := errgroup.WithContext(ctx)
+		s := host(t, ctx, group)
+		lines := []config.Member{{ID: "a", Address: "a:1", Phase: config.Serving}, {ID: "b", Address: "b:1", Phase: config.Serving},
+			{ID: "c", Address: "c:1", Phase: config.Serving, UpSince: 5}}
+		s.list(config.List{Revision: 7, Complete: true, Members: lines})
+		time.Sleep(time.Second)
+		told := time.Now()
+		s.list(config.List{Revision: 8, Members: []config.Member{{ID: "a", Address: "a:1", Phase: config.Draining}}})
+		for _, name := range []string{"b", "c"} {
+			id := s.serverIDs[name]
+			st := s.bal.State()
+			for i := range st.Servers {
+				if st.Servers[i].ID == id {
+					st.Servers[i].Latency, st.Servers[i].ReportAt = 80, s.clock.at(time.Now())
+				}
+			}
+			if err := s.bal.Restore(&st); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		raw, err := snapshot.Encode(s.snapshot(time.Now()), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		snap, err := snapshot.Decode(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rules := snapshot.DefaultRules()
+		rules.Deployment, rules.Classes = snapshot.Fingerprint(&s.cfg.Settings), 1
+		lines[2].UpSince = 6
+		known := snapshot.FromConfig(config.List{Revision: 9, Members: lines}, "", time.Now())
+		begin, _ := snapshot.Begin(snap, known, time.Now(), rules)
+		next, err := New(ctx, group, s.cfg, sockets.NewBudget(8, nil), &begin)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := map[string]any{}
+		for _, k := range next.providers {
+			got[k.name] = []any{k.health, k.toldAt.Sub(told).Round(time.Second)}
+		}
+		for _, one := range next.bal.State().Servers {
+			if one.Latency > 0 {
+				got["latency of "+next.providers[one.ID].name] = one.Latency
+			}
+		}
+		want := map[string]any{"a": []any{logic.Draining, time.Duration(0)}, "b": []any{logic.Ready, -time.Second},
+			"c": []any{logic.Ready, 2 * time.Second}, "latency of b": 80.0}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"plankrouter/internal/freshness"
 	"plankrouter/internal/invocation"
 	"plankrouter/internal/provider"
+	"plankrouter/internal/snapshot"
 	"plankrouter/internal/sockets"
 	"plankrouter/internal/stopping"
 	"plankrouter/logic"
@@ -56,6 +57,7 @@
 	pending   []logic.Event // for the module, in order
 	stepping  bool
 	now       time.Time // of the event that the module has last seen; what it asks for counts from here
+	revision  uint64    // of the list
 	stopAt    time.Time // when it was told to stop; zero = it was not
 	stopPlan  stopping.Plan
 
@@ -81,8 +83,9 @@
 // known is a provider that the directory has named.
 type known struct {
 	name     string
+	line     config.Member // as the directory last told it
+	toldAt   time.Time     // since when it has told the present phase
 	pool     *provider.Pool
-	upSince  float64 // of its process
 	health   logic.Health
 	notAfter time.Time // of a first byte, once it drains or is gone
 	calls    int       // and probes under way
@@ -110,12 +113,15 @@
 		how  ending.Ending
 	}
 	told    config.List
+	taking  struct{ to chan<- *snapshot.Snapshot }
 	stopNow struct{ plan stopping.Plan }
 	reading struct{ to chan<- Counts }
 )
 
-// New returns a Sidecar that knows the providers of cfg.Known. Its goroutines belong to group.
-func New(ctx context.Context, group *errgroup.Group, cfg *config.Config, budget *sockets.Budget) (*Sidecar, error) {
+// New returns a Sidecar that knows the providers of cfg.Known, or what it can go by from before. Its goroutines belong to
+// group.
+func New(ctx context.Context, group *errgroup.Group, cfg *config.Config, budget *sockets.Budget,
+	before *snapshot.Beginning) (*Sidecar, error) {
 	bal, err := logic.New(cfg.Logic, cfg.Seed)
 	if err != nil {
 		return nil, err
@@ -130,9 +136,13 @@
 	}
 	s.invoker = provider.NewInvoker(ctx, group, budget, cfg.ConnectTimeout, s)
 	s.step(logic.Event{Kind: logic.Started})
-	cached := cfg.Known
-	cached.Complete = true
-	s.list(cached)
+	if before == nil {
+		cached := cfg.Known
+		cached.Complete = true
+		s.list(cached)
+	} else {
+		s.restore(before)
+	}
 	return s, nil
 }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -26,7 +26,7 @@
 	cfg := &config.Config{Logic: logic.Config{MaxAttempts: 1, Cancel: true, Classes: []logic.Class{{Aim: 100, Deadline: 1000}}},
 		ConnIdle: time.Minute, ConnectTimeout: time.Second}
 	refuse := func(context.Context, string) (net.Conn, error) { return nil, errors.New("refused") }
-	s, err := New(ctx, group, cfg, sockets.NewBudget(8, refuse))
+	s, err := New(ctx, group, cfg, sockets.NewBudget(8, refuse), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/snapshot/encoding.go
@@ -0,0 +1,203 @@
+package snapshot
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// The version of the form. Fields may be added under a higher minor version, which older programs skip; all other
+// changes take a higher major one, which they refuse.
+const (
+	Major = 1
+	Minor = 0
+)
+
+// DefaultMaxBytes bounds an encoded snapshot.
+const DefaultMaxBytes = 4 << 20
+
+// The header: magic, major and minor version, length of the payload, wall time in Unix ms, checksum of all that is
+// before it and of the payload. Numbers are big-endian.
+const (
+	magic      = "\x89PRSNAP\n" // no text begins like this, and a transfer as text would alter it
+	atMajor    = len(magic)
+	atMinor    = atMajor + 2
+	atLength   = atMinor + 2
+	atTaken    = atLength + 4
+	atSum      = atTaken + 8
+	headerSize = atSum + 4
+)
+
+// What Decode and Encode may complain of, to be told apart by errors.Is. A field at fault is an errors.As *FieldError.
+var (
+	ErrNotSnapshot = errors.New("not a snapshot")
+	ErrVersion     = errors.New("another major version")
+	ErrCutShort    = errors.New("cut short")
+	ErrChecksum    = errors.New("checksum wrong")
+	ErrTooLarge    = errors.New("too large")
+)
+
+// FieldError names a field that is malformed.
+type FieldError struct {
+	Field string // as in Members[3].Address
+	Why   string
+}
+
+func (e *FieldError) Error() string { return "snapshot: " + e.Field + ": " + e.Why }
+
+// Limits of the decoder, before those of each list: even an array of the smallest elements stays a small multiple of
+// its input in memory.
+const (
+	mostElements = 16384
+	mostPairs    = 1024
+	mostNested   = 16
+	leastTally   = 5 // bytes: the head of an array and four numbers
+)
+
+var (
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+	encoder    = must(cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16, NilContainers: cbor.NilContainerAsEmpty,
+		NaNConvert: cbor.NaNConvertReject, InfConvert: cbor.InfConvertReject, IndefLength: cbor.IndefLengthForbidden,
+		TagsMd: cbor.TagsForbidden}.UserBufferEncMode())
+	decoder = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden,
+		TagsMd: cbor.TagsForbidden, MaxNestedLevels: mostNested, MaxArrayElements: mostElements, MaxMapPairs: mostPairs,
+		SimpleValues: must(cbor.NewSimpleValueRegistryFromDefaults(
+			cbor.WithRejectedSimpleValue(22), cbor.WithRejectedSimpleValue(23)))}.DecMode()) // null, undefined
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// Encode returns the snapshot's file, which holds at most most bytes (0 = DefaultMaxBytes); a larger one is
+// ErrTooLarge. What Decode would refuse is refused here. It is safe for concurrent use, like Decode.
+func Encode(s *Snapshot, most int) ([]byte, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	most = orDefault(most)
+	b := bytes.NewBuffer(make([]byte, headerSize, min(most, s.room())))
+	if err := encoder.MarshalToBuffer(s, b); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	if b.Len() > most {
+		return nil, fmt.Errorf("snapshot: %w: %d bytes, the limit is %d", ErrTooLarge, b.Len(), most)
+	}
+	seal(b.Bytes(), Major, Minor, s.TakenAt.UnixMilli())
+	return b.Bytes(), nil
+}
+
+// room is what a snapshot usually takes: a large one must not be copied again and again as it grows.
+func (s *Snapshot) room() int {
+	n := 1024 + len(s.Reuse) + 96*len(s.Members) + 20*len(s.Learned.Tenants)
+	for i := range s.Learned.Servers {
+		n += 80 + 32*len(s.Learned.Servers[i].By)
+	}
+	return n
+}
+
+func orDefault(most int) int {
+	if most <= 0 {
+		return DefaultMaxBytes
+	}
+	return most
+}
+
+// seal fills in the header of b, whose payload is in place.
+func seal(b []byte, major, minor uint16, taken int64) {
+	copy(b, magic)
+	binary.BigEndian.PutUint16(b[atMajor:], major)
+	binary.BigEndian.PutUint16(b[atMinor:], minor)
+	binary.BigEndian.PutUint32(b[atLength:], uint32(len(b)-headerSize))
+	binary.BigEndian.PutUint64(b[atTaken:], uint64(taken))
+	binary.BigEndian.PutUint32(b[atSum:], checksum(b))
+}
+
+// checksum is that of all but itself. CRC-32C finds every change of up to 32 bits in a row.
+func checksum(b []byte) uint32 {
+	return crc32.Update(crc32.Checksum(b[:atSum], castagnoli), castagnoli, b[headerSize:])
+}
+
+// Decode reads what Encode made. It holds nothing of b, never panics, and takes no more memory than a small multiple of
+// b's length; to bound that is up to the caller.
+func Decode(b []byte) (*Snapshot, error) {
+	payload, err := open(b)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	s := new(Snapshot)
+	if err := decoder.Unmarshal(payload, s); err != nil {
+		return nil, misread(err)
+	}
+	s.TakenAt = time.UnixMilli(int64(binary.BigEndian.Uint64(b[atTaken:])))
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// open checks the header and returns the payload.
+func open(b []byte) ([]byte, error) {
+	if n := min(len(b), len(magic)); string(b[:n]) != magic[:n] {
+		return nil, ErrNotSnapshot
+	}
+	if len(b) < headerSize {
+		return nil, fmt.Errorf("%w: %d bytes, the header has %d", ErrCutShort, len(b), headerSize)
+	}
+	if major := binary.BigEndian.Uint16(b[atMajor:]); major != Major {
+		return nil, fmt.Errorf("%w: %d, this program reads %d", ErrVersion, major, Major)
+	}
+	payload, length := b[headerSize:], int64(binary.BigEndian.Uint32(b[atLength:]))
+	if int64(len(payload)) < length {
+		return nil, fmt.Errorf("%w: %d bytes of %d", ErrCutShort, len(payload), length)
+	}
+	if int64(len(payload)) > length || checksum(b) != binary.BigEndian.Uint32(b[atSum:]) {
+		return nil, ErrChecksum // bytes that no checksum covers are no better than wrong ones
+	}
+	return payload, nil
+}
+
+// UnmarshalCBOR refuses a list that claims more elements than its bytes can hold, before there is room made for them:
+// the decoder looks at what each one is only afterwards, and a list for every provider adds up.
+func (t *Tallies) UnmarshalCBOR(b []byte) error {
+	if n := elements(b); n > uint64(len(b)/leastTally) {
+		return &FieldError{"Learned.Servers.By", fmt.Sprintf("%d of them in %d bytes", n, len(b))}
+	}
+	return decoder.Unmarshal(b, (*[]Tally)(t))
+}
+
+// elements reads the head of a well-formed array (RFC 8949, section 3); what is no array has none.
+func elements(b []byte) (n uint64) {
+	if b[0]>>5 != 4 {
+		return 0
+	}
+	more := b[0] & 0x1f // below 24 the number itself, else that of the bytes that it has, as a power of two
+	if more < 24 {
+		return uint64(more)
+	}
+	for _, digit := range b[1 : 1+1<<(more-24)] {
+		n = n<<8 | uint64(digit)
+	}
+	return n
+}
+
+// misread names the field that the decoder stumbled over, where it tells.
+func misread(err error) error {
+	var f *FieldError
+	if errors.As(err, &f) {
+		return f
+	}
+	var t *cbor.UnmarshalTypeError
+	if errors.As(err, &t) && t.StructFieldName != "" {
+		return &FieldError{t.StructFieldName, err.Error()}
+	}
+	return &FieldError{"payload", err.Error()}
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -164,6 +164,13 @@
 	return err != nil || waiting < 0
 }
 
+// Force takes one place whether or not the limit leaves it, for a connection that is there already.
+func (b *Budget) Force(side Side) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.count(side, 1)
+}
+
 // Release gives back a place that was not adopted.
 func (b *Budget) Release(side Side) {
 	b.mu.Lock()
--- a/internal/stopping/stopping.go
+++ b/internal/stopping/stopping.go
@@ -23,7 +23,7 @@
 	afterLongest = 700 * time.Millisecond // from there to the kill
 	acceptLeast  = 500 * time.Millisecond // new connections are taken for at least so long
 	answerLead   = 100 * time.Millisecond // of the last answer before the kill: it has to be written, the process to end
-	lastLead     = 100 * time.Millisecond // of the last request before that: the module turns away what takes longer
+	lastLead     = 50 * time.Millisecond  // of the last request before that: the module turns away what takes longer
 	lastPart     = 4                      // or one part in so many, where the whole time is short
 )
 
--- a/internal/stopping/stopping_test.go
+++ b/internal/stopping/stopping_test.go
@@ -10,10 +10,10 @@
 // The timetable for what the platform grants, for a kill that comes soon and for one that comes late.
 func TestFor(t *testing.T) {
 	for _, c := range []struct{ longest, kill, last, answer, end time.Duration }{
-		{2500 * ms, 0, 3000 * ms, 3100 * ms, 3200 * ms},
-		{10 * time.Second, 0, 3500 * ms, 3600 * ms, 3700 * ms},
-		{300 * ms, 0, 800 * ms, 900 * ms, 1000 * ms},
-		{2500 * ms, 90 * time.Second, 89800 * ms, 89900 * ms, 90 * time.Second},
+		{2500 * ms, 0, 3050 * ms, 3100 * ms, 3200 * ms},
+		{10 * time.Second, 0, 3550 * ms, 3600 * ms, 3700 * ms},
+		{300 * ms, 0, 850 * ms, 900 * ms, 1000 * ms},
+		{2500 * ms, 90 * time.Second, 89850 * ms, 89900 * ms, 90 * time.Second},
 		{2500 * ms, 500 * ms, 400 * ms, 400 * ms, 500 * ms},
 	} {
 		p := For(c.longest, c.kill)
--- a/logic/api.go
+++ b/logic/api.go
@@ -176,3 +176,38 @@
 	Timer   uint64
 	Text    string
 }
+
+// State is what a Balancer has learned that outlives its process. No present load is in it. Times are those
+// of the clock that Handle is given; a figure whose time is in the past has faded since.
+type State struct {
+	Servers       []ServerState
+	XX, XY, FitAt float64 // of the fit of the response time to the load
+	Classes       []Mean  // by class
+	FleetLatency  Ms      // median service time
+	FracOwn       float64 // own requests, and all, that probed servers held
+	FracAll       float64
+	Tenants       []Level // by tenant: requests that each may still send at once
+	Arrivals      Level   // fading counts of events
+	Sends         Level
+}
+
+// ServerState is what is known of one server's process.
+type ServerState struct {
+	ID        ServerID
+	StartedAt Ms // of the process
+	Latency   Ms // service time; 0 = not known
+	Reported  bool
+	ReportAt  Ms // of Latency and Failing
+	Network   Ms // lowest round trip
+	Failing   float64
+	Outcomes  []Tally // of all requests, then by tenant
+}
+
+// Tally is fading evidence for and against a server.
+type Tally struct{ Oks, Misses, At float64 }
+
+// Mean is the sum of N fading samples.
+type Mean struct{ N, Sum float64 }
+
+// Level is a figure that changes by itself, as it was at At.
+type Level struct{ V, At float64 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -70,10 +70,12 @@
 	askAgainMax  = 8e3   // ms
 )
 
-// retryProbe is when a server whose probe or connection failed is asked again, in ms. What is down costs nothing then, and
-// what is back is found within the bound.
+// retryProbe is when a server whose probe or connection failed is asked again, in ms. What is down costs
+// nothing then, and what is back is found within the bound.
 var retryProbe = backoff.Policy{First: 50, Most: 1000, Factor: 2, Jitter: 0.5}
 
+var never = math.Inf(-1) // when nothing has happened yet
+
 // Timer handles: a request's deadline uses the request's number, the others lie above.
 const (
 	tickTimer = uint64(1)<<40 + iota
@@ -141,7 +143,7 @@
 	for i, c := range cfg.Classes { // who is to be answered sooner takes less time
 		b.fit.class[i] = classFit{prior: c.Aim / aims}
 	}
-	b.buckets = slices.Repeat([]bucket{{at: math.Inf(-1)}}, len(cfg.Tenants))
+	b.buckets = slices.Repeat([]bucket{{At: math.Inf(-1)}}, len(cfg.Tenants))
 	return b, nil
 }
 
@@ -158,7 +160,7 @@
 	out      int
 	expected Ms      // of the latest attempt sent
 	quietAt  Ms      // last answer, or the first send after all was answered
-	by       []tally // own outcomes: of all, then by tenant
+	by       []Tally // own outcomes: of all, then by tenant
 	failing  float64 // part of what it answers that its last report counts as errors
 	ejected  bool
 	probing  bool   // a probe is under way
@@ -185,8 +187,8 @@
 		}
 		if s.reportAt == 0 || in.StartedAt != s.info.StartedAt {
 			// A new process: what was known of the old one no longer holds.
-			*s = server{rank: s.rank, network: s.network, out: s.out, reportAt: math.Inf(-1), quietAt: b.now,
-				by:   make([]tally, 1+len(b.buckets)),
+			*s = server{rank: s.rank, network: s.network, out: s.out, reportAt: never, quietAt: b.now,
+				by:   make([]Tally, 1+len(b.buckets)),
 				cold: bucket{b.rng.Float64(), b.now}} // a random part: sidecars must not send at once
 			b.unpool(s)
 		}
@@ -219,14 +221,12 @@
 
 // ---- Evidence: own outcomes and missing answers, whatever the reports and the list say of a server.
 
-type tally struct{ oks, misses, at float64 } // fading
-
 // missed is the probability that the server fails a request, by one of its tallies.
 func (s *server) missed(i int, now Ms) float64 {
 	t := &s.by[i]
-	k := math.Exp2((t.at - now) / evidenceHalf)
-	*t = tally{t.oks * k, t.misses * k, now}
-	return t.misses / (t.oks + t.misses + missPrior)
+	k := math.Exp2((t.At - now) / evidenceHalf)
+	*t = Tally{t.Oks * k, t.Misses * k, now}
+	return t.Misses / (t.Oks + t.Misses + missPrior)
 }
 
 // learn adds a failure of that weight, or a success if it is 0, to the evidence at all and to the tenant's.
@@ -234,8 +234,8 @@
 	for _, i := range slices.Compact([]int{0, who}) {
 		s.missed(i, b.now)
 		t := &s.by[i]
-		if t.misses += weight; weight == 0 {
-			t.oks, t.misses = t.oks+1, t.misses*okShrink
+		if t.Misses += weight; weight == 0 {
+			t.Oks, t.Misses = t.Oks+1, t.Misses*okShrink
 		}
 	}
 }
@@ -598,14 +598,11 @@
 
 // ---- Admission. Of load beyond what servers can finish in time, the least worthy is refused first.
 
-type bucket struct { // fills steadily up to a limit
-	tokens float64
-	at     Ms
-}
+type bucket Level // fills steadily up to a limit
 
 func (k *bucket) fill(now Ms, perMs, full float64) bool {
-	k.tokens, k.at = min(full, k.tokens+perMs*(now-k.at)), now
-	return k.tokens >= 1
+	k.V, k.At = min(full, k.V+perMs*(now-k.At)), now
+	return k.V >= 1
 }
 
 func (b *Balancer) inShare(tenant int) bool {
@@ -616,7 +613,7 @@
 	if !k.fill(b.now, quota/1000, max(quotaLeast, quota)) {
 		return false
 	}
-	k.tokens--
+	k.V--
 	return true
 }
 
@@ -672,14 +669,11 @@
 	return s.cold.fill(b.now, w*rate/float64(max(1, b.ready)), 1)
 }
 
-type rate struct { // events, exponentially weighted
-	v  float64
-	at Ms
-}
+type rate Level // events, exponentially weighted
 
-func (r *rate) add(now Ms) { r.v, r.at = r.v*math.Exp((r.at-now)/rateMemory)+1, now }
+func (r *rate) add(now Ms) { r.V, r.At = r.V*math.Exp((r.At-now)/rateMemory)+1, now }
 
-func (r *rate) perMs(now Ms) float64 { return r.v * math.Exp((r.at-now)/rateMemory) / rateMemory }
+func (r *rate) perMs(now Ms) float64 { return r.V * math.Exp((r.At-now)/rateMemory) / rateMemory }
 
 type request struct {
 	id                RequestID
@@ -785,7 +779,7 @@
 	s.out++
 	b.outAll++
 	s.rif++
-	s.cold.tokens--
+	s.cold.V--
 	b.sendRate.add(b.now)
 	r.out, r.sentAt = true, b.now
 	r.attempts++
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,55 @@
+package logic
+
+import (
+	"fmt"
+	"slices"
+)
+
+// State returns what has been learned. Servers that were left are not in it.
+func (b *Balancer) State() State {
+	st := State{XX: b.fit.xx, XY: b.fit.xy, FitAt: b.fit.at, FleetLatency: b.fleetLatency, FracOwn: b.fracOwn,
+		FracAll: b.fracAll, Arrivals: Level(b.arrivals), Sends: Level(b.sendRate)}
+	for _, c := range b.fit.class {
+		st.Classes = append(st.Classes, Mean{c.n, c.sum})
+	}
+	for _, k := range b.buckets {
+		st.Tenants = append(st.Tenants, Level(k))
+	}
+	for _, s := range b.servers { // the present load, of s.rif and the pool, stays out
+		if s.info.Health == Ready {
+			st.Servers = append(st.Servers, ServerState{s.info.ID, s.info.StartedAt, s.latency, s.reported,
+				s.reportAt, s.network, s.failing, slices.Clone(s.by)})
+		}
+	}
+	return st
+}
+
+// Restore takes what an earlier process has learned, after the list and before any request. What concerns a
+// process that a listed server is not any more is left out; a state of other classes or tenants is an error.
+func (b *Balancer) Restore(st *State) error {
+	fits := func(n, have int) bool { return n == 0 || n == have } // what is too old is left out of a state
+	if !fits(len(st.Classes), len(b.fit.class)) || !fits(len(st.Tenants), len(b.buckets)) {
+		return fmt.Errorf("logic: a state of %d classes and %d tenants does not fit %d and %d",
+			len(st.Classes), len(st.Tenants), len(b.fit.class), len(b.buckets))
+	}
+	b.fit.xx, b.fit.xy, b.fit.at = st.XX, st.XY, st.FitAt
+	for i, m := range st.Classes {
+		b.fit.class[i].n, b.fit.class[i].sum = m.N, m.Sum
+	}
+	for i, l := range st.Tenants {
+		b.buckets[i] = bucket(l)
+	}
+	b.fleetLatency, b.fracOwn, b.fracAll = st.FleetLatency, st.FracOwn, st.FracAll
+	b.arrivals, b.sendRate = rate(st.Arrivals), rate(st.Sends)
+	for _, in := range st.Servers {
+		s := b.byID[in.ID]
+		if s == nil || s.info.StartedAt != in.StartedAt {
+			continue
+		}
+		s.latency, s.reported, s.network, s.failing = in.Latency, in.Reported, in.Network, in.Failing
+		s.reportAt = in.ReportAt
+		copy(s.by, in.Outcomes)
+	}
+	b.updateMedians()
+	return nil
+}
