--- a/cmd/plankrouter/succession.go
+++ b/cmd/plankrouter/succession.go
@@ -22,13 +22,13 @@
 // Nil says that there is nothing but the configuration.
 func (p *program) before(from *handover.Successor, now time.Time) *snapshot.Beginning {
 	cfg := p.cfg
-	if cfg.Snapshot.Path != "" {
-		p.writer = &snapshot.Writer{Store: &snapshot.Store{Path: cfg.Snapshot.Path}, Take: p.take, Every: cfg.SnapshotEvery,
+	if cfg.Own.Snapshot.Path != "" {
+		p.writer = &snapshot.Writer{Store: &snapshot.Store{Path: cfg.Own.Snapshot.Path}, Take: p.take, Every: cfg.SnapshotEvery,
 			Seed: cfg.Seed}
 	}
 	var snap *snapshot.Snapshot
 	var err error
-	origin := cfg.Snapshot.Path
+	origin := cfg.Own.Snapshot.Path
 	switch {
 	case from != nil && len(from.State()) > 0:
 		origin = "predecessor"
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"plankrouter/internal/stopping"
 	"plankrouter/logic"
 )
 
@@ -52,12 +53,24 @@
 	if diff := cmp.Diff(want, got, cmp.AllowUnexported(told{})); diff != "" {
 		t.Error(diff)
 	}
+	if c.StopPlan != stopping.For(2500*time.Millisecond, 0) || c.Watch.Wait != defaultWait || c.SnapshotEvery != defaultSnapshot {
+		t.Errorf("an installation that says nothing: %+v, %+v", c.StopPlan, c.Watch)
+	}
+	c, err = load(t, strings.Replace(good, own("")[0], own(`"watch":{"wait_ms":100},"stop":{"kill_after_ms":9000}`)[1], 1), nil)
+	if err != nil || c.StopPlan.Kill != 9*time.Second || c.Watch.Wait != 100*time.Millisecond || c.Watch.LeastWait != c.Watch.Wait {
+		t.Errorf("an installation's own: %+v, %+v, %v", c.StopPlan, c.Watch, err)
+	}
 	c, err = load(t, strings.NewReplacer(`"memory_mb":100,"sockets":512`, "", `"cores":1.0,`, "", `"ConnIdleMs":60000,`, "").Replace(good), nil)
 	if err != nil || c.Limits.MemoryMB != defaultMemoryMB || c.Limits.Sockets != defaultSockets || c.ConnIdle != defaultIdle {
 		t.Errorf("defaults: %+v, %v", c.Limits, err)
 	}
 }
 
+// own adds an installation's keys.
+func own(keys string) [2]string {
+	return [2]string{`"unknown"`, `"plankrouter":{` + keys + `},"unknown"`}
+}
+
 func TestFaultyKeyIsNamed(t *testing.T) {
 	for want, swap := range map[string][2]string{
 		"GW_CONFIG":                           {`{"name"`, `["name"`},
@@ -77,6 +90,16 @@
 		"settings: logic: class 0":            {`"AimMs":750`, `"AimMs":0`},
 		"settings: logic: no request classes": {`"RequestClasses"`, `"Others"`},
 		"settings: logic: negative":           {`"RoundMs":5`, `"RoundMs":-5`},
+
+		"plankrouter.watch.wait_ms:":           own(`"watch":{"wait_ms":70000}`),
+		"plankrouter.watch.patience_ms:":       own(`"watch":{"patience_ms":-1}`),
+		"plankrouter.watch.least_wait:":        own(`"watch":{"wait_ms":100,"least_wait_ms":200}`),
+		"plankrouter.watch.retry:":             own(`"watch":{"retry_ms":500,"retry_most_ms":200}`),
+		"plankrouter.watch.ask_ms:":            own(`"watch":{"ask_ms":0.5}`),
+		"plankrouter.snapshot.every_ms:":       own(`"snapshot":{"every_ms":1}`),
+		"plankrouter.handover.ready_within_ms": own(`"handover":{"ready_within_ms":1e12}`),
+		"plankrouter.stop.kill_after_ms: 300":  own(`"stop":{"kill_after_ms":300}`),
+		"plankrouter.stop.kill_after_ms: -1":   own(`"stop":{"kill_after_ms":-1}`),
 	} {
 		text := strings.Replace(good, swap[0], swap[1], 1)
 		if _, err := load(t, text, nil); text == good || err == nil || !strings.Contains(err.Error(), want) {
@@ -124,3 +147,24 @@
 		t.Error(diff)
 	}
 }
+
+// The examples of installations can be used as they are.
+func TestExamplesOfInstallations(t *testing.T) {
+	files, err := filepath.Glob("../../deploy/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no examples: %v", err)
+	}
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var c Config
+		if err := json.Unmarshal(raw, &c); err != nil || c.Own == (Own{}) {
+			t.Errorf("%s: %v", file, err)
+		}
+		if err := c.checkOwn(2500 * time.Millisecond); err != nil {
+			t.Errorf("%s: %v", file, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/own.go
@@ -0,0 +1,118 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"plankrouter/internal/freshness"
+	"plankrouter/internal/stopping"
+)
+
+// Defaults of Own: those of the platform, on which none of its keys is given.
+const (
+	defaultSnapshot      = 10 * time.Second
+	defaultReady         = 10 * time.Second
+	defaultWait          = time.Second
+	defaultLeastWait     = 250 * time.Millisecond
+	defaultPatience      = time.Second
+	defaultLeastPatience = 250 * time.Millisecond
+	defaultRetry         = 50 * time.Millisecond
+	defaultRetryMost     = 2 * time.Second
+	defaultAsk           = time.Second
+	defaultAskMost       = 30 * time.Second
+	mostMs               = 24 * 3600 * 1000
+)
+
+// Own is what an installation may say beyond the platform's keys, under one key of its own so that the two never meet.
+// Times are in milliseconds; 0 or missing stands for the default.
+type Own struct {
+	Watch    WatchMs  `json:"watch"`
+	Snapshot struct { // what was learned is kept in a file
+		Path    string  `json:"path"` // "" = it is not
+		EveryMs float64 `json:"every_ms"`
+	} `json:"snapshot"`
+	Handover struct { // to a successor, on SIGUSR2
+		ReadyWithinMs float64 `json:"ready_within_ms"` // the successor has so long to become ready
+	} `json:"handover"`
+	Stop struct { // what follows SIGTERM
+		KillAfterMs float64 `json:"kill_after_ms"` // the process may be killed then; 0 = as on the platform
+	} `json:"stop"`
+}
+
+// WatchMs says, in milliseconds, what the directory may be asked; see freshness.Settings. The defaults are those for a
+// directory on the own machine, which costs nothing to ask.
+type WatchMs struct {
+	Wait          float64 `json:"wait_ms"`
+	LeastWait     float64 `json:"least_wait_ms"`
+	Patience      float64 `json:"patience_ms"`
+	LeastPatience float64 `json:"least_patience_ms"`
+	Retry         float64 `json:"retry_ms"`
+	RetryMost     float64 `json:"retry_most_ms"`
+	Ask           float64 `json:"ask_ms"`
+	AskMost       float64 `json:"ask_most_ms"`
+}
+
+// figure is a time in the file: its key, its value there, where it goes and what stands for 0.
+type figure struct {
+	key  string
+	ms   float64
+	to   *time.Duration
+	none time.Duration
+}
+
+func read(prefix string, least float64, figures ...figure) error {
+	for _, f := range figures {
+		if !(f.ms >= 0) || f.ms > 0 && f.ms < least || f.ms > mostMs {
+			return fmt.Errorf("%s%s: %g ms does not lie between %g and %d", prefix, f.key, f.ms, least, mostMs)
+		}
+		*f.to = orDefault(Duration(f.ms), f.none)
+	}
+	return nil
+}
+
+// check fills in what follows from Own, and names the key of what makes no sense. longest is the longest deadline of a class.
+func (c *Config) checkOwn(longest time.Duration) error {
+	o := &c.Own
+	var kill time.Duration
+	if err := read("plankrouter.", 100,
+		figure{"snapshot.every_ms", o.Snapshot.EveryMs, &c.SnapshotEvery, defaultSnapshot},
+		figure{"handover.ready_within_ms", o.Handover.ReadyWithinMs, &c.ReadyWithin, defaultReady},
+		figure{"stop.kill_after_ms", o.Stop.KillAfterMs, &kill, 0},
+	); err != nil {
+		return err
+	}
+	c.StopPlan = stopping.For(longest, kill)
+	if err := c.StopPlan.Check(); err != nil {
+		return fmt.Errorf("plankrouter.stop.%w", err)
+	}
+	var err error
+	c.Watch, err = o.Watch.settings()
+	return err
+}
+
+// settings fills in defaults, which stay on the right side of what is given, and checks.
+func (w *WatchMs) settings() (s freshness.Settings, err error) {
+	if err := read("plankrouter.watch.", 1,
+		figure{"wait_ms", w.Wait, &s.Wait, defaultWait},
+		figure{"patience_ms", w.Patience, &s.Patience, defaultPatience},
+		figure{"retry_ms", w.Retry, &s.Retry, defaultRetry},
+		figure{"ask_ms", w.Ask, &s.Ask, defaultAsk},
+	); err != nil {
+		return s, err
+	}
+	if err := read("plankrouter.watch.", 1,
+		figure{"least_wait_ms", w.LeastWait, &s.LeastWait, min(defaultLeastWait, s.Wait)},
+		figure{"least_patience_ms", w.LeastPatience, &s.LeastPatience, min(defaultLeastPatience, s.Patience)},
+		figure{"retry_most_ms", w.RetryMost, &s.RetryMost, max(defaultRetryMost, s.Retry)},
+		figure{"ask_most_ms", w.AskMost, &s.AskMost, max(defaultAskMost, s.Ask)},
+	); err != nil {
+		return s, err
+	}
+	if s.Wait > time.Minute {
+		return s, fmt.Errorf("plankrouter.watch.wait_ms: the directory holds no call for longer than a minute, not for %s", s.Wait)
+	}
+	if err := s.Check(); err != nil {
+		return s, fmt.Errorf("plankrouter.watch.%w", err)
+	}
+	return s, nil
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -209,6 +209,7 @@
 	old, theirs, err := pair()
 	must(0, err)
 	defer theirs.Close()
+	old.SetReadDeadline(time.Now().Add(time.Minute))
 	fd := must(syscall.Dup(int(theirs.Fd())))
 	return old, func(string) string { return strconv.Itoa(fd) }
 }
--- a/internal/reuse/reuse.go
+++ b/internal/reuse/reuse.go
@@ -393,7 +393,7 @@
 		}
 		early, loss := b.set.Retry+late(length.Seconds()+k.dial), atOnce+late(length.Seconds())
 		for kind, part := range parts {
-			loss -= part * b.shown[kind][i] * max(0, broken[kind]-early)
+			loss -= part * b.shown[kind][i] * (broken[kind] - early)
 		}
 		if loss < least {
 			least, pause = loss, length
