Use cold servers by their report of room, not by the clock alone

Cause: after a release that leaves every provider cold the module refused 60% for five seconds while nobody had anything to do (found by the scripted peers: all picks end at warmEnough, lines of the cold-start budget; ruled out: admission and the pool, which was full). The budget grew by the clock alone, from half of what is asked times the part of its capacity that a server must have by then.

Change: a cold server whose report of the last 150 ms shows less than half of what it can run side by side by now gets its even part of all that is asked, up to half of the multiple that tips it. What it has in flight bounds what it is sent; without such a report the old budget holds.

--- a/cmd/plankrouter/recovery_test.go
+++ b/cmd/plankrouter/recovery_test.go
@@ -101,6 +101,14 @@
 			between(t, "whole lists", whole, 1, 4)
 		},
 	},
+	"a release leaves nobody warm": {
+		steps: func(w *world) peers.Timeline {
+			return peers.Timeline{{At: 5 * sec, Do: func() {
+				w.Release(context.Background(), peers.Release{Batch: 4, Grace: sec, Between: 2 * sec, Move: true})
+			}}}
+		},
+		event: 5 * sec, within: 6 * sec, worst: 0.8, // each was at 0.41 for five seconds while nobody had anything to do
+	},
 	"directory down for 30 s, then it tells all": {
 		lasts: 42 * sec,
 		steps: func(w *world) peers.Timeline {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,6 +61,8 @@
 	fracPrior    = 20.0   // requests, spread evenly over sidecars, that stand for an unknown load
 	fracMemory   = 0.99   // weight of older samples in this sidecar's part of the fleet's traffic
 	rateMemory   = 2000.0 // ms over which the own sending rate is averaged
+	coldFresh    = 150.0  // ms for which a cold server's report of room counts
+	coldIdle     = 0.5    // of what it can run side by side by now: with less in flight it has room
 	allColdShare = 0.5    // of what is asked, taken for what an all-cold fleet bears when warm
 
 	retryPart    = 0.1   // further attempts a request, at most: keeps retries from becoming the load
@@ -665,8 +667,13 @@
 	if w >= 1 {
 		return true
 	}
-	rate := max(b.sendRate.perMs(b.now), allColdShare*b.arrivals.perMs(b.now)) // an all-cold fleet gets some
-	return s.cold.fill(b.now, w*rate/float64(max(1, b.ready)), 1)
+	part, rate := w, max(b.sendRate.perMs(b.now), allColdShare*b.arrivals.perMs(b.now)) // an all-cold fleet gets some
+	if b.now-s.reportAt <= coldFresh && s.rif < coldIdle*w*b.fit.sideBySide() {
+		// It has just said that it has room, so no more reaches it than it can do: its even part of all that is asked
+		// then lies within half of the multiple that tips it.
+		part, rate = max(w, min(1, w*b.cfg.TipMultiple/2)), max(rate, b.arrivals.perMs(b.now))
+	}
+	return s.cold.fill(b.now, part*rate/float64(max(1, b.ready)), 1)
 }
 
 type rate Level // events, exponentially weighted
