Ask for less room at servers with places left; let no mean speak for usual requests

Change: the margin over the mean response is half of it at an idle server and grows with what it holds, up to the old one; a server's mean counts for admission up to 1.5 times the median of all. The handover's last state: a successor that has lost its predecessor's messages stops and lets the other serve on.

--- a/cmd/plankrouter/succession.go
+++ b/cmd/plankrouter/succession.go
@@ -103,8 +103,14 @@
 	log.Printf("name=%s handover=taken_over predecessor=%q", p.cfg.Name, from.Hello().Name)
 	group.Go(func() error {
 		err := from.Conns(ctx, func(c *net.TCPConn, note []byte) { p.front.Adopt(c, note) })
-		if ctx.Err() == nil { // else this process is at its end, whatever the other does
+		switch {
+		case ctx.Err() != nil: // this process is at its end, whatever the other does
+		case err == nil || errors.Is(err, handover.ErrGone):
 			log.Printf("name=%s handover=complete adopted=%d err=%v", p.cfg.Name, p.front.Adopted.Load(), err)
+		default: // the two have lost each other: the one that has most of it serves on
+			log.Printf("name=%s handover=broken err=%q", p.cfg.Name, err)
+			from.Close()
+			p.front.Drain(p.listener)
 		}
 		return nil
 	})
--- a/internal/handover/control.go
+++ b/internal/handover/control.go
@@ -20,7 +20,8 @@
 
 // pair returns this process's end and the one to be inherited.
 func pair() (*control, *os.File, error) {
-	ends, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_SEQPACKET|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	const how = syscall.SOCK_SEQPACKET | syscall.SOCK_CLOEXEC | syscall.SOCK_NONBLOCK
+	ends, err := syscall.Socketpair(syscall.AF_UNIX, how, 0)
 	if err != nil {
 		return nil, nil, os.NewSyscallError("socketpair", err)
 	}
@@ -53,8 +54,8 @@
 	return &control{UnixConn: c.(*net.UnixConn)}, nil
 }
 
-// send writes a message, and with it a copy of a descriptor if fd is not negative. Without an error it lies in the other
-// end's queue, where only the other process can still get at it, whatever becomes of this one.
+// send writes a message, and with it a copy of a descriptor if fd is not negative. Without an error it lies in the
+// other end's queue, where only the other process can still get at it, whatever becomes of this one.
 func (c *control) send(m message, fd int) error {
 	var rights []byte
 	if fd >= 0 {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -6,7 +6,7 @@
 //
 // The predecessor:
 //
-//	p, err := h.Start(ctx, listener, handover.Options{State: snapshot, ...}) // until the successor is ready or has failed
+//	p, err := h.Start(ctx, listener, handover.Options{State: snapshot, ...}) // returns when the successor is ready
 //	listener.SetDeadline(past)                                               // stop accepting, but keep the listener
 //	err = p.Pass(conn, note); conn.Close()                                   // each, once it is idle
 //	err = p.Done()                                                           // then exit; on Lost: accept again
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // start starts a node with a listener by socket activation. What it and its successors print comes line by line, until
@@ -76,7 +78,7 @@
 		"exits":           "(exit status 3): it ended before it was ready",
 		"deaf":            "(signal: killed): not ready within 100ms",
 		"late":            "(exit status 7): terminated",
-		"wrapped":         "has to be started directly or by exec",
+		"wrapped":         "start the program directly or by exec",
 		"/nowhere":        "start the successor: fork/exec /nowhere",
 		"dies":            "lost",
 		"dies passing":    "lost",
@@ -218,28 +220,29 @@
 	l := must(net.Listen("tcp", "127.0.0.1:0")).(*net.TCPListener)
 	defer l.Close()
 	for _, tc := range []struct {
-		hello  string
+		hello  any
 		socket syscall.Conn
 		want   string
 	}{
-		{`{"version":2,"more":[]}`, l, "speaks handover version 2, this program version 1"},
-		{`{"version":1,"state":16777217}`, l, "state of 16777217 bytes, at most 16777216"},
-		{`{"version":1,"state":-1}`, l, "state of -1 bytes"},
-		{`{"version":1`, l, "malformed"},
-		{`{"version":1}`, client(t, l.Addr().String()), "no listening TCP socket"},
-		{`{"version":1,"state":1}`, l, "kind 's' with 2 bytes within the state"},
-		{`{"version":1,"address":"there"}`, l, `listen on "there", this one on "here"`},
+		{map[int]any{1: 2, 2: "n1", 9: []int{1}}, l, "speaks handover version 2, this program version 1"},
+		{Hello{Version: 1, State: MaxState + 1}, l, "state of 16777217 bytes, at most 16777216"},
+		{Hello{Version: 1, State: -1}, l, "state of -1 bytes"},
+		{"hello", l, "malformed"},
+		{Hello{Version: 1}, client(t, l.Addr().String()), "no listening TCP socket"},
+		{Hello{Version: 1, State: 1}, l, "kind 's' with 2 bytes within the state"},
+		{Hello{Version: 1, Address: "there"}, l, `listen on "there", this one on "here"`},
 	} {
 		old, getenv := pipe()
-		old.sendConn(message{kind: kindHello, body: []byte(tc.hello)}, tc.socket)
+		old.sendConn(message{kind: kindHello, body: must(cbor.Marshal(tc.hello))}, tc.socket)
 		old.send(message{kind: kindState, body: []byte("ab")}, -1)
+		old.CloseWrite()
 		s, err := Inherited(getenv)
 		if err == nil {
 			err = s.Check("here")
 		}
 		m, _, _ := old.receive()
 		if err == nil || !strings.Contains(err.Error(), tc.want) || !strings.Contains(string(m.body), tc.want) {
-			t.Errorf("%s: says %v, tells %c %q", tc.hello, err, m.kind, m.body)
+			t.Errorf("%v: says %v, tells %c %q", tc.hello, err, m.kind, m.body)
 		}
 	}
 	for _, value := range []string{"x", "-1", "0"} {
@@ -257,7 +260,7 @@
 	old, getenv := pipe()
 	l := must(net.Listen("tcp", "127.0.0.1:0")).(*net.TCPListener)
 	defer l.Close()
-	old.sendConn(message{kind: kindHello, body: []byte(`{"version":1}`)}, l)
+	old.sendConn(message{kind: kindHello, body: must(cbor.Marshal(Hello{Version: 1}))}, l)
 	s := must(Inherited(getenv))
 	old.send(message{kind: kindServe}, -1)
 	must(0, s.Ready())
@@ -277,8 +280,8 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	hello := []byte(`{"version":1,"name":"n1","address":"127.0.0.1:3000","state":5}`)
-	for _, b := range [][]byte{{}, []byte("h1234567"), []byte("?12345678"), message{kind: kindHello, body: hello}.encode(),
+	hello := message{kind: kindHello, body: must(cbor.Marshal(Hello{1, "n1", "127.0.0.1:3000", 5}))}
+	for _, b := range [][]byte{{}, []byte("h1234567"), []byte("?12345678"), hello.encode(),
 		message{kind: kindConn, number: 1 << 63, body: make([]byte, MaxNote+1)}.encode()} {
 		f.Add(b)
 	}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -2,9 +2,10 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Bounds of what goes over the control socket, in bytes.
@@ -20,7 +21,7 @@
 type kind byte
 
 const (
-	kindHello  kind = 'h' // P: a Hello as JSON, with the listener
+	kindHello  kind = 'h' // P: a Hello in CBOR, with the listener
 	kindState  kind = 's' // P: the next part of the state
 	kindReady  kind = 'r' // S: its process id is the number
 	kindRefuse kind = 'n' // S: why not
@@ -72,18 +73,18 @@
 	return -1
 }
 
-// Hello is what a predecessor says of itself first. It stays JSON with a version in all versions, so that each can
-// tell what it does not understand.
+// Hello is what a predecessor says of itself first. It stays CBOR with the version under 1 in all versions, so that
+// each can tell what it does not understand.
 type Hello struct {
-	Version int    `json:"version"` // of this package's protocol
-	Name    string `json:"name"`    // of the daemon
-	Address string `json:"address"` // that it was told to listen on
-	State   int    `json:"state"`   // length of the state blob in bytes
+	Version int    `cbor:"1,keyasint"` // of this package's protocol
+	Name    string `cbor:"2,keyasint"` // of the daemon
+	Address string `cbor:"3,keyasint"` // that it was told to listen on
+	State   int    `cbor:"4,keyasint"` // length of the state blob in bytes
 }
 
 func decodeHello(b []byte) (Hello, error) {
 	var h Hello
-	err := json.Unmarshal(b, &h)
+	err := cbor.Unmarshal(b, &h)
 	switch {
 	case err != nil:
 		return h, fmt.Errorf("%w: hello: %w", errMalformed, err)
--- a/internal/handover/predecessor.go
+++ b/internal/handover/predecessor.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,11 +14,13 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Options says how to start the successor and what to tell it. The zero value of each field but Address has a meaning.
 type Options struct {
-	Path           string        // the program, looked up anew so that a new binary is taken; "" = as this one was started
+	Path           string        // the program, looked up anew: it may be a new binary; "" = as this one was started
 	Args           []string      // without the program's name; nil = this process's
 	Env            []string      // as KEY=value; nil = this process's
 	Stdout, Stderr *os.File      // nil = this process's
@@ -48,10 +49,10 @@
 	over     error       // ErrLost once the successor is
 }
 
-// Start starts the successor, hands it the listener and the state, and returns when it is ready to serve: from then on it
-// accepts connections too. Whatever else happens, the successor has ended when Start returns, has not served, and the
-// error says why: it could not be started, ended early (its exit status; its last words are in its log), refused (its
-// reason), was not ready in time, or ctx ended. That takes up to a second more. ErrUnderWay: another handover is.
+// Start starts the successor, hands it the listener and the state, and returns when it is ready to serve: from then on
+// it accepts connections too. Whatever else happens, the successor has ended when Start returns, has not served, and
+// the error says why: it could not be started, ended early (its exit status; its last words are in its log), refused
+// (its reason), was not ready in time, or ctx ended. That takes up to a second more. ErrUnderWay: another handover is.
 //
 // On success the caller stops accepting (with a deadline, since it may need the listener again), calls Pass for its
 // connections as they become idle, and then Done. The program must be Path itself or be put in place by exec, and this
@@ -146,14 +147,14 @@
 		return fmt.Errorf("%w: kind %q before it was ready", errMalformed, m.kind)
 	case m.number != uint64(p.Pid()):
 		// Neither its end could be seen nor could it be ended.
-		return fmt.Errorf("process %d is ready in its place: the program has to be started directly or by exec", m.number)
+		return fmt.Errorf("process %d is ready in its place: start the program directly or by exec", m.number)
 	}
 	return nil
 }
 
 // introduce sends the hello, the listener and the state.
 func (p *Predecessor) introduce(l *net.TCPListener, o Options) error {
-	b, err := json.Marshal(Hello{Version: Version, Name: o.Name, Address: o.Address, State: len(o.State)})
+	b, err := cbor.Marshal(Hello{Version: Version, Name: o.Name, Address: o.Address, State: len(o.State)})
 	if err != nil {
 		return err
 	}
@@ -186,9 +187,9 @@
 
 // Pass hands a connection over with a note of up to MaxNote bytes, and returns when the successor has taken it. From
 // before the call on nothing may be read from it or written to it, and all that has been read of it must have been
-// dealt with: what the kernel still holds goes along. After nil the connection is the successor's, and the caller closes
-// its own copy with nothing but Close (no CloseWrite, no linger). After an error, ErrLost for one, the successor has
-// never used it and never will: the caller serves on. It is safe for concurrent use.
+// dealt with: what the kernel still holds goes along. After nil the connection is the successor's, and the caller
+// closes its own copy with nothing but Close (no CloseWrite, no linger). After an error, ErrLost for one, the successor
+// has never used it and never will: the caller serves on. It is safe for concurrent use.
 func (p *Predecessor) Pass(c syscall.Conn, note []byte) error {
 	if len(note) > MaxNote {
 		return fmt.Errorf("handover: note of %d bytes, at most %d", len(note), MaxNote)
@@ -231,8 +232,8 @@
 	return nil
 }
 
-// ask sends a message under a number of its own and waits for its answer. A successor that hangs is killed: only when it
-// has ended is it certain what it has taken. One that is slow is not, as long as it answers one message or another.
+// ask sends a message under a number of its own and waits for its answer. A successor that hangs is killed: only when
+// it has ended is it certain what it has taken. One that is slow is not, as long as it answers one message or another.
 func (p *Predecessor) ask(m message, send func(message) error) error {
 	answer := make(chan error, 1)
 	p.mu.Lock()
--- a/internal/handover/successor.go
+++ b/internal/handover/successor.go
@@ -95,8 +95,8 @@
 // Hello is what the predecessor says of itself.
 func (s *Successor) Hello() Hello { return s.hello }
 
-// Listener is the predecessor's listener, as a copy of this process's own. It must not be accepted from before Ready has
-// returned nil.
+// Listener is the predecessor's listener, as a copy of this process's own. It must not be accepted from before Ready
+// has returned nil.
 func (s *Successor) Listener() *net.TCPListener { return s.listener }
 
 // State is the predecessor's state blob. It is let go when Ready returns.
@@ -139,11 +139,11 @@
 	return nil
 }
 
-// Conns calls take, one at a time, with each connection that the predecessor passes and a note of the caller's own; take
-// should return soon, since the predecessor waits for it before the next. Call it once, after Ready. It returns nil when
-// the predecessor has passed all and exits, and ErrGone when it has ended without a word: in both cases all is this
-// process's own. After any other error, ctx's for one, the predecessor lives and serves again as soon as Close has been
-// called or this process has ended: it should stop accepting first, and end.
+// Conns calls take, one at a time, with each connection that the predecessor passes and a note of the caller's own;
+// take should return soon: nothing is answered meanwhile, and a successor that does not answer is killed. Call it once,
+// after Ready. It returns nil when the predecessor has passed all and exits, and ErrGone when it has ended without a
+// word: in both cases all is this process's own. After any other error, ctx's for one, the predecessor lives and serves
+// again as soon as Close has been called or this process has ended: it should stop accepting first, and end.
 func (s *Successor) Conns(ctx context.Context, take func(c *net.TCPConn, note []byte)) error {
 	defer context.AfterFunc(ctx, func() { s.control.SetDeadline(longAgo) })()
 	if <-s.decided; s.verdict != nil {
--- a/logic/admission_test.go
+++ b/logic/admission_test.go
@@ -37,16 +37,27 @@
 	}
 }
 
-// Where wasted work costs, the mean response must leave much of the aim: many take far longer than the mean.
+// Where wasted work costs, the mean response must leave much of the aim at a server that is full: many take far longer than
+// the mean, and take a place from others. At one with places left a request is worth a try that may well be in vain. And one
+// server's mean, which a few costly requests raise, counts up to 1.5 times the median of all.
 func TestAdmissionLeavesRoomForLongResponses(t *testing.T) {
 	cfg := testConfig()
 	cfg.WastePrice = 0.1
 	g := newRig(t, cfg, 1)
 	s, r := g.b.byID[1], &request{class: 0, aimAt: g.now + 400, endAt: g.now + 900}
-	for latency, want := range map[Ms]bool{200: true, 250: false} {
-		s.rif, s.latency = 1, latency
-		if got := g.b.admits(s, r); got != want {
-			t.Errorf("a response of about %.0f ms for an aim of 400: admitted %t", g.b.expect(s, 0, s.rif), got)
+	for _, c := range []struct {
+		rif          float64
+		latency, all Ms
+		want         bool
+	}{{4, 200, 0, true}, {4, 250, 0, false}, {1, 250, 0, true}, {1, 460, 0, true}, {1, 500, 0, false},
+		{4, 900, 120, true}, {4, 900, 170, false}} {
+		s.rif, s.latency = c.rif, c.latency
+		if g.b.fleetLatency = c.all; c.all == 0 {
+			g.b.fleetLatency = c.latency
+		}
+		if got := g.b.admits(s, r); got != c.want {
+			t.Errorf("%g in flight, a response of about %.0f ms for an aim of 400, %.0f ms usual: admitted %t", c.rif,
+				g.b.expect(s, 0, s.rif), g.b.fleetLatency, got)
 		}
 	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -54,6 +54,9 @@
 	silentPart   = 0.25 // of the tightest aim: no shorter answer is expected there
 
 	roomWaste    = 8.5    // parts of the expected response to be left beyond it, for each unit of WastePrice
+	slowMost     = 1.5    // times the median service time, at most, that a usual request is taken to need
+	roomIdle     = 0.5    // likewise at an idle server, in all: work in vain takes nothing from others there,
+	roomFull     = 2.0    // and what is added to that when all its places are taken
 	crowdMost    = 4.5    // response over an unhindered one: past it a queue only adds waiting
 	crowdPower   = 0.4    // how that falls with a request's worth: 1 + (crowdMost-1) x worth^this
 	peerWorth    = 1.5    // times a request's worth: classes worth more keep their room against it
@@ -345,6 +348,11 @@
 	return s.service()*b.fit.of(class)*b.fit.stretch(rif+1) + s.network
 }
 
+// costly is the part of a server's reported mean that usual requests take: a few costly ones raise it.
+func (b *Balancer) costly(s *server) float64 {
+	return min(1, max(slowMost*b.fleetLatency, serverPrior)/s.service())
+}
+
 // fraction is this sidecar's part of the fleet's traffic: own requests among all that servers hold.
 func (b *Balancer) fraction() float64 {
 	return min(1, (b.fracOwn+fracPrior/float64(b.cfg.Balancers))/(b.fracAll+fracPrior))
@@ -628,6 +636,7 @@
 	if s.rif < 1 && !r.over {
 		return true // an idle server is worth a try: only a sample can correct a wrong estimate
 	}
+	margin := min(1+roomWaste*b.cfg.WastePrice, roomIdle+roomFull*s.rif/b.fit.sideBySide())
 	for i, c := range b.cfg.Classes {
 		room := c.Aim
 		if i == r.class {
@@ -635,7 +644,7 @@
 		} else if b.density(i) < peerWorth*worth {
 			continue // only where no worthier or equal request would find room is this one out of place
 		}
-		if b.expect(s, i, s.rif)*(1+roomWaste*b.cfg.WastePrice) > room {
+		if b.expect(s, i, s.rif)*b.costly(s)*margin > room {
 			return false
 		}
 	}
@@ -667,11 +676,11 @@
 	if w >= 1 {
 		return true
 	}
-	part, rate := w, max(b.sendRate.perMs(b.now), allColdShare*b.arrivals.perMs(b.now)) // an all-cold fleet gets some
+	asked := b.arrivals.perMs(b.now)
+	part, rate := w, max(b.sendRate.perMs(b.now), allColdShare*asked) // an all-cold fleet gets some
 	if b.now-s.reportAt <= coldFresh && s.rif < coldIdle*w*b.fit.sideBySide() {
-		// It has just said that it has room, so no more reaches it than it can do: its even part of all that is asked
-		// then lies within half of the multiple that tips it.
-		part, rate = max(w, min(1, w*b.cfg.TipMultiple/2)), max(rate, b.arrivals.perMs(b.now))
+		// It has just said that it has room: no more reaches it than it can do. Half of what tips it is safe.
+		part, rate = max(w, min(1, w*b.cfg.TipMultiple/2)), max(rate, asked)
 	}
 	return s.cold.fill(b.now, part*rate/float64(max(1, b.ready)), 1)
 }
