Move internal/sidecar to internal/core

Need: the core of one pool is to be hosted by a library as well as by the daemon. The package moves as it is; only its name and the type's name, Pool, change.

--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -22,7 +22,7 @@
 	"plankrouter/internal/directory"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/handover"
-	"plankrouter/internal/sidecar"
+	"plankrouter/internal/core"
 	"plankrouter/internal/snapshot"
 	"plankrouter/internal/sockets"
 )
@@ -86,7 +86,7 @@
 	getenv   func(string) string
 	listener net.Listener
 	budget   *sockets.Budget
-	core     *sidecar.Sidecar
+	core     *core.Pool
 	watch    *directory.Watch
 	front    *consumer.Server
 	writer   *snapshot.Writer  // nil = snapshots are not kept
@@ -104,7 +104,7 @@
 		budget: sockets.NewBudget(cfg.Limits.Sockets-socketReserve, dial)}
 	before := p.before(from, time.Now())
 	var err error
-	if p.core, err = sidecar.New(ctx, group, cfg, p.budget, before); err != nil {
+	if p.core, err = core.New(ctx, group, cfg, p.budget, before); err != nil {
 		return err
 	}
 	known := cfg.Known
--- a/internal/sidecar/actions.go
+++ b/internal/core/actions.go
@@ -1,4 +1,4 @@
-package sidecar
+package core
 
 import (
 	"cmp"
@@ -15,7 +15,7 @@
 )
 
 // do carries out one of the module's actions.
-func (s *Sidecar) do(a *logic.Action) {
+func (s *Pool) do(a *logic.Action) {
 	switch a.Kind {
 	case logic.Send:
 		s.invoke(a)
@@ -41,7 +41,7 @@
 }
 
 // invoke makes the attempt that the module asks for.
-func (s *Sidecar) invoke(a *logic.Action) {
+func (s *Pool) invoke(a *logic.Action) {
 	h, k := s.held[a.Request], s.providers[a.Server]
 	if h == nil || h.answered || h.call != nil || k == nil {
 		// Not asked for by a sound module; answering it keeps the books of a faulty one straight.
@@ -58,7 +58,7 @@
 }
 
 // start sends a call on an idle connection or a new one, and gives it up after wait.
-func (s *Sidecar) start(k *known, c *provider.Call, a attempt, wait time.Duration, stakes reuse.Stakes) {
+func (s *Pool) start(k *known, c *provider.Call, a attempt, wait time.Duration, stakes reuse.Stakes) {
 	// The module often gives an attempt until its request's own deadline, for which it has set a timer too. The
 	// time-out must win that race: called off by the deadline instead, the attempt would teach the module nothing,
 	// and it would judge the providers by the answers that came in time alone.
@@ -72,14 +72,14 @@
 	s.invoker.Start(c, bet{s.book, time.Now(), k.name, stakes})
 }
 
-func (e connFree) apply(s *Sidecar) { s.keep(e.conn) }
+func (e connFree) apply(s *Pool) { s.keep(e.conn) }
 
-func (e connEnded) apply(s *Sidecar) {
+func (e connEnded) apply(s *Pool) {
 	s.counts.Idle[e.how]++
 	e.conn.Drop()
 }
 
-func (e told) apply(s *Sidecar) { s.list(config.List(e)) }
+func (e told) apply(s *Pool) { s.list(config.List(e)) }
 
 // health reads a phase. One that is unknown gets no new work: it is not the one that asks for it.
 func health(phase string) logic.Health {
@@ -93,7 +93,7 @@
 }
 
 // list takes the directory's word: the table first, then the module.
-func (s *Sidecar) list(l config.List) {
+func (s *Pool) list(l config.List) {
 	s.counts.Lists++
 	s.revision = l.Revision
 	told := time.Now()
@@ -140,7 +140,7 @@
 }
 
 // setHealth notes a provider's state and, when it leaves, the end of the grace for calls that still connect.
-func (s *Sidecar) setHealth(id logic.ServerID, k *known, h logic.Health, told time.Time) {
+func (s *Pool) setHealth(id logic.ServerID, k *known, h logic.Health, told time.Time) {
 	was := k.health
 	if k.health = h; h != was {
 		k.toldAt = told
--- a/internal/sidecar/connections.go
+++ b/internal/core/connections.go
@@ -1,4 +1,4 @@
-package sidecar
+package core
 
 import (
 	"time"
@@ -42,13 +42,13 @@
 func (b bet) Hold(u provider.Use) time.Duration { return b.book.Hold(b.now, b.use(u), b.stakes) }
 
 // keep lets the connection's provider use it again, for as long as a call with the least at stake would take it.
-func (s *Sidecar) keep(c *provider.Conn) {
+func (s *Pool) keep(c *provider.Conn) {
 	most := time.Duration(retirePart * float64(s.cfg.ConnIdle))
 	c.Put(s.book.Limit(time.Now(), c.Provider(), probeStakes, most))
 }
 
 // learn takes note of how the connections did on which a call was.
-func (s *Sidecar) learn(name string, r *provider.Result) {
+func (s *Pool) learn(name string, r *provider.Result) {
 	c, now := r.Call, time.Now()
 	of := func(u provider.Use) reuse.Use { return bet{provider: name}.use(u) }
 	if d := c.Dead; d != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/core/core.go
@@ -1,7 +1,7 @@
-// Package sidecar is the decision module's host: its events come straight from the sockets, its actions go
+// Package core is the decision module's host: its events come straight from the sockets, its actions go
 // straight to them. One goroutine owns the module, the table of invocations, the providers and the timers.
 // All others send it events, and it never waits for a socket.
-package sidecar
+package core
 
 import (
 	"container/heap"
@@ -33,8 +33,8 @@
 	graceMargin  = 100 * time.Millisecond // before the end of a drain's grace: a first byte may take its time
 )
 
-// Sidecar is the host of one Balancer.
-type Sidecar struct {
+// Pool is the host of one Balancer.
+type Pool struct {
 	cfg     *config.Config
 	bal     *logic.Balancer
 	invoker *provider.Invoker
@@ -105,7 +105,7 @@
 }
 
 // event is something that another goroutine has seen.
-type event interface{ apply(*Sidecar) }
+type event interface{ apply(*Pool) }
 
 type (
 	arrived   struct{ inv *invocation.Invocation }
@@ -122,15 +122,15 @@
 	reading struct{ to chan<- Counts }
 )
 
-// New returns a Sidecar that knows the providers of cfg.Known, or what it can go by from before. Its goroutines belong to
+// New returns a Pool that knows the providers of cfg.Known, or what it can go by from before. Its goroutines belong to
 // group.
 func New(ctx context.Context, group *errgroup.Group, cfg *config.Config, budget *sockets.Budget,
-	before *snapshot.Beginning) (*Sidecar, error) {
+	before *snapshot.Beginning) (*Pool, error) {
 	bal, err := logic.New(cfg.Logic, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	s := &Sidecar{cfg: cfg, bal: bal, clock: newClock(), zones: map[string]int{}, stopped: ctx.Done(),
+	s := &Pool{cfg: cfg, bal: bal, clock: newClock(), zones: map[string]int{}, stopped: ctx.Done(),
 		events: make(chan event, eventsAhead), held: map[logic.RequestID]*held{},
 		byInv: map[*invocation.Invocation]logic.RequestID{}, open: map[string]bool{}, calls: map[*provider.Call]attempt{},
 		providers: map[logic.ServerID]*known{}, serverIDs: map[string]logic.ServerID{},
@@ -157,10 +157,10 @@
 }
 
 // Watching says who is to hear what is seen of providers that bears on the list. It is called before Run.
-func (s *Sidecar) Watching(saw func(provider string, sign freshness.Sign)) { s.saw = saw }
+func (s *Pool) Watching(saw func(provider string, sign freshness.Sign)) { s.saw = saw }
 
 // Run carries out the module's decisions until ctx ends.
-func (s *Sidecar) Run(ctx context.Context) error {
+func (s *Pool) Run(ctx context.Context) error {
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
@@ -176,7 +176,7 @@
 	}
 }
 
-func (s *Sidecar) send(e event) bool {
+func (s *Pool) send(e event) bool {
 	select {
 	case s.events <- e:
 		return true
@@ -185,42 +185,42 @@
 	}
 }
 
-// Take, Abandon and Ready make the Sidecar an invocation.Core.
-func (s *Sidecar) Take(inv *invocation.Invocation) bool { return s.send(arrived{inv}) }
+// Take, Abandon and Ready make the Pool an invocation.Core.
+func (s *Pool) Take(inv *invocation.Invocation) bool { return s.send(arrived{inv}) }
 
 // Abandon says that the consumer is gone.
-func (s *Sidecar) Abandon(inv *invocation.Invocation) { s.send(abandoned{inv}) }
+func (s *Pool) Abandon(inv *invocation.Invocation) { s.send(abandoned{inv}) }
 
 // Ready reports whether there is a provider to send to.
-func (s *Sidecar) Ready() bool { return s.ready.Load() }
+func (s *Pool) Ready() bool { return s.ready.Load() }
 
 // Told takes news from the directory.
-func (s *Sidecar) Told(l config.List) { s.send(told(l)) }
+func (s *Pool) Told(l config.List) { s.send(told(l)) }
 
 // Stopping says that the process has been told to stop: what comes in from now on is answered in time for that.
-func (s *Sidecar) Stopping(plan stopping.Plan) { s.send(stopNow{plan}) }
+func (s *Pool) Stopping(plan stopping.Plan) { s.send(stopNow{plan}) }
 
-func (e stopNow) apply(s *Sidecar) { s.stopAt, s.stopPlan = time.Now(), e.plan }
+func (e stopNow) apply(s *Pool) { s.stopAt, s.stopPlan = time.Now(), e.plan }
 
-// CallEnded, ConnFree and ConnEnded make the Sidecar a provider.Sink.
-func (s *Sidecar) CallEnded(r provider.Result) {
+// CallEnded, ConnFree and ConnEnded make the Pool a provider.Sink.
+func (s *Pool) CallEnded(r provider.Result) {
 	if !s.send(callEnded(r)) && r.Conn != nil {
 		r.Conn.Close()
 	}
 }
 
 // ConnFree offers a connection that its call did not need.
-func (s *Sidecar) ConnFree(c *provider.Conn) {
+func (s *Pool) ConnFree(c *provider.Conn) {
 	if !s.send(connFree{c}) {
 		c.Close()
 	}
 }
 
 // ConnEnded says that an idle connection is no more.
-func (s *Sidecar) ConnEnded(c *provider.Conn, how ending.Ending) { s.send(connEnded{c, how}) }
+func (s *Pool) ConnEnded(c *provider.Conn, how ending.Ending) { s.send(connEnded{c, how}) }
 
 // Counts asks for the present figures; after Run has ended it reads the last ones.
-func (s *Sidecar) Counts() Counts {
+func (s *Pool) Counts() Counts {
 	to := make(chan Counts, 1)
 	if s.send(reading{to}) {
 		select {
@@ -232,9 +232,9 @@
 	return s.counts
 }
 
-func (e reading) apply(s *Sidecar) { e.to <- s.counts }
+func (e reading) apply(s *Pool) { e.to <- s.counts }
 
-func (e arrived) apply(s *Sidecar) {
+func (e arrived) apply(s *Pool) {
 	inv := e.inv
 	if s.open[inv.ID] { // providers could not tell the two apart, and one might get the other's answer
 		s.counts.Conflicts++
@@ -253,7 +253,7 @@
 		Left: config.Millis(patience - time.Since(inv.SentAt)), Again: inv.Again})
 }
 
-func (e abandoned) apply(s *Sidecar) {
+func (e abandoned) apply(s *Pool) {
 	id, waits := s.byInv[e.inv]
 	if !waits { // answered a moment ago
 		return
@@ -264,7 +264,7 @@
 }
 
 // answer gives the one final answer, if it is still owed.
-func (s *Sidecar) answer(id logic.RequestID, a invocation.Answer) {
+func (s *Pool) answer(id logic.RequestID, a invocation.Answer) {
 	h := s.held[id]
 	if h == nil || h.answered {
 		return
@@ -281,7 +281,7 @@
 	s.close(id, h)
 }
 
-func (s *Sidecar) close(id logic.RequestID, h *held) {
+func (s *Pool) close(id logic.RequestID, h *held) {
 	h.answered = true
 	delete(s.byInv, h.inv)
 	delete(s.open, h.inv.ID)
@@ -290,10 +290,10 @@
 	}
 }
 
-func (e callEnded) apply(s *Sidecar) { s.ended(provider.Result(e)) }
+func (e callEnded) apply(s *Pool) { s.ended(provider.Result(e)) }
 
 // ended turns the end of an invoker call or a probe into the module's event. Every Send comes by here once.
-func (s *Sidecar) ended(r provider.Result) {
+func (s *Pool) ended(r provider.Result) {
 	a := s.calls[r.Call]
 	delete(s.calls, r.Call)
 	if a.end.index >= 0 { // else it would hold the call, and its connection, until its time was up
@@ -351,7 +351,7 @@
 
 // step gives the module an event and carries out what it decides. Carrying out an action may end a call at
 // once; that event waits until all that the module decided before is done.
-func (s *Sidecar) step(e logic.Event) {
+func (s *Pool) step(e logic.Event) {
 	s.pending = append(s.pending, e)
 	if s.stepping {
 		return
@@ -369,14 +369,14 @@
 	s.stepping = false
 }
 
-func (s *Sidecar) untilNext() time.Duration {
+func (s *Pool) untilNext() time.Duration {
 	if len(s.timers) == 0 {
 		return time.Hour
 	}
 	return max(0, time.Until(s.timers[0].at))
 }
 
-func (s *Sidecar) due() {
+func (s *Pool) due() {
 	for len(s.timers) > 0 && !time.Now().Before(s.timers[0].at) {
 		t := heap.Pop(&s.timers).(*timer)
 		if t.call == nil {
@@ -388,7 +388,7 @@
 }
 
 // stop gives up a call that has not ended yet.
-func (s *Sidecar) stop(c *provider.Call, why ending.Ending) {
+func (s *Pool) stop(c *provider.Call, why ending.Ending) {
 	if _, out := s.calls[c]; !out {
 		return
 	}
@@ -398,7 +398,7 @@
 }
 
 // serverID is the provider's number: the same in every life of its process and of this one.
-func (s *Sidecar) serverID(id string) logic.ServerID {
+func (s *Pool) serverID(id string) logic.ServerID {
 	n, have := s.serverIDs[id]
 	if !have {
 		h := fnv.New32a()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/core/core_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package core
 
 import (
 	"context"
@@ -20,8 +20,8 @@
 	"plankrouter/logic"
 )
 
-// host returns a Sidecar that knows no provider yet, run by the test itself; no connection comes up.
-func host(t *testing.T, ctx context.Context, group *errgroup.Group) *Sidecar {
+// host returns a Pool that knows no provider yet, run by the test itself; no connection comes up.
+func host(t *testing.T, ctx context.Context, group *errgroup.Group) *Pool {
 	t.Helper()
 	cfg := &config.Config{Logic: logic.Config{MaxAttempts: 1, Cancel: true, Classes: []logic.Class{{Aim: 100, Deadline: 1000}}},
 		ConnIdle: time.Minute, ConnectTimeout: time.Second}
@@ -35,7 +35,7 @@
 
 type sizes struct{ Providers, IDs, Numbers, Held, Open, Calls, Timers int }
 
-func (s *Sidecar) sizes() sizes {
+func (s *Pool) sizes() sizes {
 	return sizes{len(s.providers), len(s.serverIDs), len(s.numbers), len(s.held), len(s.open), len(s.calls), len(s.timers)}
 }
 
@@ -99,7 +99,7 @@
 // A probe's answer whose report can't be read, or lacks the load, says nothing: a zero made up for it would look like a
 // provider with nothing to do.
 func TestUnreadableReportsAreLeftOut(t *testing.T) {
-	s := &Sidecar{cfg: &config.Config{}, calls: map[*provider.Call]attempt{}, providers: map[logic.ServerID]*known{}}
+	s := &Pool{cfg: &config.Config{}, calls: map[*provider.Call]attempt{}, providers: map[logic.ServerID]*known{}}
 	s.cfg.Settings.Report.Names = []string{"active", "avg_ms"}
 	s.stepping = true // the module's events are looked at, not handled
 	for _, report := range []string{`{"active":3}`, `{"active":null,"avg_ms":20}`, `{"avg_ms":3}`, `{"act`, ``} {
--- a/internal/sidecar/learned.go
+++ b/internal/core/learned.go
@@ -1,4 +1,4 @@
-package sidecar
+package core
 
 import (
 	"cmp"
@@ -14,7 +14,7 @@
 
 // Snapshot returns what the sidecar has learned, or nil if it has stopped. Who listens to which directory is filled in by
 // the caller.
-func (s *Sidecar) Snapshot() *snapshot.Snapshot {
+func (s *Pool) Snapshot() *snapshot.Snapshot {
 	to := make(chan *snapshot.Snapshot, 1)
 	if s.send(taking{to}) {
 		select {
@@ -26,10 +26,10 @@
 	return nil
 }
 
-func (e taking) apply(s *Sidecar) { e.to <- s.snapshot(time.Now()) }
+func (e taking) apply(s *Pool) { e.to <- s.snapshot(time.Now()) }
 
 // snapshot gives the module's state the names by which the next process knows its providers.
-func (s *Sidecar) snapshot(now time.Time) *snapshot.Snapshot {
+func (s *Pool) snapshot(now time.Time) *snapshot.Snapshot {
 	st := s.bal.State()
 	out := &snapshot.Snapshot{TakenAt: now, Program: s.cfg.Name, Deployment: snapshot.Fingerprint(&s.cfg.Settings),
 		Revision: s.revision}
@@ -73,7 +73,7 @@
 }
 
 // forget keeps a deleted provider in mind for the next process, in place of the one forgotten longest.
-func (s *Sidecar) forget(m snapshot.Member) {
+func (s *Pool) forget(m snapshot.Member) {
 	s.gone = append(slices.DeleteFunc(s.gone, func(o snapshot.Member) bool { return o.ID == m.ID }), m)
 	s.gone = s.gone[max(0, len(s.gone)-goneMost):]
 }
@@ -105,7 +105,7 @@
 }
 
 // restore begins with the list and what was learned before, instead of the configuration's list alone.
-func (s *Sidecar) restore(before *snapshot.Beginning) {
+func (s *Pool) restore(before *snapshot.Beginning) {
 	listed := before.List
 	listed.Members = nil
 	for _, m := range before.List.Members {
--- a/internal/sidecar/time.go
+++ b/internal/core/time.go
@@ -1,4 +1,4 @@
-package sidecar
+package core
 
 import (
 	"time"
