Give membership and load reports packages of their own

Need: six packages imported internal/config for the list of providers and the load report, which belong to other seams. internal/members has the words of every source of membership, internal/directory reads the platform's form of them, internal/loadreport reads reports; internal/caller states the seam through which attempts go.

--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,60 @@
+// Package caller is the seam between the core of a pool and the protocol in which its providers are spoken to. The core
+// asks a Caller to start an attempt and to stop one; the caller reports how it ended, once. Package callertest is the suite
+// that every Caller has to pass.
+package caller
+
+import (
+	"time"
+
+	"plankrouter/internal/ending"
+	"plankrouter/internal/invocation"
+	"plankrouter/logic"
+)
+
+// Caller carries the attempts of one pool. All methods are called by the pool's goroutine alone and must not block.
+type Caller interface {
+	// Endpoint returns what stands for a provider's process at host:port.
+	Endpoint(provider, address string) Endpoint
+	// Forget says that the provider is gone for good: what was learned of it may go, too.
+	Forget(provider string)
+	// State returns what was learned of how connections do, in at most 64 KiB, for Restore by a later process; nil = nothing.
+	State(now time.Time) ([]byte, error)
+	// Restore takes a State that was returned a time of age ago. After an error all is as it was.
+	Restore(now time.Time, state []byte, age time.Duration) error
+}
+
+// Endpoint is one process of a provider at one address. A provider that restarts or moves gets another.
+type Endpoint interface {
+	// Start begins an attempt. Its end is reported by Task.Ended, never before Start has returned.
+	Start(Task) Call
+	// Close ends what is kept idle: the provider drains, is gone or lives elsewhere. Attempts under way go on.
+	Close()
+	// Address is the host:port.
+	Address() string
+}
+
+// Task is an attempt to be made.
+type Task struct {
+	Invocation *invocation.Invocation // nil = a probe: the provider is asked for its load
+	Wait       time.Duration          // after which the attempt is going to be stopped, for the provider to know
+	NotAfter   time.Time              // no first byte later than this; zero = any time
+	Ended      func(Result)           // called once from any goroutine, unless Stop returned true; may wait for the pool's goroutine
+}
+
+// Call is an attempt under way. Its methods are safe for concurrent use and do not block.
+type Call interface {
+	// Stop gives the attempt up, for the reason why, and returns how that has ended it, and true; when it returns, nothing
+	// further of this attempt can reach the provider. False means that it has ended already: Ended has been called or is
+	// about to be.
+	Stop(why ending.Ending) (ending.Ending, bool)
+	// NotAfter forbids a first byte later than t, if none was forbidden before.
+	NotAfter(t time.Time)
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Ending ending.Ending
+	Report logic.Report       // the provider's load, where the answer told it
+	Fields []invocation.Field // the answer's, where it was Served
+	Body   []byte
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -6,6 +6,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
+	"plankrouter/internal/loadreport"
 	"plankrouter/logic"
 )
 
@@ -98,56 +99,8 @@
 	return cfg, nil
 }
 
-// Field says what one value of a load report means.
-type Field uint8
-
-// The values that the module uses; all others are FieldOther.
-const (
-	FieldOther Field = iota
-	FieldRIF
-	FieldLatency
-	FieldErrors
-)
-
-var fields = map[string]Field{"active": FieldRIF, "avg_ms": FieldLatency, "err_rps": FieldErrors}
-
-// ReportFields returns the meaning of each value of a load report, in the order of Report.Names.
-func (s *Settings) ReportFields() []Field {
-	out := make([]Field, len(s.Report.Names))
-	for i, name := range s.Report.Names {
-		out[i] = fields[name]
-	}
-	return out
-}
-
-// Put stores a value of a load report.
-func (f Field) Put(r *logic.Report, v float64) {
-	switch f {
-	case FieldRIF:
-		r.HasRIF, r.RIF = true, v
-	case FieldLatency:
-		r.HasLatency, r.Latency = true, v
-	case FieldErrors:
-		r.HasErrors, r.Errors = true, v
-	}
-}
-
-// ParseReport reads a load report in JSON. What can't be read is no report, and null is no figure.
-func ParseReport(raw []byte) (r logic.Report) {
-	var values map[string]*float64
-	if json.Unmarshal(raw, &values) != nil {
-		return r
-	}
-	for name, v := range values {
-		if v != nil && *v >= 0 {
-			fields[name].Put(&r, *v)
-		}
-	}
-	return r
-}
-
 // Whole says whether a report has what the module can't do without, where the deployment's reports hold it: a provider
 // that has just started may have no service time to tell, but it knows what it holds.
 func (s *Settings) Whole(r logic.Report) bool {
-	return r.HasRIF || !slices.Contains(s.ReportFields(), FieldRIF)
+	return r.HasRIF || !slices.Contains(loadreport.Fields(s.Report.Names), loadreport.RIF)
 }
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -9,6 +9,7 @@
 	"plankrouter/internal/config"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/invocation"
+	"plankrouter/internal/members"
 	"plankrouter/internal/provider"
 	"plankrouter/internal/reuse"
 	"plankrouter/logic"
@@ -79,21 +80,21 @@
 	e.conn.Drop()
 }
 
-func (e told) apply(s *Pool) { s.list(config.List(e)) }
+func (e told) apply(s *Pool) { s.list(members.List(e)) }
 
 // health reads a phase. One that is unknown gets no new work: it is not the one that asks for it.
 func health(phase string) logic.Health {
 	switch phase {
-	case config.Serving:
+	case members.Serving:
 		return logic.Ready
-	case config.Deleted:
+	case members.Deleted:
 		return logic.Gone
 	}
 	return logic.Draining
 }
 
 // list takes the directory's word: the table first, then the module.
-func (s *Pool) list(l config.List) {
+func (s *Pool) list(l members.List) {
 	s.counts.Lists++
 	s.revision = l.Revision
 	told := time.Now()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	"plankrouter/internal/ending"
 	"plankrouter/internal/freshness"
 	"plankrouter/internal/invocation"
+	"plankrouter/internal/members"
 	"plankrouter/internal/provider"
 	"plankrouter/internal/reuse"
 	"plankrouter/internal/snapshot"
@@ -87,8 +88,8 @@
 // known is a provider that the directory has named.
 type known struct {
 	name     string
-	line     config.Member // as the directory last told it
-	toldAt   time.Time     // since when it has told the present phase
+	line     members.Member // as the directory last told it
+	toldAt   time.Time      // since when it has told the present phase
 	pool     *provider.Pool
 	health   logic.Health
 	notAfter time.Time // of a first byte, once it drains or is gone
@@ -116,7 +117,7 @@
 		conn *provider.Conn
 		how  ending.Ending
 	}
-	told    config.List
+	told    members.List
 	taking  struct{ to chan<- *snapshot.Snapshot }
 	stopNow struct{ plan stopping.Plan }
 	reading struct{ to chan<- Counts }
@@ -195,7 +196,7 @@
 func (s *Pool) Ready() bool { return s.ready.Load() }
 
 // Told takes news from the directory.
-func (s *Pool) Told(l config.List) { s.send(told(l)) }
+func (s *Pool) Told(l members.List) { s.send(told(l)) }
 
 // Stopping says that the process has been told to stop: what comes in from now on is answered in time for that.
 func (s *Pool) Stopping(plan stopping.Plan) { s.send(stopNow{plan}) }
--- a/internal/core/learned.go
+++ b/internal/core/learned.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"plankrouter/internal/config"
+	"plankrouter/internal/members"
 	"plankrouter/internal/snapshot"
 	"plankrouter/logic"
 )
@@ -83,7 +84,7 @@
 	m := k.line
 	phase := m.Phase
 	if k.health == logic.Gone { // also where a whole list left it out
-		phase = config.Deleted
+		phase = members.Deleted
 	}
 	return snapshot.Member{ID: m.ID, Address: k.pool.Address, Locality: m.Locality, Cell: m.Cell, Phase: phase,
 		UpSince: m.UpSince, ToldAt: float64(k.toldAt.UnixMilli())}
@@ -109,7 +110,7 @@
 	listed := before.List
 	listed.Members = nil
 	for _, m := range before.List.Members {
-		if m.Phase == config.Deleted {
+		if m.Phase == members.Deleted {
 			s.forget(m)
 		} else {
 			listed.Members = append(listed.Members, m)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,9 +12,12 @@
 	"sync/atomic"
 	"time"
 
+	jsoniter "github.com/json-iterator/go"
+
 	"plankrouter/internal/config"
 	"plankrouter/internal/freshness"
 	"plankrouter/internal/http1"
+	"plankrouter/internal/members"
 	"plankrouter/internal/sockets"
 )
 
@@ -23,7 +26,7 @@
 // Watch is the standing call to the directory. What to ask and how long to wait for it is decided by freshness.Keeper.
 type Watch struct {
 	Budget *sockets.Budget
-	Told   func(config.List) // takes each answer that tells anything, in order
+	Told   func(members.List) // takes each answer that tells anything, in order
 
 	Answers, Failures, Doubts atomic.Int64 // Doubts: whole lists asked for because providers spoke against the list
 
@@ -41,7 +44,7 @@
 }
 
 // New returns a watch that begins with known and goes where Move, called before Run, says.
-func New(cfg *config.Config, known config.List, budget *sockets.Budget, told func(config.List)) (*Watch, error) {
+func New(cfg *config.Config, known members.List, budget *sockets.Budget, told func(members.List)) (*Watch, error) {
 	keeper, err := freshness.New(cfg.Watch, cfg.Seed, known.Revision == 0)
 	if err != nil {
 		return nil, fmt.Errorf("watch: %w", err)
@@ -151,14 +154,14 @@
 }
 
 // note lets the keeper know what the list says.
-func (w *Watch) note(l config.List) {
+func (w *Watch) note(l members.List) {
 	ready := map[string]float64{}
 	for _, m := range l.Members {
-		if m.Phase == config.Serving {
+		if m.Phase == members.Serving {
 			ready[m.ID] = m.UpSince
 		}
 		if !l.Complete {
-			w.keeper.Listed(m.ID, m.Phase == config.Serving, m.UpSince)
+			w.keeper.Listed(m.ID, m.Phase == members.Serving, m.UpSince)
 		}
 	}
 	if l.Complete {
@@ -182,9 +185,17 @@
 		"&wait=" + strconv.FormatInt(c.Wait.Milliseconds(), 10)
 }
 
+// parse reads what the directory answered, and the faults of the lines that it left out.
+func parse(raw []byte) (l members.List, faults []error, err error) {
+	if err = jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, &l); err != nil {
+		return l, nil, err
+	}
+	return l, l.Clean(), nil
+}
+
 // call makes the call and reads what it brings.
-func (w *Watch) call(ctx context.Context, c freshness.Call) (config.List, error) {
-	none := config.List{}
+func (w *Watch) call(ctx context.Context, c freshness.Call) (members.List, error) {
+	none := members.List{}
 	if w.conn == nil {
 		var err error
 		if w.conn, err = w.Budget.Dial(ctx, w.at, dialWithin); err != nil {
@@ -208,7 +219,7 @@
 	if resp.Status != 200 {
 		return none, fmt.Errorf("status %d", resp.Status)
 	}
-	list, faults, err := config.ParseList(resp.Body)
+	list, faults, err := parse(resp.Body)
 	if err != nil {
 		return none, err
 	}
--- /dev/null
+++ b/internal/loadreport/loadreport.go
@@ -0,0 +1,56 @@
+// Package loadreport reads what providers say of their load.
+package loadreport
+
+import (
+	jsoniter "github.com/json-iterator/go"
+
+	"plankrouter/logic"
+)
+
+// Field says what one value of a load report means.
+type Field uint8
+
+// The values that the module uses; all others are Other.
+const (
+	Other Field = iota
+	RIF
+	Latency
+	Errors
+)
+
+var fields = map[string]Field{"active": RIF, "avg_ms": Latency, "err_rps": Errors}
+
+// Fields returns the meaning of each value of a report that has them in the order of names.
+func Fields(names []string) []Field {
+	out := make([]Field, len(names))
+	for i, name := range names {
+		out[i] = fields[name]
+	}
+	return out
+}
+
+// Put stores a value.
+func (f Field) Put(r *logic.Report, v float64) {
+	switch f {
+	case RIF:
+		r.HasRIF, r.RIF = true, v
+	case Latency:
+		r.HasLatency, r.Latency = true, v
+	case Errors:
+		r.HasErrors, r.Errors = true, v
+	}
+}
+
+// Parse reads a report in JSON, an object of numbers by name. What can't be read is no report, and null is no figure.
+func Parse(raw []byte) (r logic.Report) {
+	var values map[string]*float64
+	if jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, &values) != nil {
+		return r
+	}
+	for name, v := range values {
+		if v != nil && *v >= 0 {
+			fields[name].Put(&r, *v)
+		}
+	}
+	return r
+}
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -13,10 +13,10 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"plankrouter/internal/config"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/http1"
 	"plankrouter/internal/invocation"
+	"plankrouter/internal/loadreport"
 	"plankrouter/internal/sockets"
 	"plankrouter/logic"
 )
@@ -323,10 +323,10 @@
 		out.Ending = ending.Declined
 	}
 	if load := r.Header.Get(http1.HeaderLoad); load != "" {
-		out.Report = config.ParseReport([]byte(load))
+		out.Report = loadreport.Parse([]byte(load))
 	}
 	if c.probe && out.Ending == ending.Served { // without it the module would judge by its own durations alone
-		out.Report = config.ParseReport(r.Body)
+		out.Report = loadreport.Parse(r.Body)
 	}
 	return out
 }
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"plankrouter/internal/config"
+	"plankrouter/internal/members"
 )
 
 // Snapshot is all that outlives a process. It holds no present load: what a provider had in flight is old news long
@@ -40,9 +41,9 @@
 // leaving is 0 for a provider that takes new work, 1 for one that drains and 2 for one that is gone.
 func (m Member) leaving() int {
 	switch m.Phase {
-	case config.Serving:
+	case members.Serving:
 		return 0
-	case config.Deleted:
+	case members.Deleted:
 		return 2
 	}
 	return 1
@@ -144,7 +145,7 @@
 func (s *Snapshot) List() List { return List{s.Directory, s.Revision, s.Members} }
 
 // FromConfig is the list that the configuration knows of, whose phases count as told at that moment.
-func FromConfig(l config.List, directory string, told time.Time) List {
+func FromConfig(l members.List, directory string, told time.Time) List {
 	out := List{Directory: directory, Revision: l.Revision}
 	for _, m := range l.Members {
 		out.Members = append(out.Members, Member{m.ID, m.Address, m.Locality, m.Cell, m.Phase, m.UpSince, unixMs(told)})
@@ -153,10 +154,10 @@
 }
 
 // Config is the list in the form in which the rest of the program takes it, whole.
-func (l List) Config() config.List {
-	out := config.List{Revision: l.Revision, Complete: true, Members: make([]config.Member, 0, len(l.Members))}
+func (l List) Config() members.List {
+	out := members.List{Revision: l.Revision, Complete: true, Members: make([]members.Member, 0, len(l.Members))}
 	for _, m := range l.Members {
-		out.Members = append(out.Members, config.Member{ID: m.ID, Address: m.Address, Locality: m.Locality,
+		out.Members = append(out.Members, members.Member{ID: m.ID, Address: m.Address, Locality: m.Locality,
 			Cell: m.Cell, Phase: m.Phase, UpSince: m.UpSince})
 	}
 	return out
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,6 +10,7 @@
 	"math"
 
 	"plankrouter/internal/config"
+	"plankrouter/internal/loadreport"
 	"plankrouter/logic"
 )
 
@@ -60,7 +61,7 @@
 
 type instance struct {
 	bal    *logic.Balancer
-	fields []config.Field
+	fields []loadreport.Field
 }
 
 // Host runs the instances that one stream of batches speaks of.
@@ -329,11 +330,11 @@
 func f64(b []byte, at int) float64 { return math.Float64frombits(binary.LittleEndian.Uint64(b[at:])) }
 
 // ParseConfig reads the settings of an instance and the order of the values in its load reports.
-func ParseConfig(raw []byte) (logic.Config, []config.Field, error) {
+func ParseConfig(raw []byte) (logic.Config, []loadreport.Field, error) {
 	s, err := config.ParseSettings(raw)
 	if err != nil {
 		return logic.Config{}, nil, err
 	}
 	cfg, err := s.Logic()
-	return cfg, s.ReportFields(), err
+	return cfg, loadreport.Fields(s.Report.Names), err
 }
