--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -19,10 +19,12 @@
 
 	"plankrouter/internal/config"
 	"plankrouter/internal/consumer"
+	"plankrouter/internal/core"
 	"plankrouter/internal/directory"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/handover"
-	"plankrouter/internal/core"
+	"plankrouter/internal/members"
+	"plankrouter/internal/provider"
 	"plankrouter/internal/snapshot"
 	"plankrouter/internal/sockets"
 )
@@ -86,6 +88,7 @@
 	getenv   func(string) string
 	listener net.Listener
 	budget   *sockets.Budget
+	caller   *provider.Caller
 	core     *core.Pool
 	watch    *directory.Watch
 	front    *consumer.Server
@@ -104,21 +107,31 @@
 		budget: sockets.NewBudget(cfg.Limits.Sockets-socketReserve, dial)}
 	before := p.before(from, time.Now())
 	var err error
-	if p.core, err = core.New(ctx, group, cfg, p.budget, before); err != nil {
-		return err
-	}
 	known := cfg.Known
 	if before != nil {
 		known = before.List.Config()
 		known.Revision = 0 // the directory may count anew by now: it is asked for the whole list
 	}
-	if p.watch, err = directory.New(cfg, known, p.budget, p.core.Told); err != nil {
+	if p.watch, err = directory.New(cfg, known, p.budget, func(l members.List) { p.core.Told(l) }); err != nil {
+		return err
+	}
+	if p.caller, err = provider.New(ctx, p.budget, provider.Settings{Connect: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle,
+		Stakes: provider.Stakes(cfg.Logic.Classes)}); err != nil {
+		return err
+	}
+	if p.core, err = core.New(core.Options{Name: cfg.Name, Deployment: snapshot.Fingerprint(&cfg.Settings),
+		Logic: cfg.Logic, Seed: cfg.Seed, Zones: cfg.Settings.Dcs, DrainGrace: cfg.DrainGrace, Known: cfg.Known,
+		Before: before, Caller: p.caller, Whole: cfg.Settings.Whole, Logf: log.Printf, Saw: p.watch.Saw}); err != nil {
 		return err
 	}
-	p.core.Watching(p.watch.Saw)
 	p.front = consumer.New(cfg, p.core, p.budget)
 	group.Go(func() error { return p.core.Run(ctx) })
 	group.Go(func() error { return p.watch.Run(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		p.caller.Wait()
+		return nil
+	})
 	lastSnapshot := p.keepSnapshots(ctx, group)
 	group.Go(func() error {
 		defer stop()         // the core's life ends when the front has answered all that it took
@@ -204,7 +217,7 @@
 	for _, e := range []struct {
 		of     string
 		counts ending.Counts
-	}{{"calls", c.Calls}, {"probes", c.Asked}, {"idle_connections", c.Idle}, {"consumers", f.Endings()}} {
+	}{{"calls", c.Calls}, {"probes", c.Asked}, {"idle_connections", p.caller.Idle()}, {"consumers", f.Endings()}} {
 		var b strings.Builder
 		e.counts.Each(func(how ending.Ending, n int) { fmt.Fprintf(&b, " %s=%d", how, n) })
 		log.Printf("name=%s counters=ended of=%s%s", p.cfg.Name, e.of, b.String())
--- a/cmd/plankrouter/play_test.go
+++ b/cmd/plankrouter/play_test.go
@@ -187,7 +187,7 @@
 		return map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": "dir:1"}[key]
 	}
 	write := func() {
-		if err := os.WriteFile(path, fmt.Appendf(nil, base, set["sockets"], members(set["providers"]), set["probes"],
+		if err := os.WriteFile(path, fmt.Appendf(nil, base, set["sockets"], lines(set["providers"]), set["probes"],
 			set["quota"], set["connect"], set["discovery"]), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -279,11 +279,11 @@
 	return strings.Join(out, "\n--- ")
 }
 
-// members words the list of providers: each name is an id too, at port 1.
-func members(names string) string {
-	var lines []string
+// lines words the list of providers: each name is an id too, at port 1.
+func lines(names string) string {
+	var all []string
 	for name := range strings.SplitSeq(names, ",") {
-		lines = append(lines, fmt.Sprintf(`{"id":%q,"host_port":"%[1]s:1","locality":"a","phase":"SERVING"}`, name))
+		all = append(all, fmt.Sprintf(`{"id":%q,"host_port":"%[1]s:1","locality":"a","phase":"SERVING"}`, name))
 	}
-	return strings.Join(lines, ",")
+	return strings.Join(all, ",")
 }
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -3,15 +3,12 @@
 import (
 	"cmp"
 	"container/heap"
-	"log"
 	"time"
 
-	"plankrouter/internal/config"
+	"plankrouter/internal/caller"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/invocation"
 	"plankrouter/internal/members"
-	"plankrouter/internal/provider"
-	"plankrouter/internal/reuse"
 	"plankrouter/logic"
 )
 
@@ -21,63 +18,57 @@
 	case logic.Send:
 		s.invoke(a)
 	case logic.Cancel:
-		if h := s.held[a.Request]; h != nil && h.call != nil && a.Attempt == h.attempts-1 {
+		if h := s.held[a.Request]; h != nil && h.call != 0 && a.Attempt == h.attempts-1 {
 			s.stop(h.call, ending.CalledOff)
 		}
 	case logic.Refuse:
-		s.answer(a.Request, invocation.Answer{Kind: invocation.Refused, RetryAfter: config.Duration(a.After)})
+		s.answer(a.Request, invocation.Answer{Kind: invocation.Refused, RetryAfter: duration(a.After)})
 	case logic.Fail:
 		s.answer(a.Request, invocation.Answer{Kind: invocation.Failed})
 	case logic.Probe:
 		if k := s.providers[a.Server]; k != nil {
 			s.counts.Probes++
-			s.start(k, provider.NewProbe(k.pool), attempt{probe: true, server: a.Server}, probeTimeout, probeStakes)
+			s.start(k, nil, &attempt{probe: true, server: a.Server}, probeTimeout)
 		}
 	case logic.SetTimer:
-		heap.Push(&s.timers, &timer{at: s.now.Add(config.Duration(a.After)), handle: a.Timer})
+		heap.Push(&s.timers, &timer{at: s.now.Add(duration(a.After)), handle: a.Timer})
 	case logic.Subscribe: // the directory is watched all the time
 	case logic.Log:
-		log.Printf("decision=%q", a.Text)
+		s.set.Logf("decision=%q", a.Text)
 	}
 }
 
 // invoke makes the attempt that the module asks for.
 func (s *Pool) invoke(a *logic.Action) {
 	h, k := s.held[a.Request], s.providers[a.Server]
-	if h == nil || h.answered || h.call != nil || k == nil {
+	if h == nil || h.answered || h.call != 0 || k == nil {
 		// Not asked for by a sound module; answering it keeps the books of a faulty one straight.
-		log.Printf("state=send_refused request=%d server=%d", a.Request, a.Server)
+		s.set.Logf("state=send_refused request=%d server=%d", a.Request, a.Server)
 		s.step(logic.Event{Kind: logic.AttemptDone, Request: a.Request, Server: a.Server, Status: logic.NotSent,
 			Final: h == nil || h.answered})
 		return
 	}
 	s.counts.Sent++
-	wait := config.Duration(a.After)
-	h.call = provider.NewCall(k.pool, h.inv, wait)
+	wait := duration(a.After)
 	h.attempts++
-	s.start(k, h.call, attempt{request: a.Request, number: h.attempts - 1, server: a.Server}, wait, s.stakes[h.inv.Class])
+	h.call = s.start(k, h.inv, &attempt{request: a.Request, number: h.attempts - 1, server: a.Server}, wait)
 }
 
-// start sends a call on an idle connection or a new one, and gives it up after wait.
-func (s *Pool) start(k *known, c *provider.Call, a attempt, wait time.Duration, stakes reuse.Stakes) {
+// start begins an attempt, for an invocation or a probe, gives it up after wait, and returns its number.
+func (s *Pool) start(k *known, inv *invocation.Invocation, a *attempt, wait time.Duration) uint64 {
+	s.lastCall++
+	number := s.lastCall
 	// The module often gives an attempt until its request's own deadline, for which it has set a timer too. The
 	// time-out must win that race: called off by the deadline instead, the attempt would teach the module nothing,
 	// and it would judge the providers by the answers that came in time alone.
-	a.end = &timer{at: s.now.Add(wait - timeoutLead), call: c}
+	a.end = &timer{at: s.now.Add(wait - timeoutLead), call: number}
 	heap.Push(&s.timers, a.end)
-	s.calls[c] = a
+	s.calls[number] = a
 	k.calls++
-	if !k.notAfter.IsZero() {
-		c.NotAfter(k.notAfter)
-	}
-	s.invoker.Start(c, bet{s.book, time.Now(), k.name, stakes})
-}
-
-func (e connFree) apply(s *Pool) { s.keep(e.conn) }
-
-func (e connEnded) apply(s *Pool) {
-	s.counts.Idle[e.how]++
-	e.conn.Drop()
+	a.began = time.Now()
+	a.call = k.at.Start(caller.Task{Invocation: inv, Wait: wait, NotAfter: k.notAfter,
+		Ended: func(r caller.Result) { s.send(callEnded{number, r}) }})
+	return number
 }
 
 func (e told) apply(s *Pool) { s.list(members.List(e)) }
@@ -110,12 +101,12 @@
 			StartedAt: m.UpSince})
 		k := s.providers[id]
 		if k == nil {
-			k = &known{name: m.ID, health: logic.Ready, pool: &provider.Pool{Name: m.ID, Address: m.Address}, toldAt: told}
+			k = &known{name: m.ID, health: logic.Ready, at: s.set.Caller.Endpoint(m.ID, m.Address), toldAt: told}
 			s.providers[id] = k
 		}
-		if m.Address != "" && m.Address != k.pool.Address || m.UpSince != k.line.UpSince {
-			k.pool.Close() // another process: nobody answers for it at the old place or on the old connections
-			k.pool = &provider.Pool{Name: m.ID, Address: cmp.Or(m.Address, k.pool.Address)}
+		if m.Address != "" && m.Address != k.at.Address() || m.UpSince != k.line.UpSince {
+			k.at.Close() // another process: nobody answers for it at the old place or on the old connections
+			k.at = s.set.Caller.Endpoint(m.ID, cmp.Or(m.Address, k.at.Address()))
 		}
 		k.line = m
 		s.setHealth(id, k, health(m.Phase), told)
@@ -131,7 +122,7 @@
 		if k.health == logic.Gone && k.calls == 0 {
 			s.forget(k.member())
 			delete(s.providers, id)
-			s.book.Forget(k.name)
+			s.set.Caller.Forget(k.name)
 			delete(s.serverIDs, k.name)
 			delete(s.numbers, id)
 		}
@@ -149,14 +140,14 @@
 	switch {
 	case h == logic.Ready:
 		if k.notAfter = (time.Time{}); was != logic.Ready {
-			k.pool = &provider.Pool{Name: k.name, Address: k.pool.Address}
+			k.at = s.set.Caller.Endpoint(k.name, k.at.Address())
 		}
 	case was == logic.Ready:
-		k.pool.Close()
-		k.notAfter = told.Add(max(0, s.cfg.DrainGrace-graceMargin))
-		for c, a := range s.calls {
+		k.at.Close()
+		k.notAfter = told.Add(max(0, s.set.DrainGrace-graceMargin))
+		for _, a := range s.calls {
 			if a.server == id {
-				c.NotAfter(k.notAfter)
+				a.call.NotAfter(k.notAfter)
 			}
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,6 +1,7 @@
-// Package core is the decision module's host: its events come straight from the sockets, its actions go
-// straight to them. One goroutine owns the module, the table of invocations, the providers and the timers.
-// All others send it events, and it never waits for a socket.
+// Package core is the host of one pool: a list of providers, the decision module that picks among them, and one goroutine
+// that owns both, with the table of invocations and all timers. All others send it events, and it never waits for a socket.
+// Attempts are made by a caller.Caller, of whatever protocol; invocations come from any front. Many pools may live in a
+// process: they share only what they are handed.
 package core
 
 import (
@@ -10,17 +11,12 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
-	"plankrouter/internal/config"
+	"plankrouter/internal/caller"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/freshness"
 	"plankrouter/internal/invocation"
 	"plankrouter/internal/members"
-	"plankrouter/internal/provider"
-	"plankrouter/internal/reuse"
 	"plankrouter/internal/snapshot"
-	"plankrouter/internal/sockets"
 	"plankrouter/internal/stopping"
 	"plankrouter/logic"
 )
@@ -28,33 +24,49 @@
 const (
 	eventsAhead  = 1024                   // events that may wait before their senders do
 	probeTimeout = 200 * time.Millisecond // an answer that took longer says nothing of the present
-	retirePart   = 0.8                    // of the time after which a provider closes an idle connection
 	timeoutLead  = 100 * time.Microsecond // of a call's time-out over a timer of the module for the same moment
 	goneMost     = 64                     // deleted providers that the next process is told of
 	graceMargin  = 100 * time.Millisecond // before the end of a drain's grace: a first byte may take its time
 )
 
-// Pool is the host of one Balancer.
+// Options are what a pool is told. Caller is required; the rest may be left out as far as Logic allows.
+type Options struct {
+	Name       string // in snapshots
+	Deployment string // in snapshots: stands for the settings that give positions their meaning
+	Logic      logic.Config
+	Seed       uint64
+	Zones      []string            // the names of Logic's zones, by position; a member of any other is in none
+	DrainGrace time.Duration       // after which nothing new may reach a provider that drains or is gone
+	Known      members.List        // the providers, as far as they are known
+	Before     *snapshot.Beginning // takes the place of Known; nil = there is none
+	Caller     caller.Caller
+
+	// Whole reports whether a probe's report has what the module can't do without; nil = any will do.
+	Whole func(logic.Report) bool
+	// Logf logs a line of key=value pairs; nil = nothing is logged.
+	Logf func(format string, args ...any)
+	// Saw is told what is seen of providers that bears on the list. It must not block; nil = nobody is.
+	Saw func(provider string, sign freshness.Sign)
+}
+
+// Pool is the host of one Balancer. Its exported methods are safe for concurrent use.
 type Pool struct {
-	cfg     *config.Config
+	set     Options
 	bal     *logic.Balancer
-	invoker *provider.Invoker
 	clock   clock
 	zones   map[string]int
-	stakes  []reuse.Stakes // by class
-	saw     func(provider string, sign freshness.Sign)
 	ready   atomic.Bool
 	events  chan event
-	stopped <-chan struct{}
+	stopped chan struct{} // closed when Run has ended
 
 	held      map[logic.RequestID]*held
 	byInv     map[*invocation.Invocation]logic.RequestID
-	open      map[string]bool // the consumers' ids of what has no final answer yet
-	calls     map[*provider.Call]attempt
+	open      map[string]bool     // the consumers' ids of what has no final answer yet
+	calls     map[uint64]*attempt // and probes under way
+	lastCall  uint64
 	providers map[logic.ServerID]*known
-	serverIDs map[string]logic.ServerID // of providers, by the directory's ids
+	serverIDs map[string]logic.ServerID // of providers, by their ids
 	numbers   map[logic.ServerID]bool   // those given out
-	book      *reuse.Book               // of how provider connections break
 	timers    timers
 	next      logic.RequestID
 	actions   []logic.Action
@@ -74,14 +86,15 @@
 	Taken, Conflicts, Gone  int
 	Sent, Probes, Lists     int
 	Served, Refused, Failed int
-	Calls, Asked, Idle      ending.Counts // endings of invoker calls, probes and idle connections
+	Calls, Asked            ending.Counts // endings of invoker calls and of probes
 }
 
 // held is an invocation that has no final answer yet, or whose invoker call is still out.
 type held struct {
 	inv      *invocation.Invocation
 	attempts int
-	call     *provider.Call
+	call     uint64 // under way; 0 = none
+	mayRun   bool   // an attempt that has ended may have run
 	answered bool
 }
 
@@ -90,14 +103,16 @@
 	name     string
 	line     members.Member // as the directory last told it
 	toldAt   time.Time      // since when it has told the present phase
-	pool     *provider.Pool
+	at       caller.Endpoint
 	health   logic.Health
 	notAfter time.Time // of a first byte, once it drains or is gone
 	calls    int       // and probes under way
 }
 
-// attempt is what an invoker call or a probe is for.
+// attempt is an invoker call or a probe under way, and what it is for.
 type attempt struct {
+	call    caller.Call
+	began   time.Time
 	probe   bool
 	request logic.RequestID
 	number  int
@@ -110,12 +125,13 @@
 
 type (
 	arrived   struct{ inv *invocation.Invocation }
-	abandoned struct{ inv *invocation.Invocation }
-	callEnded provider.Result
-	connFree  struct{ conn *provider.Conn }
-	connEnded struct {
-		conn *provider.Conn
-		how  ending.Ending
+	abandoned struct {
+		inv    *invocation.Invocation
+		mayRun chan<- bool // nil = nobody asks
+	}
+	callEnded struct {
+		number uint64
+		caller.Result
 	}
 	told    members.List
 	taking  struct{ to chan<- *snapshot.Snapshot }
@@ -123,45 +139,40 @@
 	reading struct{ to chan<- Counts }
 )
 
-// New returns a Pool that knows the providers of cfg.Known, or what it can go by from before. Its goroutines belong to
-// group.
-func New(ctx context.Context, group *errgroup.Group, cfg *config.Config, budget *sockets.Budget,
-	before *snapshot.Beginning) (*Pool, error) {
-	bal, err := logic.New(cfg.Logic, cfg.Seed)
+// New returns a Pool that does nothing until Run is called; what is sent to it waits.
+func New(o Options) (*Pool, error) {
+	bal, err := logic.New(o.Logic, o.Seed)
 	if err != nil {
 		return nil, err
 	}
-	s := &Pool{cfg: cfg, bal: bal, clock: newClock(), zones: map[string]int{}, stopped: ctx.Done(),
+	if o.Logf == nil {
+		o.Logf = func(string, ...any) {}
+	}
+	if o.Saw == nil {
+		o.Saw = func(string, freshness.Sign) {}
+	}
+	s := &Pool{set: o, bal: bal, clock: newClock(), zones: map[string]int{}, stopped: make(chan struct{}),
 		events: make(chan event, eventsAhead), held: map[logic.RequestID]*held{},
-		byInv: map[*invocation.Invocation]logic.RequestID{}, open: map[string]bool{}, calls: map[*provider.Call]attempt{},
+		byInv: map[*invocation.Invocation]logic.RequestID{}, open: map[string]bool{}, calls: map[uint64]*attempt{},
 		providers: map[logic.ServerID]*known{}, serverIDs: map[string]logic.ServerID{},
 		numbers: map[logic.ServerID]bool{}}
-	for i := range cfg.Logic.Classes {
-		s.stakes = append(s.stakes, stakesOf(&cfg.Logic.Classes[i]))
-	}
-	for i, name := range cfg.Settings.Dcs {
+	for i, name := range o.Zones {
 		s.zones[name] = i
 	}
-	if s.book, err = reuse.New(prices()); err != nil {
-		return nil, err
-	}
-	s.invoker = provider.NewInvoker(ctx, group, budget, cfg.ConnectTimeout, s)
 	s.step(logic.Event{Kind: logic.Started})
-	if before == nil {
-		cached := cfg.Known
+	if o.Before == nil {
+		cached := o.Known
 		cached.Complete = true
 		s.list(cached)
 	} else {
-		s.restore(before)
+		s.restore(o.Before)
 	}
 	return s, nil
 }
 
-// Watching says who is to hear what is seen of providers that bears on the list. It is called before Run.
-func (s *Pool) Watching(saw func(provider string, sign freshness.Sign)) { s.saw = saw }
-
-// Run carries out the module's decisions until ctx ends.
+// Run carries out the module's decisions until ctx ends. It is called once.
 func (s *Pool) Run(ctx context.Context) error {
+	defer close(s.stopped)
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
@@ -190,7 +201,24 @@
 func (s *Pool) Take(inv *invocation.Invocation) bool { return s.send(arrived{inv}) }
 
 // Abandon says that the consumer is gone.
-func (s *Pool) Abandon(inv *invocation.Invocation) { s.send(abandoned{inv}) }
+func (s *Pool) Abandon(inv *invocation.Invocation) { s.send(abandoned{inv: inv}) }
+
+// Cancel is Abandon for one who has to know whether an attempt may have run. What has been answered meanwhile may have, and
+// so may all when the pool has stopped.
+func (s *Pool) Cancel(inv *invocation.Invocation) (mayRun bool) {
+	told := make(chan bool, 1)
+	if s.send(abandoned{inv, told}) {
+		select {
+		case mayRun = <-told:
+			return mayRun
+		case <-s.stopped:
+		}
+	}
+	return true
+}
+
+// Stopped is closed when Run has ended: nothing is answered any more.
+func (s *Pool) Stopped() <-chan struct{} { return s.stopped }
 
 // Ready reports whether there is a provider to send to.
 func (s *Pool) Ready() bool { return s.ready.Load() }
@@ -203,23 +231,6 @@
 
 func (e stopNow) apply(s *Pool) { s.stopAt, s.stopPlan = time.Now(), e.plan }
 
-// CallEnded, ConnFree and ConnEnded make the Pool a provider.Sink.
-func (s *Pool) CallEnded(r provider.Result) {
-	if !s.send(callEnded(r)) && r.Conn != nil {
-		r.Conn.Close()
-	}
-}
-
-// ConnFree offers a connection that its call did not need.
-func (s *Pool) ConnFree(c *provider.Conn) {
-	if !s.send(connFree{c}) {
-		c.Close()
-	}
-}
-
-// ConnEnded says that an idle connection is no more.
-func (s *Pool) ConnEnded(c *provider.Conn, how ending.Ending) { s.send(connEnded{c, how}) }
-
 // Counts asks for the present figures; after Run has ended it reads the last ones.
 func (s *Pool) Counts() Counts {
 	to := make(chan Counts, 1)
@@ -251,17 +262,24 @@
 		patience = s.stopPlan.Patience(max(0, inv.SentAt.Sub(s.stopAt)), patience)
 	}
 	s.step(logic.Event{Kind: logic.Arrival, Request: s.next, Class: inv.Class, Tenant: inv.Tenant,
-		Left: config.Millis(patience - time.Since(inv.SentAt)), Again: inv.Again})
+		Left: millis(patience - time.Since(inv.SentAt)), Again: inv.Again})
 }
 
 func (e abandoned) apply(s *Pool) {
 	id, waits := s.byInv[e.inv]
 	if !waits { // answered a moment ago
+		if e.mayRun != nil {
+			e.mayRun <- true
+		}
 		return
 	}
 	s.counts.Gone++
-	s.close(id, s.held[id])
+	h := s.held[id]
+	s.close(id, h)
 	s.step(logic.Event{Kind: logic.ClientGone, Request: id})
+	if e.mayRun != nil {
+		e.mayRun <- h.mayRun || h.call != 0
+	}
 }
 
 // answer gives the one final answer, if it is still owed.
@@ -278,6 +296,7 @@
 	case invocation.Failed:
 		s.counts.Failed++
 	}
+	a.MayHaveRun = h.mayRun || h.call != 0
 	h.inv.Answer(a)
 	s.close(id, h)
 }
@@ -286,36 +305,34 @@
 	h.answered = true
 	delete(s.byInv, h.inv)
 	delete(s.open, h.inv.ID)
-	if h.call == nil {
+	if h.call == 0 {
 		delete(s.held, id)
 	}
 }
 
-func (e callEnded) apply(s *Pool) { s.ended(provider.Result(e)) }
+func (e callEnded) apply(s *Pool) { s.ended(e.number, e.Result) }
 
 // ended turns the end of an invoker call or a probe into the module's event. Every Send comes by here once.
-func (s *Pool) ended(r provider.Result) {
-	a := s.calls[r.Call]
-	delete(s.calls, r.Call)
-	if a.end.index >= 0 { // else it would hold the call, and its connection, until its time was up
+func (s *Pool) ended(number uint64, r caller.Result) {
+	a := s.calls[number]
+	if a == nil { // reported twice, or after a Stop that ended it
+		s.set.Logf("state=unknown_call number=%d ending=%s", number, r.Ending)
+		return
+	}
+	delete(s.calls, number)
+	if a.end.index >= 0 { // else it would hold the call until its time was up
 		heap.Remove(&s.timers, a.end.index)
 	}
 	k := s.providers[a.server]
 	if k != nil {
 		k.calls--
 	}
-	if k != nil {
-		s.learn(k.name, &r)
-	}
-	if r.Conn != nil {
-		s.keep(r.Conn)
-	}
-	took := config.Millis(time.Since(r.Call.SentAt))
-	if sign, is := signOf(r.Ending, a.probe); is && k != nil && s.saw != nil {
-		s.saw(k.name, sign)
+	took := millis(time.Since(a.began))
+	if sign, is := signOf(r.Ending, a.probe); is && k != nil {
+		s.set.Saw(k.name, sign)
 	}
 	if a.probe {
-		if r.Ending == ending.Served && !s.cfg.Settings.Whole(r.Report) {
+		if r.Ending == ending.Served && s.set.Whole != nil && !s.set.Whole(r.Report) {
 			r.Ending = ending.Unreadable
 		}
 		s.counts.Asked[r.Ending]++
@@ -324,11 +341,12 @@
 		return
 	}
 	s.counts.Calls[r.Ending]++
+	h := s.held[a.request]
+	h.call = 0
+	h.mayRun = h.mayRun || !r.Ending.Status().NeverRan()
 	if r.Ending == ending.Served {
 		s.answer(a.request, invocation.Answer{Kind: invocation.Served, Fields: r.Fields, Body: r.Body})
 	}
-	h := s.held[a.request]
-	h.call = nil
 	if h.answered {
 		delete(s.held, a.request)
 	}
@@ -380,7 +398,7 @@
 func (s *Pool) due() {
 	for len(s.timers) > 0 && !time.Now().Before(s.timers[0].at) {
 		t := heap.Pop(&s.timers).(*timer)
-		if t.call == nil {
+		if t.call == 0 {
 			s.step(logic.Event{Kind: logic.TimerDue, Timer: t.handle})
 		} else {
 			s.stop(t.call, ending.TimedOut)
@@ -389,12 +407,13 @@
 }
 
 // stop gives up a call that has not ended yet.
-func (s *Pool) stop(c *provider.Call, why ending.Ending) {
-	if _, out := s.calls[c]; !out {
+func (s *Pool) stop(number uint64, why ending.Ending) {
+	a := s.calls[number]
+	if a == nil {
 		return
 	}
-	if how, stopped := c.Stop(why); stopped {
-		s.ended(provider.Result{Call: c, Ending: how})
+	if how, stopped := a.call.Stop(why); stopped {
+		s.ended(number, caller.Result{Ending: how})
 	}
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,34 +1,49 @@
 package core
 
 import (
-	"context"
-	"errors"
 	"fmt"
-	"net"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"golang.org/x/sync/errgroup"
 
+	"plankrouter/internal/caller"
 	"plankrouter/internal/config"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/invocation"
 	"plankrouter/internal/loadreport"
 	"plankrouter/internal/members"
-	"plankrouter/internal/provider"
-	"plankrouter/internal/sockets"
 	"plankrouter/logic"
 )
 
-// host returns a Pool that knows no provider yet, run by the test itself; no connection comes up.
-func host(t *testing.T, ctx context.Context, group *errgroup.Group) *Pool {
+// refusing is a caller to whom no provider opens a connection.
+type refusing struct{}
+
+func (refusing) Endpoint(_, address string) caller.Endpoint     { return refusingEnd(address) }
+func (refusing) Forget(string)                                  {}
+func (refusing) State(time.Time) ([]byte, error)                { return nil, nil }
+func (refusing) Restore(time.Time, []byte, time.Duration) error { return nil }
+
+type refusingEnd string
+
+func (e refusingEnd) Address() string { return string(e) }
+func (refusingEnd) Close()            {}
+func (refusingEnd) Start(t caller.Task) caller.Call {
+	go t.Ended(caller.Result{Ending: ending.Refused})
+	return refusedCall{}
+}
+
+type refusedCall struct{}
+
+func (refusedCall) Stop(ending.Ending) (ending.Ending, bool) { return 0, false }
+func (refusedCall) NotAfter(time.Time)                       {}
+
+// host returns a Pool that knows no provider yet, run by the test itself.
+func host(t *testing.T) *Pool {
 	t.Helper()
-	cfg := &config.Config{Logic: logic.Config{MaxAttempts: 1, Cancel: true, Classes: []logic.Class{{Aim: 100, Deadline: 1000}}},
-		ConnIdle: time.Minute, ConnectTimeout: time.Second}
-	refuse := func(context.Context, string) (net.Conn, error) { return nil, errors.New("refused") }
-	s, err := New(ctx, group, cfg, sockets.NewBudget(8, refuse), nil)
+	s, err := New(Options{Logic: logic.Config{MaxAttempts: 1, Cancel: true, Classes: []logic.Class{{Aim: 100, Deadline: 1000}}},
+		Caller: refusing{}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -45,9 +60,7 @@
 // kept of those that are gone.
 func TestWhatIsGoneIsForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		group, ctx := errgroup.WithContext(ctx)
-		s := host(t, ctx, group)
+		s := host(t)
 		before := s.sizes()
 		before.Timers += 30 // the module's own, of deadlines; calls had as many
 		for i := range 30 {
@@ -65,17 +78,13 @@
 		if diff := cmp.Diff(before, s.sizes()); diff != "" || s.counts.Sent != 30 {
 			t.Errorf("%d sent\n%s", s.counts.Sent, diff)
 		}
-		cancel()
-		group.Wait()
 	})
 }
 
 // Two open invocations of one id: the second is turned away, untaken, and the id is free again with the first's answer.
 func TestAnOpenIDIsTakenOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		group, ctx := errgroup.WithContext(ctx)
-		s := host(t, ctx, group)
+		s := host(t)
 		var got []invocation.Kind
 		for range 3 {
 			s.list(members.List{Members: []members.Member{{ID: "s", Address: "p:1", Phase: members.Serving}}})
@@ -93,21 +102,19 @@
 		if diff := cmp.Diff(want, got); diff != "" || s.counts.Conflicts != 3 || s.counts.Calls[ending.Refused] != 3 {
 			t.Errorf("%+v\n%s", s.counts, diff)
 		}
-		cancel()
-		group.Wait()
 	})
 }
 
 // A probe's answer whose report can't be read, or lacks the load, says nothing: a zero made up for it would look like a
 // provider with nothing to do.
 func TestUnreadableReportsAreLeftOut(t *testing.T) {
-	s := &Pool{cfg: &config.Config{}, calls: map[*provider.Call]attempt{}, providers: map[logic.ServerID]*known{}}
-	s.cfg.Settings.Report.Names = []string{"active", "avg_ms"}
+	settings := config.Settings{}
+	settings.Report.Names = []string{"active", "avg_ms"}
+	s := &Pool{set: Options{Whole: settings.Whole}, calls: map[uint64]*attempt{}, providers: map[logic.ServerID]*known{}}
 	s.stepping = true // the module's events are looked at, not handled
 	for _, report := range []string{`{"active":3}`, `{"active":null,"avg_ms":20}`, `{"avg_ms":3}`, `{"act`, ``} {
-		c := new(provider.Call)
-		s.calls[c] = attempt{probe: true, end: &timer{index: -1}}
-		s.ended(provider.Result{Call: c, Ending: ending.Served, Report: loadreport.Parse([]byte(report))})
+		s.calls[1] = &attempt{probe: true, end: &timer{index: -1}}
+		s.ended(1, caller.Result{Ending: ending.Served, Report: loadreport.Parse([]byte(report))})
 	}
 	var got []logic.Status
 	for _, e := range s.pending {
--- a/internal/core/learned.go
+++ b/internal/core/learned.go
@@ -2,12 +2,10 @@
 
 import (
 	"cmp"
-	"log"
 	"math"
 	"slices"
 	"time"
 
-	"plankrouter/internal/config"
 	"plankrouter/internal/members"
 	"plankrouter/internal/snapshot"
 	"plankrouter/logic"
@@ -32,7 +30,7 @@
 // snapshot gives the module's state the names by which the next process knows its providers.
 func (s *Pool) snapshot(now time.Time) *snapshot.Snapshot {
 	st := s.bal.State()
-	out := &snapshot.Snapshot{TakenAt: now, Program: s.cfg.Name, Deployment: snapshot.Fingerprint(&s.cfg.Settings),
+	out := &snapshot.Snapshot{TakenAt: now, Program: s.set.Name, Deployment: s.set.Deployment,
 		Revision: s.revision}
 	names := map[logic.ServerID]string{}
 	for id, k := range s.providers {
@@ -46,8 +44,8 @@
 	}
 	slices.SortFunc(out.Members, func(a, b snapshot.Member) int { return cmp.Compare(a.ID, b.ID) })
 	var err error
-	if out.Reuse, err = s.book.State(now); err != nil {
-		log.Printf("snapshot=connections state=left_out err=%q", err)
+	if out.Reuse, err = s.set.Caller.State(now); err != nil {
+		s.set.Logf("snapshot=connections state=left_out err=%q", err)
 	}
 	l := &out.Learned
 	*l = snapshot.Learned{Now: s.clock.at(now), FleetLatency: st.FleetLatency, FracOwn: st.FracOwn, FracAll: st.FracAll,
@@ -86,7 +84,7 @@
 	if k.health == logic.Gone { // also where a whole list left it out
 		phase = members.Deleted
 	}
-	return snapshot.Member{ID: m.ID, Address: k.pool.Address, Locality: m.Locality, Cell: m.Cell, Phase: phase,
+	return snapshot.Member{ID: m.ID, Address: k.at.Address(), Locality: m.Locality, Cell: m.Cell, Phase: phase,
 		UpSince: m.UpSince, ToldAt: float64(k.toldAt.UnixMilli())}
 }
 
@@ -138,7 +136,7 @@
 		}
 		one := logic.ServerState{ID: id, StartedAt: in.StartedAt, Latency: in.Latency, Reported: in.Reported,
 			ReportAt: never(in.ReportAt), Network: in.Network, Failing: in.Failing,
-			Outcomes: make([]logic.Tally, 1+len(s.cfg.Logic.Tenants))}
+			Outcomes: make([]logic.Tally, 1+len(s.set.Logic.Tenants))}
 		for _, t := range in.By {
 			if int(t.Who) < len(one.Outcomes) {
 				one.Outcomes[t.Who] = logic.Tally{Oks: t.Oks, Misses: t.Misses, At: t.At}
@@ -147,12 +145,12 @@
 		st.Servers = append(st.Servers, one)
 	}
 	if err := s.bal.Restore(&st); err != nil {
-		log.Printf("snapshot=decisions state=left_out err=%q", err)
+		s.set.Logf("snapshot=decisions state=left_out err=%q", err)
 	}
 	if now := time.Now(); len(before.Reuse) > 0 {
-		age := config.Duration(s.clock.at(now) - l.Now)
-		if err := s.book.Restore(now, before.Reuse, age); err != nil {
-			log.Printf("snapshot=connections state=left_out err=%q", err)
+		age := duration(s.clock.at(now) - l.Now)
+		if err := s.set.Caller.Restore(now, before.Reuse, age); err != nil {
+			s.set.Logf("snapshot=connections state=left_out err=%q", err)
 		}
 	}
 }
--- a/internal/core/learned_test.go
+++ b/internal/core/learned_test.go
@@ -1,17 +1,14 @@
 package core
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"golang.org/x/sync/errgroup"
 
 	"plankrouter/internal/members"
 	"plankrouter/internal/snapshot"
-	"plankrouter/internal/sockets"
 	"plankrouter/logic"
 )
 
@@ -19,10 +16,7 @@
 // configuration knows neither. The drain has begun when it was told, and a provider's next process is a stranger.
 func TestRestartRemembers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		group, ctx := errgroup.WithContext(ctx)
-		s := host(t, ctx, group)
+		s := host(t)
 		lines := []members.Member{{ID: "a", Address: "a:1", Phase: members.Serving}, {ID: "b", Address: "b:1", Phase: members.Serving},
 			{ID: "c", Address: "c:1", Phase: members.Serving, UpSince: 5}}
 		s.list(members.List{Revision: 7, Complete: true, Members: lines})
@@ -54,11 +48,13 @@
 			t.Fatal(err)
 		}
 		rules := snapshot.DefaultRules()
-		rules.Deployment, rules.Classes = snapshot.Fingerprint(&s.cfg.Settings), 1
+		rules.Deployment, rules.Classes = "", 1
 		lines[2].UpSince = 6
 		known := snapshot.FromConfig(members.List{Revision: 9, Members: lines}, "", time.Now())
 		begin, _ := snapshot.Begin(snap, known, time.Now(), rules)
-		next, err := New(ctx, group, s.cfg, sockets.NewBudget(8, nil), &begin)
+		set := s.set
+		set.Before = &begin
+		next, err := New(set)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/core/time.go
+++ b/internal/core/time.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"plankrouter/internal/config"
-	"plankrouter/internal/provider"
 	"plankrouter/logic"
 )
 
@@ -16,15 +14,19 @@
 func newClock() clock { return clock{time.Now()} }
 
 func (c clock) at(t time.Time) logic.Ms {
-	return float64(c.start.UnixMicro())/1e3 + config.Millis(t.Sub(c.start))
+	return float64(c.start.UnixMicro())/1e3 + millis(t.Sub(c.start))
 }
 
+// duration and millis turn the module's milliseconds into a Duration and back.
+func duration(ms logic.Ms) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+func millis(d time.Duration) logic.Ms    { return float64(d) / float64(time.Millisecond) }
+
 // timer is one that the module has set, or the end of a call's time.
 type timer struct {
 	at     time.Time
 	handle uint64
-	call   *provider.Call
-	index  int // in timers
+	call   uint64 // 0 = the module's
+	index  int    // in timers
 }
 
 // timers is a heap, the earliest first.
--- a/internal/invocation/invocation.go
+++ b/internal/invocation/invocation.go
@@ -43,6 +43,7 @@
 	RetryAfter time.Duration // with Refused: when to come back; 0 = no advice
 	Fields     []Field       // with Served: the provider's
 	Body       []byte        // with Served: the provider's, unchanged
+	MayHaveRun bool          // an attempt may have run, or may yet
 }
 
 // Core takes invocations from any front.
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -11,70 +11,14 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
+	"plankrouter/internal/caller"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/http1"
 	"plankrouter/internal/invocation"
 	"plankrouter/internal/loadreport"
 	"plankrouter/internal/sockets"
-	"plankrouter/logic"
 )
 
-// Result is how a call ended.
-type Result struct {
-	Call   *Call
-	Ending ending.Ending
-	Report logic.Report
-	Fields []invocation.Field // the answer's, where it was Served
-	Body   []byte
-	Early  bool          // with Unwritten: the connection broke before the call's last byte was written
-	Took   time.Duration // with Early, from the first byte until it broke; with ResetByPeer, from the last
-	Conn   *Conn         // may serve another call; nil if it is spent
-}
-
-// Use is a connection as a call found it.
-type Use struct {
-	Idle    time.Duration // before the call
-	Carried int           // calls before that; 0 = the connection was new
-}
-
-// Dead is how a kept connection was found dead.
-type Dead struct {
-	Use
-	Held, Took time.Duration // as in Call and Result
-	Early      bool
-}
-
-// Bet decides on which connection a call goes and how it is written. It is asked by who starts the call, before Start
-// returns.
-type Bet interface {
-	Take(Use) bool          // this kept connection, rather than another or a new one
-	Hold(Use) time.Duration // for which the last byte is held back, to see whether the connection is dead
-}
-
-// Sink is told what has happened, from many goroutines. It may block only until its owner takes the news.
-type Sink interface {
-	CallEnded(Result)
-	ConnFree(*Conn)                 // opened or taken for a call that no longer needed it
-	ConnEnded(*Conn, ending.Ending) // while it was idle
-}
-
-// Invoker makes the calls.
-type Invoker struct {
-	ctx    context.Context
-	group  *errgroup.Group
-	budget *sockets.Budget
-	within time.Duration // for a connection to come up
-	sink   Sink
-}
-
-// NewInvoker returns an Invoker whose goroutines belong to group and whose connections end with ctx.
-func NewInvoker(ctx context.Context, group *errgroup.Group, budget *sockets.Budget, connect time.Duration,
-	sink Sink) *Invoker {
-	return &Invoker{ctx: ctx, group: group, budget: budget, within: connect, sink: sink}
-}
-
 // stage is how far a call has come.
 type stage uint8
 
@@ -86,68 +30,63 @@
 	ended
 )
 
-// Call is one invoker call or one probe. It ends exactly once: by the goroutine that carries it, or by Stop; the first
-// of them wins.
-type Call struct {
-	SentAt time.Time
-
-	// Once the call has ended:
-	Use    Use           // the connection that carried it
-	Held   time.Duration // its last byte was held back there for so long
-	Dialed time.Duration // the connection took so long to come up, if it was new
-	Dead   *Dead         // a kept connection that was found dead before; nil = there was none
-
-	pool    *Pool
+// call is one invoker call or one probe, the caller.Call of this protocol. It ends exactly once: by the goroutine that
+// carries it, or by Stop; the first of them wins.
+type call struct {
+	at      *endpoint
 	message []byte
 	probe   bool
+	done    func(caller.Result)
 	hold    time.Duration   // of the last byte, on the present connection
 	fresh   time.Duration   // likewise, on a new one
 	ctx     context.Context // ends with the call
 	cancel  context.CancelFunc
 
+	// How its connections did, for the book. The goroutine that carries it writes them.
+	use    use           // the connection that carried it
+	dialed time.Duration // the connection took so long to come up, if it was new
+	dead   *dead         // a kept connection that was found dead before; nil = there was none
+
 	mu       sync.Mutex
 	stage    stage
-	conn     *Conn
+	conn     *conn
 	notAfter time.Time // no first byte later than this; zero = any time
 }
 
-// NewCall words an attempt for inv that is given up after wait.
-func NewCall(pool *Pool, inv *invocation.Invocation, wait time.Duration) *Call {
-	fields := append([]invocation.Field{{Name: http1.HeaderID, Value: inv.ID},
-		{Name: http1.HeaderDeadline, Value: strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)}}, inv.Fields...)
-	return &Call{pool: pool, message: http1.AppendRequest(nil, inv.Verb, inv.Target, pool.Address, fields, inv.Body)}
+// result is how a carried call ended.
+type result struct {
+	caller.Result
+	early bool          // with Unwritten: the connection broke before the call's last byte was written
+	took  time.Duration // with early, from the first byte until it broke; with ResetByPeer, from the last
 }
 
-// NewProbe words a question for the provider's load.
-func NewProbe(pool *Pool) *Call {
-	return &Call{pool: pool, probe: true,
-		message: http1.AppendRequest(nil, "GET", http1.PathLoad, pool.Address, nil, nil)}
-}
-
-// Start sends the call on a kept connection of its provider, or on a new one, as bet decides.
-func (v *Invoker) Start(c *Call, bet Bet) {
-	c.SentAt = time.Now()
-	c.ctx, c.cancel = context.WithCancel(v.ctx)
-	c.fresh = bet.Hold(Use{})
-	if !c.pool.offer(c, bet) {
-		v.group.Go(func() error { v.run(c); return nil })
+// word words the task for the endpoint.
+func (e *endpoint) word(t caller.Task) *call {
+	c := &call{at: e, done: t.Ended, notAfter: t.NotAfter}
+	if inv := t.Invocation; inv != nil {
+		fields := append([]invocation.Field{{Name: http1.HeaderID, Value: inv.ID},
+			{Name: http1.HeaderDeadline, Value: strconv.FormatFloat(t.Wait.Seconds(), 'f', 3, 64)}}, inv.Fields...)
+		c.message = http1.AppendRequest(nil, inv.Verb, inv.Target, e.address, fields, inv.Body)
+	} else {
+		c.probe, c.message = true, http1.AppendRequest(nil, "GET", http1.PathLoad, e.address, nil, nil)
 	}
+	return c
 }
 
 // run opens a connection for the call and stays with it until it ends. A call that finds it dead when it was to be
 // carried, before the last byte was sent, gets another one: it can't have run.
-func (v *Invoker) run(c *Call) {
+func (v *Caller) run(c *call) {
 	for c != nil {
 		c.hold = c.fresh
 		began := time.Now()
-		socket, err := v.budget.Dial(c.ctx, c.pool.Address, v.within)
+		socket, err := v.budget.Dial(c.ctx, c.at.address, v.set.Connect)
 		if err != nil {
-			c.end(v.sink, Result{Ending: dialEnding(err)})
+			v.end(c, result{Result: caller.Result{Ending: dialEnding(err)}})
 			return
 		}
-		conn := newConn(socket, c.pool)
+		conn := newConn(socket, c.at)
 		conn.dialed = time.Since(began)
-		stop := context.AfterFunc(v.ctx, conn.Close)
+		stop := context.AfterFunc(v.ctx, conn.close)
 		c = v.serve(conn, c)
 		stop()
 		http1.Free(conn.br)
@@ -155,39 +94,36 @@
 }
 
 // serve carries calls on the connection until it ends, and returns the one that it could not begin.
-func (v *Invoker) serve(conn *Conn, c *Call) *Call {
+func (v *Caller) serve(conn *conn, c *call) *call {
 	if !conn.socket.Quiet() { // a provider that speaks first is no HTTP server
-		conn.Close()
-		c.end(v.sink, Result{Ending: ending.Unwritten})
+		conn.close()
+		v.end(c, result{Result: caller.Result{Ending: ending.Unwritten}})
 		return nil
 	}
 	for {
 		switch e := c.begin(conn); e {
 		case ending.Open:
 			r, again := conn.carry(c)
-			if !again && conn.foundDead(c, &r) && c.rewind(Dead{conn.use, c.Held, r.Took, r.Early}) {
-				conn.Close()
+			if !again && conn.foundDead(c, &r) && c.rewind(dead{conn.use, c.hold, r.took, r.early}) {
+				conn.close()
 				return c
 			}
-			conn.use.Carried++
-			if r.Conn = conn; !again {
-				conn.Close()
-				r.Conn = nil
-			}
-			if !c.end(v.sink, r) || !again {
-				conn.Close()
+			conn.use.carried++
+			// The call ends before its connection is kept for another: once it has ended, Stop can't close that.
+			if !v.end(c, r) || !again {
+				conn.close()
 				return nil
 			}
 		default: // ended by Stop, or too late for its provider: another call may use the connection
 			if e != ending.Withdrawn {
-				c.end(v.sink, Result{Ending: e})
+				v.end(c, result{Result: caller.Result{Ending: e}})
 			}
-			v.sink.ConnFree(conn)
 		}
+		v.keep(conn)
 		next, how := conn.idle()
 		if how != ending.Open {
-			conn.Close()
-			v.sink.ConnEnded(conn, how)
+			conn.close()
+			v.drop(conn, how)
 			return next
 		}
 		c = next
@@ -212,7 +148,7 @@
 }
 
 // begin moves the call to its first byte, unless it has ended or its provider no longer wants it.
-func (c *Call) begin(conn *Conn) ending.Ending {
+func (c *call) begin(conn *conn) ending.Ending {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -222,9 +158,9 @@
 		// The list said so while the connection came up: a drain counts from the first byte of a send.
 		return ending.Drained
 	}
-	c.conn, c.Use, c.Held = conn, conn.use, c.hold
-	if conn.use.Carried == 0 {
-		c.Dialed = conn.dialed
+	c.conn, c.use = conn, conn.use
+	if !conn.use.kept() {
+		c.dialed = conn.dialed
 	}
 	if c.stage = writing; c.inParts() {
 		c.stage = holding
@@ -233,10 +169,10 @@
 }
 
 // inParts reports whether the last byte is written by itself, so that what comes in before it is seen to.
-func (c *Call) inParts() bool { return len(c.message) > lump || c.hold > 0 }
+func (c *call) inParts() bool { return len(c.message) > lump || c.hold > 0 }
 
 // release reports whether the last byte may be written.
-func (c *Call) release() bool {
+func (c *call) release() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stage == ended {
@@ -248,18 +184,18 @@
 
 // rewind takes the call back to where it has no connection, unless it has ended meanwhile or lost one before. The next one
 // is new.
-func (c *Call) rewind(dead Dead) bool {
+func (c *call) rewind(d dead) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stage == ended || c.Dead != nil {
+	if c.stage == ended || c.dead != nil {
 		return false
 	}
-	c.stage, c.conn, c.Dead = connecting, nil, &dead
+	c.stage, c.conn, c.dead = connecting, nil, &d
 	return true
 }
 
 // written notes that the last byte is written, and reports whether the call still waits for its answer.
-func (c *Call) written() bool {
+func (c *call) written() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stage == ended {
@@ -270,7 +206,7 @@
 }
 
 // NotAfter forbids a first byte later than t.
-func (c *Call) NotAfter(t time.Time) {
+func (c *call) NotAfter(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.notAfter.IsZero() {
@@ -280,7 +216,7 @@
 
 // Stop gives the call up. Its connection is closed when Stop returns, so that no later attempt can be out
 // beside this one. False means that it had ended already and its Result is on the way.
-func (c *Call) Stop(why ending.Ending) (ending.Ending, bool) {
+func (c *call) Stop(why ending.Ending) (ending.Ending, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stage == ended {
@@ -292,13 +228,13 @@
 	c.stage = ended
 	c.cancel()
 	if c.conn != nil {
-		c.conn.Close()
+		c.conn.close()
 	}
 	return why, true
 }
 
 // end reports the result unless the call has ended before.
-func (c *Call) end(sink Sink, r Result) bool {
+func (v *Caller) end(c *call, r result) bool {
 	c.mu.Lock()
 	if c.stage == ended {
 		c.mu.Unlock()
@@ -307,14 +243,14 @@
 	c.stage = ended
 	c.cancel()
 	c.mu.Unlock()
-	r.Call = c
-	sink.CallEnded(r)
+	v.learn(c, &r)
+	c.done(r.Result)
 	return true
 }
 
 // resultOf reads an answer for what it says to the decision module.
-func (c *Call) resultOf(r *http1.Response) Result {
-	out := Result{Ending: ending.ServerError, Body: r.Body}
+func (c *call) resultOf(r *http1.Response) caller.Result {
+	out := caller.Result{Ending: ending.ServerError, Body: r.Body}
 	switch {
 	case r.Status == 200:
 		out.Ending = ending.Served
--- a/internal/provider/conn_test.go
+++ b/internal/provider/conn_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"plankrouter/internal/caller"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/invocation"
 	"plankrouter/internal/sockets"
@@ -31,20 +32,20 @@
 	defer in.Close()
 	budget := sockets.NewBudget(1, nil)
 	budget.Reserve(sockets.Outward)
-	pool := &Pool{Address: "p1:1"}
-	conn := newConn(budget.Adopt(out, sockets.Outward), pool)
-	defer conn.Close()
+	at := &endpoint{address: "p1:1"}
+	conn := newConn(budget.Adopt(out, sockets.Outward), at)
+	defer conn.close()
 	if _, err := in.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nmap")); err != nil {
 		t.Fatal(err)
 	}
-	if !conn.offer(NewProbe(pool)) {
+	if !conn.offer(at.word(caller.Task{})) {
 		t.Fatal("an idle connection takes no call")
 	}
 	call, how := conn.idle()
 	if call == nil || how != ending.Unasked {
 		t.Errorf("taken from idle: call %v, %s", call, how)
 	}
-	c := NewCall(pool, &invocation.Invocation{ID: "a", Verb: "POST", Body: make([]byte, lump)}, time.Second)
+	c := at.word(caller.Task{Invocation: &invocation.Invocation{ID: "a", Verb: "POST", Body: make([]byte, lump)}, Wait: time.Second})
 	go io.Copy(io.Discard, in)
 	if r, again := conn.carry(c); r.Ending != ending.Unwritten || again || r.Body != nil {
 		t.Errorf("carried: %s, %q, again %t", r.Ending, r.Body, again)
--- a/internal/provider/dead_test.go
+++ b/internal/provider/dead_test.go
@@ -8,8 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
+	"plankrouter/internal/caller"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/invocation"
 	"plankrouter/internal/sockets"
@@ -18,22 +17,15 @@
 // fixed is a bet that takes any kept connection and holds the last byte back there for so long.
 type fixed time.Duration
 
-func (fixed) Take(Use) bool { return true }
+func (fixed) take(use) bool { return true }
 
-func (f fixed) Hold(u Use) time.Duration {
-	if u.Carried == 0 {
+func (f fixed) hold(u use) time.Duration {
+	if !u.kept() {
 		return 0
 	}
 	return time.Duration(f)
 }
 
-// ends collects the results; the test's goroutine plays the owner of the pool.
-type ends struct{ results chan Result }
-
-func (e ends) CallEnded(r Result)             { e.results <- r }
-func (e ends) ConnFree(c *Conn)               { c.Put(time.Hour) }
-func (e ends) ConnEnded(*Conn, ending.Ending) {}
-
 const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 // A call that finds its kept connection dead before its last byte is out can't have run, and goes on a new one, once. After
@@ -65,16 +57,18 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				group, ctx := errgroup.WithContext(ctx)
 				opened := make(chan net.Conn, 4)
 				budget := sockets.NewBudget(8, func(context.Context, string) (net.Conn, error) {
 					mine, theirs := net.Pipe()
 					opened <- theirs
 					return mine, nil
 				})
-				sink := ends{make(chan Result, 1)}
-				invoker := NewInvoker(ctx, group, budget, time.Second, sink)
-				pool := &Pool{Name: "p1", Address: "p1:1"}
+				v, err := New(ctx, budget, Settings{Connect: time.Second, ConnIdle: time.Hour})
+				if err != nil {
+					t.Fatal(err)
+				}
+				at := v.Endpoint("p1", "p1:1").(*endpoint)
+				results := make(chan caller.Result, 1)
 				got := seen{}
 				read := func(nc net.Conn, n int) bool {
 					nc.SetReadDeadline(time.Now().Add(4 * hold))
@@ -86,28 +80,29 @@
 						got.Whole++
 					}
 				}
-				call := func() *Call {
-					if c.probe {
-						return NewProbe(pool)
+				start := func() *call {
+					task := caller.Task{Ended: func(r caller.Result) { results <- r }}
+					if !c.probe {
+						task.Invocation = &invocation.Invocation{ID: "a", Verb: "POST", Target: "/order/1", Body: []byte("x")}
+						task.Wait = time.Second
 					}
-					return NewCall(pool, &invocation.Invocation{ID: "a", Verb: "POST", Target: "/order/1", Body: []byte("x")}, time.Second)
+					one := at.word(task)
+					v.start(one, fixed(c.hold))
+					return one
 				}
-				first := call()
-				invoker.Start(first, fixed(c.hold))
+				first := start()
 				kept := <-opened
 				whole(kept, first.message)
 				kept.Write([]byte(answer))
-				r := <-sink.results
-				r.Conn.Put(time.Hour)
+				<-results
 				time.Sleep(time.Second)
 
-				second := call()
-				invoker.Start(second, fixed(c.hold))
+				second := start()
 				if c.stop > 0 {
 					go func() {
 						time.Sleep(c.stop)
 						if how, stopped := second.Stop(ending.TimedOut); stopped {
-							sink.results <- Result{Call: second, Ending: how}
+							results <- caller.Result{Ending: how}
 						}
 					}()
 				}
@@ -130,13 +125,13 @@
 				} else if c.stop == 0 {
 					kept.Write([]byte(answer))
 				}
-				r = <-sink.results
-				got.Ending, got.Dead = r.Ending, second.Dead != nil
+				r := <-results
+				got.Ending, got.Dead = r.Ending, second.dead != nil
 				if got != c.want {
 					t.Errorf("%+v, want %+v", got, c.want)
 				}
 				cancel()
-				group.Wait()
+				v.Wait()
 			})
 		})
 	}
