Let the watch, the codec and the caller be used outside the daemon

The watch takes options instead of the daemon's configuration; answers to HEAD are read; the HTTP caller may be told which statuses are answers, and a request may name its host.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -55,6 +55,7 @@
 type Result struct {
 	Ending ending.Ending
 	Report logic.Report       // the provider's load, where the answer told it
+	Code   int                // the protocol's own word for the answer, where it was Served
 	Fields []invocation.Field // the answer's, where it was Served
 	Body   []byte
 }
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -10,17 +10,9 @@
 
 // Defaults of Own: those of the platform, on which none of its keys is given.
 const (
-	defaultSnapshot      = 10 * time.Second
-	defaultReady         = 10 * time.Second
-	defaultWait          = time.Second
-	defaultLeastWait     = 250 * time.Millisecond
-	defaultPatience      = time.Second
-	defaultLeastPatience = 250 * time.Millisecond
-	defaultRetry         = 50 * time.Millisecond
-	defaultRetryMost     = 2 * time.Second
-	defaultAsk           = time.Second
-	defaultAskMost       = 30 * time.Second
-	mostMs               = 24 * 3600 * 1000
+	defaultSnapshot = 10 * time.Second
+	defaultReady    = 10 * time.Second
+	mostMs          = 24 * 3600 * 1000
 )
 
 // Own is what an installation may say beyond the platform's keys, under one key of its own so that the two never meet.
@@ -92,19 +84,20 @@
 
 // settings fills in defaults, which stay on the right side of what is given, and checks.
 func (w *WatchMs) settings() (s freshness.Settings, err error) {
+	usual := freshness.Default()
 	if err := read("plankrouter.watch.", 1,
-		figure{"wait_ms", w.Wait, &s.Wait, defaultWait},
-		figure{"patience_ms", w.Patience, &s.Patience, defaultPatience},
-		figure{"retry_ms", w.Retry, &s.Retry, defaultRetry},
-		figure{"ask_ms", w.Ask, &s.Ask, defaultAsk},
+		figure{"wait_ms", w.Wait, &s.Wait, usual.Wait},
+		figure{"patience_ms", w.Patience, &s.Patience, usual.Patience},
+		figure{"retry_ms", w.Retry, &s.Retry, usual.Retry},
+		figure{"ask_ms", w.Ask, &s.Ask, usual.Ask},
 	); err != nil {
 		return s, err
 	}
 	if err := read("plankrouter.watch.", 1,
-		figure{"least_wait_ms", w.LeastWait, &s.LeastWait, min(defaultLeastWait, s.Wait)},
-		figure{"least_patience_ms", w.LeastPatience, &s.LeastPatience, min(defaultLeastPatience, s.Patience)},
-		figure{"retry_most_ms", w.RetryMost, &s.RetryMost, max(defaultRetryMost, s.Retry)},
-		figure{"ask_most_ms", w.AskMost, &s.AskMost, max(defaultAskMost, s.Ask)},
+		figure{"least_wait_ms", w.LeastWait, &s.LeastWait, min(usual.LeastWait, s.Wait)},
+		figure{"least_patience_ms", w.LeastPatience, &s.LeastPatience, min(usual.LeastPatience, s.Patience)},
+		figure{"retry_most_ms", w.RetryMost, &s.RetryMost, max(usual.RetryMost, s.Retry)},
+		figure{"ask_most_ms", w.AskMost, &s.AskMost, max(usual.AskMost, s.Ask)},
 	); err != nil {
 		return s, err
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -345,7 +345,8 @@
 	h.call = 0
 	h.mayRun = h.mayRun || !r.Ending.Status().NeverRan()
 	if r.Ending == ending.Served {
-		s.answer(a.request, invocation.Answer{Kind: invocation.Served, Fields: r.Fields, Body: r.Body})
+		s.answer(a.request, invocation.Answer{Kind: invocation.Served, Code: r.Code, Fields: r.Fields,
+			Body: r.Body})
 	}
 	if h.answered {
 		delete(s.held, a.request)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,7 +13,6 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"plankrouter/internal/config"
 	"plankrouter/internal/freshness"
 	"plankrouter/internal/http1"
 	"plankrouter/internal/members"
@@ -25,8 +23,7 @@
 
 // Watch is the standing call to the directory. What to ask and how long to wait for it is decided by freshness.Keeper.
 type Watch struct {
-	Budget *sockets.Budget
-	Told   func(members.List) // takes each answer that tells anything, in order
+	set Options
 
 	Answers, Failures, Doubts atomic.Int64 // Doubts: whole lists asked for because providers spoke against the list
 
@@ -43,14 +40,29 @@
 	br       *bufio.Reader
 }
 
-// New returns a watch that begins with known and goes where Move, called before Run, says.
-func New(cfg *config.Config, known members.List, budget *sockets.Budget, told func(members.List)) (*Watch, error) {
-	keeper, err := freshness.New(cfg.Watch, cfg.Seed, known.Revision == 0)
+// Options are what a watch is told.
+type Options struct {
+	Address string // host:port of the directory
+	Watch   freshness.Settings
+	Seed    uint64
+	Known   members.List // what it begins with; of revision 0 if that is not as the directory told it
+	Budget  *sockets.Budget
+	Told    func(members.List)               // takes each answer that tells anything, in order
+	Logf    func(format string, args ...any) // nil = nothing is logged
+}
+
+// New returns a watch that Run begins.
+func New(o Options) (*Watch, error) {
+	keeper, err := freshness.New(o.Watch, o.Seed, o.Known.Revision == 0)
 	if err != nil {
 		return nil, fmt.Errorf("watch: %w", err)
 	}
-	w := &Watch{Budget: budget, Told: told, keeper: keeper, revision: known.Revision, address: cfg.Discovery,
-		source: cfg.Discovery, first: make(chan struct{})}
+	if o.Logf == nil {
+		o.Logf = func(string, ...any) {}
+	}
+	w := &Watch{set: o, keeper: keeper, revision: o.Known.Revision, address: o.Address, source: o.Address,
+		first: make(chan struct{})}
+	known := o.Known
 	known.Complete = true
 	w.note(known)
 	return w, nil
@@ -139,7 +151,7 @@
 		}
 		w.revision = list.Revision
 		if list.Complete || len(list.Members) > 0 {
-			w.Told(list) // not under the lock: it may wait for one who wants to tell what it saw
+			w.set.Told(list) // not under the lock: it may wait for one who wants to tell what it saw
 		}
 	case ctx.Err() != nil:
 		w.hangUp()
@@ -149,7 +161,7 @@
 		w.mu.Lock()
 		w.keeper.Failed()
 		w.mu.Unlock()
-		log.Printf("directory=%s state=failed whole=%t err=%q", w.at, c.Whole, err)
+		w.set.Logf("directory=%s state=failed whole=%t err=%q", w.at, c.Whole, err)
 	}
 }
 
@@ -198,7 +210,7 @@
 	none := members.List{}
 	if w.conn == nil {
 		var err error
-		if w.conn, err = w.Budget.Dial(ctx, w.at, dialWithin); err != nil {
+		if w.conn, err = w.set.Budget.Dial(ctx, w.at, dialWithin); err != nil {
 			w.conn = nil
 			return none, err
 		}
@@ -212,7 +224,7 @@
 	if _, err := conn.Write(http1.AppendRequest(nil, "GET", w.target(c), w.at, nil, nil)); err != nil {
 		return none, err
 	}
-	resp, err := http1.ReadResponse(w.br, func(bool) {})
+	resp, err := http1.ReadResponse(w.br, false, func(bool) {})
 	if err != nil {
 		return none, err
 	}
@@ -224,7 +236,7 @@
 		return none, err
 	}
 	for _, fault := range faults { // one bad line must not hide the others
-		log.Printf("directory=%s state=line_skipped err=%q", w.at, fault)
+		w.set.Logf("directory=%s state=line_skipped err=%q", w.at, fault)
 	}
 	if c.Whole && !list.Complete {
 		return none, errors.New("asked for the whole list, got a part")
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -38,6 +38,13 @@
 	AskMost       time.Duration // bound on that
 }
 
+// Default returns the settings for a directory on the own machine, which costs nothing to ask.
+func Default() Settings {
+	return Settings{Wait: time.Second, LeastWait: 250 * time.Millisecond, Patience: time.Second,
+		LeastPatience: 250 * time.Millisecond, Retry: 50 * time.Millisecond, RetryMost: 2 * time.Second, Ask: time.Second,
+		AskMost: 30 * time.Second}
+}
+
 // Check names the setting that makes no sense.
 func (s Settings) Check() error {
 	for _, d := range []struct {
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -8,8 +8,7 @@
 
 const ms = time.Millisecond
 
-var usual = Settings{Wait: time.Second, LeastWait: 250 * ms, Patience: time.Second, LeastPatience: 250 * ms,
-	Retry: 50 * ms, RetryMost: 2 * time.Second, Ask: time.Second, AskMost: 30 * time.Second}
+var usual = Default()
 
 func keeper(t *testing.T, providers int) *Keeper {
 	t.Helper()
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -170,15 +170,15 @@
 	return err
 }
 
-// ReadResponse reads a whole answer to a request that was not HEAD, passing over interim ones. Before each it waits for
-// the first byte and then calls begun, with false once it is whole.
-func ReadResponse(br *bufio.Reader, begun func(bool)) (*Response, error) {
+// ReadResponse reads a whole answer, passing over interim ones. One to HEAD is bodiless, whatever its header says. Before
+// each it waits for the first byte and then calls begun, with false once it is whole.
+func ReadResponse(br *bufio.Reader, bodiless bool, begun func(bool)) (*Response, error) {
 	for range maxInterim {
 		if _, err := br.Peek(1); err != nil {
 			return nil, err
 		}
 		begun(true)
-		r, err := readResponse(br)
+		r, err := readResponse(br, bodiless)
 		if err != nil {
 			return nil, err
 		}
@@ -189,7 +189,7 @@
 	return nil, fmt.Errorf("%w: interim answers without end", ErrMalformed)
 }
 
-func readResponse(br *bufio.Reader) (*Response, error) {
+func readResponse(br *bufio.Reader, bodiless bool) (*Response, error) {
 	line, err := readLine(br)
 	if err != nil {
 		return nil, err
@@ -208,7 +208,7 @@
 		return nil, err
 	}
 	r.Close = closes(r.Header, minor)
-	if r.Status < 200 || r.Status == 204 || r.Status == 304 {
+	if r.Status < 200 || bodiless || r.Status == 204 || r.Status == 304 {
 		return r, nil
 	}
 	f, err := frame(r.Header)
@@ -393,6 +393,12 @@
 	return n
 }
 
+// ValidField reports whether a header line can be written as it is.
+func ValidField(name, value string) bool { return token(name) && text(value) }
+
+// ValidStart reports whether a request line can be written as it is.
+func ValidStart(method, target string) bool { return token(method) && visible(target) }
+
 func token(s string) bool {
 	for i := range len(s) {
 		c := s[i]
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -38,7 +38,7 @@
 }
 
 func response(br *bufio.Reader) (string, error) {
-	r, err := ReadResponse(br, func(bool) {})
+	r, err := ReadResponse(br, false, func(bool) {})
 	if err != nil {
 		return "", err
 	}
@@ -118,7 +118,7 @@
 		f.Add(text)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
-		r, err := ReadResponse(NewReader(strings.NewReader(text)), func(bool) {})
+		r, err := ReadResponse(NewReader(strings.NewReader(text)), false, func(bool) {})
 		if err != nil {
 			return
 		}
--- a/internal/invocation/invocation.go
+++ b/internal/invocation/invocation.go
@@ -16,6 +16,7 @@
 	SentAt   time.Time
 	Patience time.Duration // how long the consumer waits, from SentAt
 
+	Host   string // whom it is meant for, where the protocol has that; "" = the provider that gets it
 	Verb   string // what to do
 	Target string // to what
 	Fields []Field
@@ -41,6 +42,7 @@
 type Answer struct {
 	Kind       Kind
 	RetryAfter time.Duration // with Refused: when to come back; 0 = no advice
+	Code       int           // with Served: the protocol's own word for the answer, which the core passes on unread
 	Fields     []Field       // with Served: the provider's
 	Body       []byte        // with Served: the provider's, unchanged
 	MayHaveRun bool          // an attempt may have run, or may yet
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -2,6 +2,7 @@
 package provider
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"os"
@@ -33,14 +34,15 @@
 // call is one invoker call or one probe, the caller.Call of this protocol. It ends exactly once: by the goroutine that
 // carries it, or by Stop; the first of them wins.
 type call struct {
-	at      *endpoint
-	message []byte
-	probe   bool
-	done    func(caller.Result)
-	hold    time.Duration   // of the last byte, on the present connection
-	fresh   time.Duration   // likewise, on a new one
-	ctx     context.Context // ends with the call
-	cancel  context.CancelFunc
+	at       *endpoint
+	message  []byte
+	probe    bool
+	bodiless bool // its answer has no body, whatever it says
+	done     func(caller.Result)
+	hold     time.Duration   // of the last byte, on the present connection
+	fresh    time.Duration   // likewise, on a new one
+	ctx      context.Context // ends with the call
+	cancel   context.CancelFunc
 
 	// How its connections did, for the book. The goroutine that carries it writes them.
 	use    use           // the connection that carried it
@@ -66,7 +68,8 @@
 	if inv := t.Invocation; inv != nil {
 		fields := append([]invocation.Field{{Name: http1.HeaderID, Value: inv.ID},
 			{Name: http1.HeaderDeadline, Value: strconv.FormatFloat(t.Wait.Seconds(), 'f', 3, 64)}}, inv.Fields...)
-		c.message = http1.AppendRequest(nil, inv.Verb, inv.Target, e.address, fields, inv.Body)
+		c.bodiless = inv.Verb == "HEAD"
+		c.message = http1.AppendRequest(nil, inv.Verb, inv.Target, cmp.Or(inv.Host, e.address), fields, inv.Body)
 	} else {
 		c.probe, c.message = true, http1.AppendRequest(nil, "GET", http1.PathLoad, e.address, nil, nil)
 	}
@@ -252,8 +255,8 @@
 func (c *call) resultOf(r *http1.Response) caller.Result {
 	out := caller.Result{Ending: ending.ServerError, Body: r.Body}
 	switch {
-	case r.Status == 200:
-		out.Ending = ending.Served
+	case r.Status == 200, !c.probe && c.at.of.set.Answers != nil && c.at.of.set.Answers(r.Status):
+		out.Ending, out.Code = ending.Served, r.Status
 		out.Fields = r.Header.EndToEnd(ownHeader)
 	case (r.Status == 503 || r.Status == 504) && r.Header.Get(http1.HeaderDeclined) == "1":
 		out.Ending = ending.Declined
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -102,7 +102,7 @@
 		return result{}, false
 	}
 	sent = time.Now()
-	resp, err := http1.ReadResponse(c.br, c.begun)
+	resp, err := http1.ReadResponse(c.br, call.bodiless, c.begun)
 	switch {
 	case errors.Is(err, http1.ErrMalformed), errors.Is(err, os.ErrDeadlineExceeded):
 		return result{Result: caller.Result{Ending: ending.Malformed}}, false
