Offer the balancer as a library

Need: some applications would rather link the balancer than run a sidecar. Package plankrouter at the root is thin over internal/core and the HTTP caller, which the daemon uses too: New with checked options, Do with exactly one outcome and typed errors that say whether the request may have run, an http.RoundTripper, members by list, by the platform's directory or by the application, Stats, and a Close that answers what is taken.

Seen: calls, a post through http.Client, cancels before and during an attempt, and Close pass in simulated time against the scripted peers.

--- /dev/null
+++ b/balancer_test.go
@@ -0,0 +1,93 @@
+package plankrouter_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"plankrouter"
+	"plankrouter/internal/lab/peers"
+)
+
+const ms = time.Millisecond
+
+// fleet is some servers in a bubble, and a balancer over them.
+func fleet(t *testing.T, n int, edit func(*plankrouter.Options)) (*peers.Fleet, *plankrouter.Balancer) {
+	t.Helper()
+	net := peers.NewMemory()
+	f, err := peers.NewFleet(net, n, peers.ProviderOptions{Cores: 4, Queue: 16, Seed: 1,
+		Default: peers.Service{Mean: 20 * ms, Fixed: true}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := plankrouter.Options{Seed: 1, Sockets: plankrouter.NewSockets(64, net.Dial), Probes: true,
+		Classes: []plankrouter.Class{{Name: "tile", Aim: 750 * ms, Deadline: 2500 * ms},
+			{Name: "order", Aim: 300 * ms, Deadline: time.Second, Worth: 5, Repeat: plankrouter.Once}}}
+	for _, p := range f.Providers {
+		o.Members = append(o.Members, plankrouter.Member{ID: p.ID(), Address: p.Address()})
+	}
+	if edit != nil {
+		edit(&o)
+	}
+	b, err := plankrouter.New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f, b
+}
+
+func TestDo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, b := fleet(t, 3, nil)
+		defer f.Close()
+		for i := range 30 {
+			r, err := b.Do(t.Context(), &plankrouter.Request{Class: "tile", ID: fmt.Sprint("t", i), Target: "/tile/roma?z=3"})
+			if err != nil || r.Status != 200 || !strings.HasPrefix(string(r.Body), fmt.Sprint("t", i)) {
+				t.Fatalf("%+v, %v", r, err)
+			}
+		}
+		client := &http.Client{Transport: &plankrouter.Transport{Balancer: b, Class: "order"}}
+		resp, err := client.Post("http://orders.internal/order/7", "text/plain", strings.NewReader("print"))
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%+v, %v", resp, err)
+		}
+		if err := b.Close(t.Context()); err != nil {
+			t.Error(err)
+		}
+		if _, err := b.Do(t.Context(), &plankrouter.Request{}); !errors.Is(err, plankrouter.ErrClosed) {
+			t.Errorf("after Close: %v", err)
+		}
+		if s := b.Stats(); s.Taken != 31 || s.Served != 31 || s.Connections != 0 {
+			t.Errorf("%+v", s)
+		}
+	})
+}
+
+// A call whose context ends has its one outcome at once, and that says whether the request may have run.
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, b := fleet(t, 1, func(o *plankrouter.Options) { o.Probes = false })
+		defer f.Close()
+		defer b.Close(t.Context())
+		f.Providers[0].Change(func(b *peers.Behaviour) { b.Slow = 10 })
+		for _, after := range []time.Duration{0, 50 * ms} {
+			ctx, cancel := context.WithCancel(t.Context())
+			if after == 0 {
+				cancel()
+			}
+			time.AfterFunc(after, cancel)
+			began := time.Now()
+			_, err := b.Do(ctx, &plankrouter.Request{Class: "order", Method: "POST"})
+			var cancelled *plankrouter.CancelledError
+			if !errors.As(err, &cancelled) || cancelled.MayHaveRun != (after > 0) || !errors.Is(err, context.Canceled) ||
+				time.Since(began) != after {
+				t.Errorf("after %s: %v, %s later", after, err, time.Since(began))
+			}
+		}
+	})
+}
--- a/internal/consumer/dialect.go
+++ b/internal/consumer/dialect.go
@@ -63,12 +63,7 @@
 	}
 	return &invocation.Invocation{ID: id, Class: class, Tenant: tenant,
 		Again: r.Header.Get(http1.HeaderRetry) == "1", SentAt: sentAt, Patience: patience,
-		Verb: r.Method, Target: r.Target, Fields: r.Header.EndToEnd(reworded), Body: r.Body}, 0
-}
-
-// reworded: the core says these anew for each attempt.
-func reworded(name string) bool {
-	return strings.EqualFold(name, http1.HeaderID) || strings.EqualFold(name, http1.HeaderDeadline)
+		Verb: r.Method, Target: r.Target, Fields: r.Header.EndToEnd(http1.Reworded), Body: r.Body}, 0
 }
 
 // response words the core's answer.
