--- /dev/null
+++ b/bench_test.go
@@ -0,0 +1,94 @@
+package plankrouter_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"plankrouter"
+	"plankrouter/internal/lab/cost"
+)
+
+func TestMain(m *testing.M) {
+	cost.Serve()
+	os.Exit(m.Run())
+}
+
+// servers are so many that 1,024 callers crowd none of them.
+const servers = 64
+
+// BenchmarkCall measures a call to one of 64 servers on loopback, in time, allocations and this process's CPU: through the
+// library, with probes and without, and through a plain http.Transport with a random pick.
+func BenchmarkCall(b *testing.B) {
+	children, err := cost.Start(fmt.Sprintf("%s %d", cost.RoleServers, servers), servers)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer children.Stop()
+	for _, callers := range []int{1, 64, 1024} {
+		for _, probes := range []bool{false, true} {
+			b.Run(fmt.Sprintf("library/probes=%t/callers=%d", probes, callers), func(b *testing.B) {
+				o := plankrouter.Options{Probes: probes, Sockets: plankrouter.NewSockets(4096, nil)}
+				for _, a := range children.Addresses {
+					o.Members = append(o.Members, plankrouter.Member{Address: a})
+				}
+				lib, err := plankrouter.New(o)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer lib.Close(context.Background())
+				measure(b, callers, func() error {
+					_, err := lib.Do(context.Background(), &plankrouter.Request{Target: "/tile/roma?z=3"})
+					return err
+				})
+			})
+		}
+		b.Run(fmt.Sprintf("transport/callers=%d", callers), func(b *testing.B) {
+			t := cost.Transport()
+			defer t.CloseIdleConnections()
+			measure(b, callers, func() error {
+				req, err := http.NewRequest("GET", "http://"+children.Addresses[rand.IntN(servers)]+"/tile/roma?z=3", nil)
+				if err != nil {
+					return err
+				}
+				resp, err := t.RoundTrip(req)
+				if err != nil {
+					return err
+				}
+				defer resp.Body.Close()
+				_, err = io.ReadAll(resp.Body)
+				return err
+			})
+		})
+	}
+}
+
+// measure makes b.N calls by so many callers side by side.
+func measure(b *testing.B, callers int, call func() error) {
+	b.ReportAllocs()
+	var left, failed atomic.Int64
+	left.Store(int64(b.N))
+	var all sync.WaitGroup
+	b.ResetTimer()
+	began := cost.Own()
+	for range callers {
+		all.Go(func() {
+			for left.Add(-1) >= 0 {
+				if call() != nil {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	b.ReportMetric(float64(cost.Own()-began)/float64(b.N), "cpu-ns/op")
+	if n := failed.Load(); n > 0 {
+		b.ReportMetric(float64(n)/float64(b.N), "failed/op")
+	}
+}
--- /dev/null
+++ b/cmd/planklab/handover.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"plankrouter/internal/lab/recovery"
+)
+
+// handoverCommand runs a line of processes.
+type handoverCommand struct {
+	lab
+	Program  string        `default:"bin/plankrouter" placeholder:"FILE" help:"The sidecar's program."`
+	Restarts int           `default:"200" help:"Handovers, one after another."`
+	Pause    time.Duration `default:"100ms" help:"Between two of them."`
+	Seed     uint64        `default:"1" help:"Of the load, the providers and the moments of kills."`
+	Kill     string        `enum:",successor,predecessor" default:"" help:"Kill one of the two in the middle: ${enum}."`
+	At       string        `enum:"start,passing" default:"passing" help:"In which part: ${enum}."`
+	Nth      int           `default:"2" help:"Kill in each Nth handover."`
+}
+
+func (c *handoverCommand) plan() recovery.HandoverPlan {
+	return recovery.HandoverPlan{Setup: c.setup(c.Program, c.Seed), Restarts: c.Restarts, Pause: c.Pause,
+		Kill: recovery.Victim(c.Kill), At: recovery.Moment(c.At), Nth: c.Nth}
+}
+
+// Validate checks the arguments.
+func (c *handoverCommand) Validate() error {
+	if err := executable(c.Program); err != nil {
+		return err
+	}
+	return c.plan().Check()
+}
+
+// Run runs the plan.
+func (c *handoverCommand) Run(ctx context.Context, out io.Writer) error {
+	dir, done, err := c.folder()
+	if err != nil {
+		return err
+	}
+	defer done()
+	plan := c.plan()
+	plan.Dir = dir
+	report, err := recovery.Handovers(ctx, plan)
+	if err != nil {
+		return err
+	}
+	if err := report.Write(out); err != nil {
+		return err
+	}
+	if err := c.save(report); err != nil {
+		return err
+	}
+	if len(report.Broken) > 0 {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/planklab/main.go
@@ -0,0 +1,67 @@
+// Command planklab is the lab: it starts the sidecar's program between scripted peers and measures.
+// docs/operate/measuring.md says what its figures mean.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"plankrouter/internal/lab/recovery"
+)
+
+// The exit codes.
+const (
+	exitBroken = 1 // a rule is broken, a process has crashed, or nothing could be measured
+	exitUsage  = 2
+)
+
+// errBroken says that a report names what is broken.
+var errBroken = errors.New("a rule is broken, or a process has crashed: see above")
+
+// commands are the subcommands.
+type commands struct {
+	Recover  recoverCommand  `cmd:"" help:"How long until service is back after a release, a crash and more."`
+	Handover handoverCommand `cmd:"" help:"What a long line of handovers to successors costs."`
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, out, problems io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	var c commands
+	helped := false
+	parser, err := kong.New(&c, kong.Name("planklab"), kong.Description("Measures the sidecar's program."),
+		kong.Writers(out, problems), kong.Exit(func(int) { helped = true }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err != nil {
+		fmt.Fprintln(problems, "planklab:", err)
+		return exitBroken
+	}
+	chosen, err := parser.Parse(args)
+	switch {
+	case helped:
+		return 0
+	case err != nil:
+		fmt.Fprintf(problems, "planklab: %v; see planklab --help\n", err)
+		return exitUsage
+	}
+	if err := recovery.AdoptOrphans(); err != nil {
+		fmt.Fprintln(problems, "planklab:", err)
+		return exitBroken
+	}
+	chosen.BindTo(ctx, (*context.Context)(nil))
+	chosen.BindTo(out, (*io.Writer)(nil))
+	if err := chosen.Run(); err != nil {
+		fmt.Fprintln(problems, "planklab:", err)
+		return exitBroken
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/planklab/main_test.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+)
+
+func TestArguments(t *testing.T) {
+	here, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct {
+		args string
+		code int
+		say  string
+	}{
+		{"--help", 0, "handover"},
+		{"recover --help", 0, "directory-down"},
+		{"", exitUsage, "recover"},
+		{"recover --program /nowhere", exitUsage, "/nowhere"},
+		{"recover --program HERE --seeds 0", exitUsage, "--seeds"},
+		{"recover --program HERE --scenario tea", exitUsage, `"tea"`},
+		{"recover --program HERE --rate 1", exitUsage, "rate"},
+		{"handover --program HERE --restarts 0", exitUsage, "restarts"},
+		{"handover --program HERE --kill me", exitUsage, "--kill"},
+		{"handover --program HERE --keep /dev/null/x", exitBroken, "/dev/null"},
+	} {
+		var out bytes.Buffer
+		args := strings.Fields(strings.ReplaceAll(test.args, "HERE", here))
+		if code := run(args, &out, &out); code != test.code || !strings.Contains(out.String(), test.say) {
+			t.Errorf("planklab %s: exit code %d, want %d; it says %s", test.args, code, test.code, out.String())
+		}
+	}
+}
--- /dev/null
+++ b/cmd/planklab/recover.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"plankrouter/internal/lab/recovery"
+)
+
+// lab is what all experiments are told.
+type lab struct {
+	Providers int     `default:"8" help:"Providers in the fleet."`
+	Rate      float64 `default:"400" help:"Requests a second."`
+	Keep      string  `placeholder:"DIR" help:"Keep the sidecars' logs and configurations in this folder."`
+	JSON      string  `name:"json" placeholder:"FILE" help:"Write the figures to this file, too."`
+}
+
+func (l *lab) setup(program string, seed uint64) recovery.Setup {
+	return recovery.Setup{Program: program, Providers: l.Providers, Rate: l.Rate, Seed: seed}
+}
+
+// folder returns the folder for what is kept, and what to do with it at the end.
+func (l *lab) folder() (string, func(), error) {
+	if l.Keep != "" {
+		return l.Keep, func() {}, os.MkdirAll(l.Keep, 0o755)
+	}
+	dir, err := os.MkdirTemp("", "planklab-")
+	return dir, func() { os.RemoveAll(dir) }, err
+}
+
+// save writes the figures where they are asked for.
+func (l *lab) save(figures any) error {
+	if l.JSON == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(figures, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(l.JSON, append(raw, '\n'), 0o644)
+}
+
+// recoverCommand runs scenarios.
+type recoverCommand struct {
+	lab
+	Program  []string `default:"bin/plankrouter" placeholder:"FILE" help:"The sidecar's program, or several."`
+	Scenario []string `placeholder:"NAME" help:"Only this one, of those that are listed below; may be given again."`
+	Seeds    int      `default:"3" help:"Runs of each scenario."`
+}
+
+// Help lists the scenarios.
+func (*recoverCommand) Help() string {
+	var b strings.Builder
+	for _, s := range recovery.Scenarios() {
+		fmt.Fprintf(&b, "%s: %s.\n\n", s.Name, s.About)
+	}
+	return b.String()
+}
+
+// Validate checks the arguments.
+func (c *recoverCommand) Validate() error {
+	for _, name := range c.Scenario {
+		if !slices.ContainsFunc(recovery.Scenarios(), func(s recovery.Scenario) bool { return s.Name == name }) {
+			return fmt.Errorf("--scenario: there is no %q", name)
+		}
+	}
+	if c.Seeds < 1 {
+		return fmt.Errorf("--seeds: %d; want 1 or more", c.Seeds)
+	}
+	for _, program := range c.Program {
+		if err := executable(program); err != nil {
+			return err
+		}
+	}
+	return c.setup("", 1).Check()
+}
+
+// executable checks that a program can be started.
+func executable(program string) error {
+	path, err := filepath.Abs(program) // a bare name is a file here, not one of PATH
+	if err == nil {
+		_, err = exec.LookPath(path)
+	}
+	if err != nil {
+		return fmt.Errorf("--program: %w; build it by make build, or name another", err)
+	}
+	return nil
+}
+
+// Run runs each scenario with each seed and program.
+func (c *recoverCommand) Run(ctx context.Context, out io.Writer) error {
+	dir, done, err := c.folder()
+	if err != nil {
+		return err
+	}
+	defer done()
+	var reports []recovery.Report
+	for _, s := range recovery.Scenarios() {
+		if len(c.Scenario) > 0 && !slices.Contains(c.Scenario, s.Name) {
+			continue
+		}
+		for seed := range uint64(c.Seeds) {
+			for i, program := range c.Program {
+				setup := c.setup(program, seed+1)
+				setup.Dir = filepath.Join(dir, fmt.Sprintf("%s-%d-%d", s.Name, seed+1, i+1))
+				if err := os.MkdirAll(setup.Dir, 0o755); err != nil {
+					return err
+				}
+				report, err := recovery.Run(ctx, s, setup)
+				if err != nil {
+					return fmt.Errorf("%s, seed %d, %s: %w", s.Name, seed+1, program, err)
+				}
+				reports = append(reports, report)
+			}
+		}
+	}
+	if err := recovery.WriteTable(out, reports); err != nil {
+		return err
+	}
+	if err := c.save(reports); err != nil {
+		return err
+	}
+	if slices.ContainsFunc(reports, func(r recovery.Report) bool { return len(r.Broken) > 0 }) {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/recovery/figures.go
@@ -0,0 +1,194 @@
+package recovery
+
+import (
+	"slices"
+	"time"
+
+	"plankrouter/internal/lab/peers"
+)
+
+const (
+	well       = 0.95 // of the normal share, and how long that has to last: as peers.Recovered has it
+	wellFor    = time.Second
+	firstSpan  = 2 * time.Second        // of a second life
+	leastSpan  = 2 * time.Second        // in which probes and calls are counted
+	leastWidth = 250 * time.Millisecond // of a window, which also holds windowAsked requests
+	windowWith = 50
+	noticeIn   = 50 * time.Millisecond // in which the lab may notice what has come
+)
+
+// Figures is what a run has shown. Seconds count from the event. What became of tries is counted of those that ended
+// after it, twice and late sends of the whole run.
+type Figures struct {
+	Requests    int      `json:"requests"`   // of the whole run
+	Normal      float64  `json:"normal"`     // share served within the aim before the event
+	Back        *float64 `json:"back_s"`     // until 95% of normal holds for a second; nil = never
+	Below       float64  `json:"below_s"`    // spent below that, in all
+	Worst       float64  `json:"worst"`      // share in the worst window
+	First       *float64 `json:"first_2s"`   // share in the first 2 s of a second life; nil = there was none
+	Lost        int      `json:"lost"`       // the connection ended without an answer, or brought another's
+	Unanswered  int      `json:"unanswered"` // nothing came while the client waited
+	Failed      int      `json:"failed"`     // an error or a broken answer
+	Refused     int      `json:"refused"`
+	Unreachable int      `json:"unreachable"`      // no connection came up
+	Twice       int      `json:"twice"`            // runs of what must not run twice beyond the first
+	Late        int      `json:"late"`             // sends to a provider after the grace of its drain
+	Probes      float64  `json:"probes_per_s"`     // during the trouble
+	Lists       float64  `json:"list_calls_per_s"` // likewise
+	Stall       float64  `json:"stall_s"`          // the longest time for which the lab itself was held up
+}
+
+// isLost reports whether the sidecar had the request, or might have, and its client was left without an answer.
+func isLost(t *peers.Try) bool {
+	return t.Result == peers.Lost || t.Result == peers.Wrong || t.Result == peers.TimedOut && !t.SentAt.IsZero()
+}
+
+// count adds what became of a try.
+func (f *Figures) count(t *peers.Try) {
+	switch {
+	case t.Result == peers.Failed:
+		f.Failed++
+	case t.Result == peers.Refused:
+		f.Refused++
+	case t.Result == peers.Unreachable:
+		f.Unreachable++
+	case isLost(t) && t.Result == peers.TimedOut:
+		f.Unanswered++
+	case isLost(t):
+		f.Lost++
+	}
+}
+
+// share is the part of the requests due in a span that was served within the aim.
+func share(tries []peers.Try, from, to time.Time) float64 {
+	early := slices.DeleteFunc(slices.Clone(tries), func(t peers.Try) bool { return !t.AskedAt.Before(to) })
+	for _, all := range peers.Tally(early, from, 0) {
+		return all.Share()
+	}
+	return 1
+}
+
+// width is that of windows for a load of rate requests a second.
+func width(rate float64) time.Duration {
+	return max(leastWidth, time.Duration(windowWith/rate*float64(time.Second)))
+}
+
+// trouble is what an event did to service.
+type trouble struct {
+	back  time.Duration // from the event until service is back; 0 = it was never away
+	ok    bool          // it came back
+	below time.Duration // in windows below 95% of normal
+	worst float64       // share of the worst window
+}
+
+// troubleAfter looks for the first window after the event that is below 95% of normal: what follows a word to stop,
+// say, is well for a while. From there on it is peers.Recovered that says when service is back. A trouble that begins
+// in the last second is only counted: how it ends can't be seen.
+func troubleAfter(tries []peers.Try, event time.Time, normal float64, width time.Duration) trouble {
+	out := trouble{ok: true, worst: 1}
+	windows := peers.Tally(tries, event, width)
+	windows = windows[:max(0, len(windows)-1)] // the last may be cut short
+	seen := len(windows) - int(wellFor/width)
+	first := -1
+	for i, w := range windows {
+		out.worst = min(out.worst, w.Share())
+		if w.Share() < well*normal {
+			out.below += width
+			if first < 0 && i < seen {
+				first = i
+			}
+		}
+	}
+	if first >= 0 {
+		begin := time.Duration(first) * width
+		out.back, out.ok = peers.Recovered(tries, event.Add(begin), normal, width)
+		out.back += begin
+	}
+	return out
+}
+
+// extraRuns counts how often requests that must not run twice were run beyond the first time.
+func (r *rig) extraRuns() (n int) {
+	for _, c := range r.setup.classes() {
+		if c.Safe {
+			continue
+		}
+		for _, id := range peers.RunTwice(c.Name, r.fleet.Providers...) {
+			for _, p := range r.fleet.Providers {
+				n += p.Runs(id)
+			}
+			n-- // the first
+		}
+	}
+	return n
+}
+
+// toldAt returns when each drain was told, given the revisions that told them: with the first answer that holds it,
+// whoever asked.
+func toldAt(drains map[string]uint64, calls []peers.DirectoryCall) map[string]time.Time {
+	told := map[string]time.Time{}
+	for id, revision := range drains {
+		for _, c := range calls {
+			before, known := told[id]
+			if c.Answered && c.Revision >= revision && (!known || c.AnsweredAt.Before(before)) {
+				told[id] = c.AnsweredAt
+			}
+		}
+	}
+	return told
+}
+
+// lateSends counts the requests whose first byte came to a provider after the grace of its drain.
+func lateSends(told map[string]time.Time, requests []peers.Request) (n int) {
+	for _, q := range requests {
+		if at, drained := told[q.Server]; drained && q.FirstByte.After(at.Add(drainGrace+noticeIn)) {
+			n++
+		}
+	}
+	return n
+}
+
+// figures measures a run whose load has ended.
+func (r *rig) figures(event time.Time) Figures {
+	w := width(r.setup.Rate)
+	f := Figures{Stall: r.stall.Seconds(), Normal: share(r.tries, event.Add(-calmFrom), event.Add(-calmTo))}
+	t := troubleAfter(r.tries, event, f.Normal, w)
+	f.Below, f.Worst = t.below.Seconds(), t.worst
+	until := r.tries[len(r.tries)-1].At
+	if t.ok {
+		back := t.back.Seconds()
+		f.Back = &back
+		until = event.Add(max(leastSpan, t.back))
+	}
+	if !r.second.IsZero() {
+		first := share(r.tries, r.second, r.second.Add(firstSpan))
+		f.First = &first
+	}
+	for i := range r.tries {
+		if t := &r.tries[i]; t.Again == 0 {
+			f.Requests++
+		}
+		if r.tries[i].EndedAt.After(event) {
+			f.count(&r.tries[i])
+		}
+	}
+	f.Twice = r.extraRuns()
+	calls := r.fleet.Directory.Calls()
+	told := toldAt(r.drains, calls)
+	within := func(at time.Time) float64 {
+		if at.Before(event) || at.After(until) {
+			return 0
+		}
+		return 1 / until.Sub(event).Seconds()
+	}
+	for _, p := range r.fleet.Providers {
+		f.Late += lateSends(told, p.Requests())
+		for _, probe := range p.Probes() {
+			f.Probes += within(probe.At)
+		}
+	}
+	for _, c := range calls {
+		f.Lists += within(c.At)
+	}
+	return f
+}
--- /dev/null
+++ b/internal/lab/recovery/handovers.go
@@ -0,0 +1,231 @@
+package recovery
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"plankrouter/internal/lab/peers"
+)
+
+const (
+	perHandover = 3 * time.Second  // of load drawn ahead
+	goesOn      = 5 * time.Second  // after a kill some request must be served
+	patience    = 10 * time.Second // of clients: who gets no answer then has been forgotten
+	passSpan    = 20 * time.Millisecond
+	startSpan   = 50 * time.Millisecond // in which a kill falls, as long as nothing has been measured
+)
+
+// HandoverPlan is a line of processes that hand over to one another under load.
+type HandoverPlan struct {
+	Setup
+	Restarts int
+	Pause    time.Duration // between a handover's end and the next
+	Kill     Victim        // one of the two is killed in the middle
+	At       Moment        // of the handover; needed with Kill
+	Nth      int           // of each Nth handover; 0 = of each
+}
+
+// Check says what is wrong with the plan.
+func (p HandoverPlan) Check() error {
+	switch {
+	case p.Restarts < 1 || p.Restarts > 10000:
+		return fmt.Errorf("restarts: %d; want 1 to 10000", p.Restarts)
+	case p.Pause < 0 || p.Pause > time.Second:
+		return fmt.Errorf("pause: %s; want 0 to 1 s", p.Pause)
+	case p.Nth < 0:
+		return fmt.Errorf("nth: %d is negative", p.Nth)
+	case p.Kill != Nobody && p.Kill != Successor && p.Kill != Predecessor:
+		return fmt.Errorf("kill: %q; want %q or %q", p.Kill, Successor, Predecessor)
+	case p.Kill != Nobody && p.At != AtStart && p.At != Passing:
+		return fmt.Errorf("at: %q; want %q or %q", p.At, AtStart, Passing)
+	}
+	return p.Setup.Check()
+}
+
+// HandoverReport is what became of a line of processes. Times are in seconds.
+type HandoverReport struct {
+	Program     string  `json:"program"`
+	Restarts    int     `json:"restarts"` // handovers that were done
+	Requests    int     `json:"requests"`
+	Served      int     `json:"served"`
+	Lost        int     `json:"lost"` // or not answered
+	Failed      int     `json:"failed"`
+	Refused     int     `json:"refused"`
+	Unreachable int     `json:"unreachable"`
+	Twice       int     `json:"twice"`
+	LongestGap  float64 `json:"longest_gap_s"` // without an answer to anyone
+	Median      float64 `json:"median_s"`      // from the signal to the end of the predecessor
+	Worst       float64 `json:"worst_s"`
+	Start       float64 `json:"median_start_s"` // until the successor was ready
+	Stall       float64 `json:"stall_s"`        // as in Figures
+
+	Kills      map[string]int `json:"kills,omitempty"` // by what they met
+	Afresh     int            `json:"afresh"`          // kills that left nobody, so that a process had to be started
+	LostToKill int            `json:"lost_to_kills"`   // under way at a kill, so that the killed one may have had them
+	Broken     []string       `json:"broken,omitempty"`
+}
+
+// patient are the usual classes with clients that wait for long.
+func patient() []peers.Class {
+	tile, order := peers.Tile(), peers.Order()
+	tile.Deadline, order.Deadline = patience, patience
+	return []peers.Class{tile, order}
+}
+
+// Handovers runs the plan: SIGUSR2, until the successor serves alone, and again. An error says that it could not be run
+// to its end. AdoptOrphans must have been called.
+func Handovers(ctx context.Context, p HandoverPlan) (HandoverReport, error) {
+	out := HandoverReport{Program: p.Program, Kills: map[string]int{}}
+	if err := p.Check(); err != nil {
+		return out, err
+	}
+	if p.Classes == nil {
+		p.Classes = patient()
+	}
+	r, err := build(ctx, p.Setup, nil)
+	if err != nil {
+		return out, err
+	}
+	defer r.close()
+	long := time.Duration(p.Restarts+5) * perHandover
+	r.begin(ctx, long)
+	took, kills, err := p.run(ctx, r)
+	if err != nil {
+		return out, err
+	}
+	if time.Since(r.start) > long {
+		return out, fmt.Errorf("a handover takes more than %s: the load has ended before the last", perHandover)
+	}
+	if err := pause(ctx, time.Second); err != nil {
+		return out, err
+	}
+	r.end()
+	out.Broken = r.finish(ctx)
+	out.fill(r, took, kills)
+	return out, nil
+}
+
+// run does all handovers and returns how long the undisturbed ones took, and the kills.
+func (p HandoverPlan) run(ctx context.Context, r *rig) (took []phases, kills []kill, err error) {
+	draw := rand.New(rand.NewPCG(p.Seed, 0))
+	for n := 1; n <= p.Restarts; n++ {
+		if err := pause(ctx, p.Pause); err != nil {
+			return nil, nil, err
+		}
+		if p.Kill != Nobody && n%max(1, p.Nth) == 0 {
+			k, err := r.line.handOverKilling(ctx, p.Kill, p.At, p.moment(draw.Float64(), took))
+			if err != nil {
+				return nil, nil, fmt.Errorf("handover %d, with a kill: %w", n, err)
+			}
+			kills = append(kills, k)
+			continue
+		}
+		t, err := r.line.handOver(ctx)
+		if err != nil {
+			return nil, nil, fmt.Errorf("handover %d: %w", n, err)
+		}
+		took = append(took, t)
+	}
+	return took, kills, nil
+}
+
+// moment is how long after the beginning of its part of a handover a kill comes: somewhere in the time that the part
+// usually takes.
+func (p HandoverPlan) moment(part float64, took []phases) time.Duration {
+	usual := startSpan
+	if p.At == Passing {
+		usual = passSpan
+	}
+	if len(took) > 0 {
+		usual = middle(took, func(t phases) time.Duration {
+			if p.At == Passing {
+				return t.pass
+			}
+			return t.start
+		})
+	}
+	return time.Duration(part * float64(usual))
+}
+
+// middle is the median of what is picked; 0 where there is none.
+func middle(all []phases, pick func(phases) time.Duration) time.Duration {
+	var times []time.Duration
+	for _, t := range all {
+		times = append(times, pick(t))
+	}
+	slices.Sort(times)
+	if len(times) == 0 {
+		return 0
+	}
+	return times[len(times)/2]
+}
+
+// fill counts, and says which rules are broken.
+func (o *HandoverReport) fill(r *rig, took []phases, kills []kill) {
+	whole := func(t phases) time.Duration { return t.whole }
+	o.Restarts, o.Median = len(took), middle(took, whole).Seconds()
+	o.Start = middle(took, func(t phases) time.Duration { return t.start }).Seconds()
+	for _, t := range took {
+		o.Worst = max(o.Worst, t.whole.Seconds())
+	}
+	var all Figures
+	var strays []peers.Try
+	for i := range r.tries {
+		t := &r.tries[i]
+		all.count(t)
+		switch {
+		case t.Result == peers.Served:
+			o.Served++
+		case !isLost(t):
+		case slices.ContainsFunc(kills, func(k kill) bool { return k.meets(t) }):
+			o.LostToKill++
+		default:
+			strays = append(strays, *t)
+		}
+	}
+	o.Requests, o.Lost, o.Failed = len(r.tries), all.Lost+all.Unanswered, all.Failed
+	o.Refused, o.Unreachable = all.Refused, all.Unreachable
+	o.Twice = r.extraRuns()
+	o.LongestGap, o.Stall = longestGap(r.tries).Seconds(), r.stall.Seconds()
+	for _, k := range kills {
+		o.Kills[k.met]++
+		if k.afresh {
+			o.Afresh++
+		}
+		if !servedAfter(r.tries, k.until) {
+			o.Broken = append(o.Broken, fmt.Sprintf("nothing was served in the %s after a kill", goesOn))
+		}
+	}
+	o.Broken = append(o.Broken, noneLost(strays)...)
+	o.Broken = append(o.Broken, none(o.Twice, ruleTwice)...)
+}
+
+// meets reports whether the request was under way when the process was killed, or until another served alone: a
+// connection that came up meanwhile may have been the killed one's, or in the queue of a listener that then had no
+// process.
+func (k kill) meets(t *peers.Try) bool { return t.EndedAt.After(k.at) && !t.At.After(k.until) }
+
+// servedAfter reports whether a request that was due soon after a moment was served.
+func servedAfter(tries []peers.Try, at time.Time) bool {
+	return slices.ContainsFunc(tries, func(t peers.Try) bool {
+		return t.Result == peers.Served && t.At.After(at) && t.EndedAt.Before(at.Add(goesOn))
+	})
+}
+
+// longestGap is the longest time between two answers, whoever got them.
+func longestGap(tries []peers.Try) (gap time.Duration) {
+	var answers []time.Time
+	for i := range tries {
+		if tries[i].Status != 0 {
+			answers = append(answers, tries[i].EndedAt)
+		}
+	}
+	slices.SortFunc(answers, time.Time.Compare)
+	for i := 1; i < len(answers); i++ {
+		gap = max(gap, answers[i].Sub(answers[i-1]))
+	}
+	return gap
+}
--- /dev/null
+++ b/internal/lab/recovery/kill.go
@@ -0,0 +1,138 @@
+package recovery
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Victim is which of the two processes of a handover is killed.
+type Victim string
+
+// The victims.
+const (
+	Nobody      Victim = ""
+	Successor   Victim = "successor"
+	Predecessor Victim = "predecessor"
+)
+
+// Moment is the part of a handover in which a process is killed.
+type Moment string
+
+// The moments.
+const (
+	AtStart Moment = "start"   // while the successor gets ready
+	Passing Moment = "passing" // while it is given the connections
+)
+
+// What a kill turned out to have met: whoever is about to be killed goes on meanwhile.
+const (
+	beforeReady  = "before the successor was ready"
+	whilePassing = "while connections were passed"
+	afterDone    = "after the handover was done"
+)
+
+// kill is what became of a handover of which one process was killed.
+type kill struct {
+	met    string
+	afresh bool      // nobody was left, so that another process was started
+	at     time.Time // of the kill
+	until  time.Time // then one process served alone
+}
+
+// handOverKilling starts a handover and kills one of its two processes a while after the moment's begin. It returns
+// when one process serves: the other one, or, if that does not serve, one that is started as a service manager would.
+func (l *line) handOverKilling(ctx context.Context, v Victim, m Moment, after time.Duration) (k kill, err error) {
+	from, old := l.log.mark(), l.main
+	if err := old.Signal(syscall.SIGUSR2); err != nil {
+		return k, fmt.Errorf("signal process %d: %w", old.Pid, err)
+	}
+	if _, err := l.log.await(ctx, from, old, "handover=begun"); err != nil {
+		return k, err
+	}
+	next, err := l.successorOf(ctx, from, old)
+	if err != nil {
+		return k, err
+	}
+	if m == Passing {
+		if _, err := l.log.await(ctx, from, old, "handover=passing"); err != nil {
+			return k, err
+		}
+	}
+	if err := pause(ctx, after); err != nil {
+		return k, err
+	}
+	k.at = time.Now()
+	if v == Successor {
+		next.kill()
+		err = l.withoutSuccessor(ctx, from, next, &k)
+	} else {
+		old.kill()
+		err = l.withoutPredecessor(ctx, from, next, &k)
+	}
+	if err == nil && k.afresh {
+		err = l.start(ctx)
+	}
+	k.until = time.Now()
+	return k, err
+}
+
+// successorOf waits for the successor that p, asked at a mark in the log, starts. It has no word of its own in the log
+// before it is ready, so it is looked for among p's children.
+func (l *line) successorOf(ctx context.Context, from int, p *process) (*process, error) {
+	for until := time.Now().Add(awaitMost); time.Now().Before(until); {
+		if pid := childOf(p.Pid); pid != 0 {
+			return l.byPid(pid)
+		}
+		if text, ok := l.log.look(from, "handover=passing"); ok { // all may be over by now
+			return l.successor(text)
+		}
+		if err := pause(ctx, time.Millisecond); err != nil {
+			return nil, err
+		}
+	}
+	return nil, fmt.Errorf("process %d (%s) has started no successor", p.Pid, p.fate())
+}
+
+// withoutSuccessor sees the predecessor go on, unless it had been done.
+func (l *line) withoutSuccessor(ctx context.Context, from int, next *process, k *kill) error {
+	old := l.main
+	text, err := l.log.await(ctx, from, old, "handover=failed", "handover=lost")
+	switch {
+	case err == nil && strings.Contains(text, "handover=failed"):
+		k.met = beforeReady
+	case err == nil:
+		k.met = whilePassing
+	case old.running() || old.fault() != nil:
+		return err
+	default:
+		k.met, k.afresh = afterDone, true
+		next.watch(l.log)
+		return ended(ctx, next)
+	}
+	return nil
+}
+
+// withoutPredecessor sees the successor go on alone, if it had been ready.
+func (l *line) withoutPredecessor(ctx context.Context, from int, next *process, k *kill) error {
+	if err := ended(ctx, l.main); err != nil {
+		return err
+	}
+	next.watch(l.log)
+	_, err := l.log.await(ctx, from, next, "handover=complete")
+	if err != nil && next.running() {
+		return err
+	}
+	if err != nil {
+		k.met, k.afresh = beforeReady, true
+		return nil
+	}
+	l.take(next)
+	k.met = whilePassing
+	if _, done := l.log.look(from, "handover=done"); done {
+		k.met = afterDone
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/recovery/logbook.go
@@ -0,0 +1,125 @@
+package recovery
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	awaitMost = 15 * time.Second // for a word in the log
+	closeMost = 2 * time.Second  // for a writer that has not ended
+	tailLines = 5
+)
+
+// logbook keeps what processes print: in a file, and line by line for those who wait for a word. All print into one
+// pipe, and how a process has ended is written there, too, so that this comes after its last words.
+type logbook struct {
+	file io.Writer
+	r, w *os.File
+	done chan struct{} // closed when nobody writes any more
+
+	mu      sync.Mutex
+	lines   []string
+	changed chan struct{} // closed with the next line
+}
+
+func newLogbook(file io.Writer) (*logbook, error) {
+	b := &logbook{file: file, done: make(chan struct{}), changed: make(chan struct{})}
+	var err error
+	if b.r, b.w, err = os.Pipe(); err != nil {
+		return nil, err
+	}
+	go b.read()
+	return b, nil
+}
+
+func (b *logbook) read() {
+	defer close(b.done)
+	for br := bufio.NewReader(b.r); ; {
+		line, err := br.ReadString('\n')
+		if line != "" {
+			b.add(strings.TrimSuffix(line, "\n"))
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (b *logbook) add(line string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fmt.Fprintln(b.file, line)
+	b.lines = append(b.lines, line)
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// close returns when all that processes have printed is kept. All must have ended.
+func (b *logbook) close() {
+	b.w.Close()
+	b.r.SetReadDeadline(time.Now().Add(closeMost))
+	<-b.done
+	b.r.Close()
+}
+
+// mark is the place behind the last line.
+func (b *logbook) mark() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.lines)
+}
+
+// end notes that a process has ended.
+func (b *logbook) end(p *process) { fmt.Fprintln(b.w, p.lastLine()) }
+
+// await returns the first line from a mark on that holds one of the words. It gives up at the end of ctx, after
+// awaitMost, or when p has ended, which was to say it.
+func (b *logbook) await(ctx context.Context, from int, p *process, words ...string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, awaitMost)
+	defer cancel()
+	last := p.lastLine()
+	for at := from; ; {
+		b.mu.Lock()
+		lines, changed := b.lines, b.changed
+		b.mu.Unlock()
+		line, found := find(lines[at:], append(words, last))
+		if found && line != last {
+			return line, nil
+		}
+		if at = len(lines); !found {
+			select {
+			case <-changed:
+				continue
+			case <-ctx.Done():
+			}
+		}
+		return "", fmt.Errorf("process %d (%s) has not logged %q; the last words: %s", p.Pid, p.fate(), words,
+			strings.Join(lines[max(from, len(lines)-tailLines):], "; "))
+	}
+}
+
+// look returns the first line from a mark on that holds the word, if there is one by now.
+func (b *logbook) look(from int, word string) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return find(b.lines[from:], []string{word})
+}
+
+// find returns the first line that holds one of the words.
+func find(lines, words []string) (string, bool) {
+	for _, line := range lines {
+		for _, w := range words {
+			if strings.Contains(line, w) {
+				return line, true
+			}
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/lab/recovery/rig.go
@@ -0,0 +1,215 @@
+package recovery
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"plankrouter/internal/lab/peers"
+)
+
+// The fleet's nature. A provider alone could serve some 170 requests a second.
+const (
+	cores      = 4
+	queue      = 32
+	tileMean   = 25 * time.Millisecond
+	orderMean  = 15 * time.Millisecond
+	answerSize = 512
+	handshake  = 2 * time.Millisecond
+	coldBy     = 2.0
+	warmIn     = 2 * time.Second
+	connIdle   = time.Minute
+	connectIn  = 150 * time.Millisecond
+	drainGrace = 750 * time.Millisecond
+	orderPart  = 0.2 // of the requests; the others are safe to repeat
+	socketsMax = 4096
+	stallTick  = 10 * time.Millisecond
+)
+
+// Setup is what every experiment needs to know.
+type Setup struct {
+	Program   string // path of the sidecar's program
+	Providers int    // at least 4, so that some can be in trouble
+	Rate      float64
+	Seed      uint64        // of the load, the providers and the sidecar
+	Dir       string        // an existing folder for the configuration, the snapshot and the log
+	Classes   []peers.Class // one that is safe and one that is not; nil = peers.Tile and peers.Order
+}
+
+// Check says why nothing can be measured with the setup.
+func (s Setup) Check() error {
+	switch {
+	case s.Providers < 4 || s.Providers > 200:
+		return fmt.Errorf("providers: %d; want 4 to 200", s.Providers)
+	case !(s.Rate >= 20 && s.Rate <= 5000):
+		return fmt.Errorf("rate: %g requests a second; want 20 to 5000", s.Rate)
+	}
+	return nil
+}
+
+func (s Setup) classes() []peers.Class {
+	if s.Classes == nil {
+		return []peers.Class{peers.Tile(), peers.Order()}
+	}
+	return s.Classes
+}
+
+// rig is the sidecar's line of processes, its peers and the load on it.
+type rig struct {
+	setup Setup
+	fleet *peers.Fleet
+	line  *line
+	file  *os.File // the log
+
+	load    *peers.Consumers
+	running sync.WaitGroup // the load
+	cancel  context.CancelFunc
+	start   time.Time
+	tries   []peers.Try   // once the load has ended, as the next
+	stall   time.Duration // the longest time by which a timer has come late
+
+	drains map[string]uint64 // by a process's id, the directory's revision that told its drain
+	second time.Time         // when a second life was started
+}
+
+// build starts the fleet and the program, which serves when it returns. The edit changes the configuration.
+func build(ctx context.Context, s Setup, edit func(document map[string]any)) (r *rig, err error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	if s.Program, err = filepath.Abs(s.Program); err != nil { // a successor looks it up anew
+		return nil, err
+	}
+	network := peers.Loopback()
+	r = &rig{setup: s, drains: map[string]uint64{}}
+	defer func() {
+		if err != nil {
+			r.close()
+		}
+	}()
+	nature := peers.ProviderOptions{Seed: s.Seed, Cores: cores, Queue: queue, Connect: handshake, ColdBy: coldBy,
+		WarmIn: warmIn, IdleMost: connIdle, Default: peers.Service{Mean: tileMean, Body: answerSize},
+		Service: map[string]peers.Service{"order": {Mean: orderMean, Body: answerSize}}}
+	if r.fleet, err = peers.NewFleet(network, s.Providers, nature); err != nil {
+		return r, err
+	}
+	front, err := network.Listen("") // an address on a host of this process's own: nobody takes it while it is free
+	if err != nil {
+		return r, err
+	}
+	address := front.Addr().String()
+	front.Close()
+	config := filepath.Join(s.Dir, "config.json")
+	raw, err := peers.Config(peers.Sidecar{Name: "lab", Listen: address, Seed: s.Seed,
+		Directory: r.fleet.Directory.Address(),
+		Known:     peers.List{Revision: r.fleet.Directory.Revision(), Members: r.fleet.Members()},
+		Classes:   s.classes(), Sockets: socketsMax, ConnIdle: connIdle, Connect: connectIn, DrainGrace: drainGrace,
+		WarmIn: warmIn, Edit: edit})
+	if err != nil {
+		return r, err
+	}
+	if err := os.WriteFile(config, raw, 0o600); err != nil {
+		return r, err
+	}
+	if r.file, err = os.Create(filepath.Join(s.Dir, "sidecar.log")); err != nil {
+		return r, err
+	}
+	log, err := newLogbook(r.file)
+	if err != nil {
+		return r, err
+	}
+	r.line = &line{program: s.Program, env: []string{"GW_CONFIG=" + config}, address: address, network: network,
+		log: log}
+	return r, r.line.start(ctx)
+}
+
+// begin starts the load. It lasts until end or for so long.
+func (r *rig) begin(ctx context.Context, long time.Duration) {
+	ctx, r.cancel = context.WithCancel(ctx)
+	flows := []peers.Flow{}
+	for _, c := range r.setup.classes() {
+		part := orderPart
+		if c.Safe {
+			part = 1 - orderPart
+		}
+		flows = append(flows, peers.Flow{Class: c, Rate: part * r.setup.Rate})
+	}
+	r.load = peers.NewConsumers(peers.Load{Network: r.line.network, Address: r.line.address, Seed: r.setup.Seed,
+		Flows: flows, For: long})
+	r.start = time.Now()
+	r.running.Go(func() {
+		defer r.cancel()
+		r.tries = r.load.Run(ctx)
+	})
+	r.running.Go(func() { r.stall = stall(ctx) })
+}
+
+// stall returns, at the end of ctx, the longest time by which a timer has come late: so long this process, and any
+// other of the machine, may have been held up.
+func stall(ctx context.Context) (longest time.Duration) {
+	for before := time.Now(); pause(ctx, stallTick) == nil; before = time.Now() {
+		longest = max(longest, time.Since(before)-stallTick)
+	}
+	return longest
+}
+
+// end stops arrivals and waits for the last answer, stop also for the load's own end.
+func (r *rig) end() {
+	r.cancel()
+	r.running.Wait()
+}
+
+// again starts a process in the place of one that has ended.
+func (r *rig) again(ctx context.Context) error {
+	r.second = time.Now()
+	return r.line.start(ctx)
+}
+
+// some are the first providers of the fleet, a quarter of it.
+func (r *rig) some() []*peers.Provider { return r.fleet.Providers[:max(1, r.setup.Providers/4)] }
+
+// release replaces the first so many providers, a quarter of the fleet at a time, by others at new addresses.
+func (r *rig) release(ctx context.Context, most int) error {
+	plan := peers.Release{Batch: len(r.some()), Most: most, Grace: 1200 * time.Millisecond,
+		Down: 100 * time.Millisecond, Between: 200 * time.Millisecond, Move: true}
+	told := r.fleet.Directory.Revision()
+	for batch := range slices.Chunk(r.fleet.Providers[:most], plan.Batch) {
+		for _, p := range batch {
+			r.drains[p.ID()] = told + 1 // and the next revision tells of its end
+		}
+		told += 2
+	}
+	return r.fleet.Release(ctx, plan)
+}
+
+// close ends everything.
+func (r *rig) close() {
+	if r.cancel != nil {
+		r.end()
+	}
+	if r.line != nil {
+		r.line.close()
+	}
+	if r.file != nil {
+		r.file.Close()
+	}
+	if r.fleet != nil {
+		r.fleet.Close()
+	}
+}
+
+// pause waits for d or the end of ctx, whose error it returns.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/lab/recovery/table.go
@@ -0,0 +1,79 @@
+package recovery
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// head names the columns, which are those of Figures.
+const head = "scenario\tseed\tprogram\trequests\tnormal\tback s\tbelow s\tworst\tfirst 2 s\tlost\tunansw.\t" +
+	"failed\trefused\tunreach.\ttwice\tlate\tprobes/s\tlists/s\tstall ms\t\n"
+
+// WriteTable writes a line for each report, and below them what was broken.
+func WriteTable(w io.Writer, reports []Report) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, head)
+	for _, r := range reports {
+		back, first := "never", "-"
+		if r.Back != nil {
+			back = fmt.Sprintf("%.2f", *r.Back)
+		}
+		if r.First != nil {
+			first = fmt.Sprintf("%.3f", *r.First)
+		}
+		fmt.Fprintf(t, "%s\t%d\t%s\t%d\t%.3f\t%s\t%.2f\t%.3f\t%s\t", r.Scenario, r.Seed, r.Program, r.Requests,
+			r.Normal, back, r.Below, r.Worst, first)
+		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.0f\t\n", r.Lost, r.Unanswered, r.Failed, r.Refused,
+			r.Unreachable, r.Twice, r.Late, r.Probes, r.Lists, r.Stall*1000)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, r := range reports {
+		for _, b := range r.Broken {
+			if _, err := fmt.Fprintf(w, "BROKEN: %s, seed %d, %s: %s\n", r.Scenario, r.Seed, r.Program, b); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Write writes the report, a line for each figure.
+func (o HandoverReport) Write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	seconds := func(s float64) string {
+		return time.Duration(s * float64(time.Second)).Round(100 * time.Microsecond).String()
+	}
+	for _, row := range []struct {
+		name  string
+		value any
+	}{
+		{"handovers done", o.Restarts}, {"requests", o.Requests}, {"served", o.Served}, {"lost", o.Lost},
+		{"failed", o.Failed}, {"refused", o.Refused}, {"unreachable", o.Unreachable},
+		{"further runs of orders", o.Twice},
+		{"longest time without an answer", seconds(o.LongestGap)},
+		{"handover, median", seconds(o.Median)}, {"handover, worst", seconds(o.Worst)},
+		{"of it until the successor is ready, median", seconds(o.Start)},
+		{"the lab itself held up, longest", seconds(o.Stall)},
+	} {
+		fmt.Fprintf(t, "%s\t%v\n", row.name, row.value)
+	}
+	if len(o.Kills) > 0 {
+		for _, met := range []string{beforeReady, whilePassing, afterDone} {
+			fmt.Fprintf(t, "killed %s\t%d\n", met, o.Kills[met])
+		}
+		fmt.Fprintf(t, "started afresh\t%d\nlost to kills\t%d\n", o.Afresh, o.LostToKill)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, b := range o.Broken {
+		if _, err := fmt.Fprintf(w, "BROKEN: %s\n", b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
