A suite that every caller has to pass, and what a thousand idle balancers cost

internal/caller/callertest plays providers that answer, refuse, hang, break off and drain against any caller.Caller, in simulated time; the HTTP caller passes it.

--- a/bench_test.go
+++ b/bench_test.go
@@ -7,9 +7,11 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"plankrouter"
 	"plankrouter/internal/lab/cost"
@@ -92,3 +94,43 @@
 		b.ReportMetric(float64(n)/float64(b.N), "failed/op")
 	}
 }
+
+// BenchmarkIdle measures what a thousand idle balancers in one process cost: memory, goroutines and CPU of each, and what is
+// left when all are closed.
+func BenchmarkIdle(b *testing.B) {
+	const instances, watched = 1000, 5 * time.Second
+	for b.Loop() {
+		goroutines, heap := runtime.NumGoroutine(), heapInUse()
+		all := make([]*plankrouter.Balancer, instances)
+		for i := range all {
+			o := plankrouter.Options{Name: fmt.Sprint("b", i)}
+			for s := range 8 {
+				o.Members = append(o.Members, plankrouter.Member{Address: fmt.Sprintf("127.0.0.1:%d", 1+s)})
+			}
+			var err error
+			if all[i], err = plankrouter.New(o); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(heapInUse()-heap)/instances/1024, "KB/instance")
+		b.ReportMetric(float64(runtime.NumGoroutine()-goroutines)/instances, "goroutines/instance")
+		cpu := cost.Own()
+		time.Sleep(watched)
+		b.ReportMetric(float64((cost.Own()-cpu).Microseconds())/watched.Seconds()/instances, "cpu-us/s/instance")
+		for _, one := range all {
+			if err := one.Close(context.Background()); err != nil {
+				b.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second) // for goroutines that end by themselves
+		b.ReportMetric(float64(runtime.NumGoroutine()-goroutines), "goroutines-left")
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
--- /dev/null
+++ b/internal/provider/caller_test.go
@@ -0,0 +1,45 @@
+package provider
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"plankrouter/internal/caller"
+	"plankrouter/internal/caller/callertest"
+	"plankrouter/internal/http1"
+	"plankrouter/internal/reuse"
+	"plankrouter/internal/sockets"
+)
+
+func TestCaller(t *testing.T) {
+	callertest.Test(t, callertest.Harness{
+		New: func(ctx context.Context, dial func(context.Context, string) (net.Conn, error)) (caller.Caller, func()) {
+			v, err := New(ctx, sockets.NewBudget(8, dial), Settings{Connect: time.Second, ConnIdle: time.Hour,
+				Stakes: []reuse.Stakes{{Once: true, Worth: 1}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return v, v.Wait
+		},
+		Read: func(c net.Conn) (string, error) {
+			r, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				_, err = io.ReadAll(r.Body)
+			}
+			if err != nil {
+				return "", err
+			}
+			return r.Header.Get(http1.HeaderID), nil
+		},
+		Served:   []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+		Failed:   []byte("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"),
+		Declined: []byte("HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"),
+		Garbage:  []byte("what?\r\n\r\n"),
+		Load:     []byte("HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n{\"active\":3,\"avg_ms\":5}"),
+	})
+}
