Give each shut server its turn, and keep their retries from other news

Cause (found by review): the tick asked shut servers by rank and counted those whose probe was still out, so that with 40 down some that were back were not asked in a minute; each retry also put off the probe that an idle sidecar sends each second; and a probe that could not even be tried had no pause (3,985 in 10 s).

Change: two random ones of those that are due, retries leave the idle probe alone, 50 ms after a probe that was not sent. Tests for all three, and for the guard of cold servers' reports.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -295,8 +295,7 @@
 	return v[int(q*float64(len(v)-1))]
 }
 
-// ---- Latency: reports leave out waiting. fit rebuilds the paper's response time at the present RIF from own
-// attempts: what part of it is not in the report, by class, and how many requests a server runs side by side.
+// ---- Latency: reports leave out waiting. fit rebuilds the paper's response time at the present RIF.
 
 type fit struct {
 	xx, xy float64 // of the least-squares line through the origin: waiting over requests in flight
@@ -348,11 +347,6 @@
 	return s.service()*b.fit.of(class)*b.fit.stretch(rif+1) + s.network
 }
 
-// costly is the part of a server's reported mean that usual requests take: a few costly ones raise it.
-func (b *Balancer) costly(s *server) float64 {
-	return min(1, max(slowMost*b.fleetLatency, serverPrior)/s.service())
-}
-
 // fraction is this sidecar's part of the fleet's traffic: own requests among all that servers hold.
 func (b *Balancer) fraction() float64 {
 	return min(1, (b.fracOwn+fracPrior/float64(b.cfg.Balancers))/(b.fracAll+fracPrior))
@@ -375,7 +369,8 @@
 	if s == nil {
 		return
 	}
-	if s.probing = false; e.Status == NotSent { // which says nothing of the server
+	if s.probing = false; e.Status == NotSent { // which says nothing of it, but would be so again
+		s.tryAt = b.now + retryProbe.First
 		return
 	}
 	b.unpool(s)
@@ -481,15 +476,16 @@
 		j := i + b.rng.IntN(len(all)-i)
 		all[i], all[j] = all[j], all[i]
 		b.ask(all[i])
+		b.lastProbe = b.now // not by retries: who is down must not keep news of the others away
 	}
 	return n
 }
 
-// ask probes the server, unless an answer is on the way.
+// ask probes the server, if there is one and no answer on the way.
 func (b *Balancer) ask(s *server) {
-	if !s.probing {
+	if s != nil && !s.probing {
 		b.out = append(b.out, Action{Kind: Probe, Server: s.info.ID})
-		s.probing, b.lastProbe = true, b.now
+		s.probing = true
 	}
 }
 
@@ -637,6 +633,7 @@
 		return true // an idle server is worth a try: only a sample can correct a wrong estimate
 	}
 	margin := min(1+roomWaste*b.cfg.WastePrice, roomIdle+roomFull*s.rif/b.fit.sideBySide())
+	margin *= min(1, max(slowMost*b.fleetLatency, serverPrior)/s.service()) // a few costly ones raise a mean
 	for i, c := range b.cfg.Classes {
 		room := c.Aim
 		if i == r.class {
@@ -644,7 +641,7 @@
 		} else if b.density(i) < peerWorth*worth {
 			continue // only where no worthier or equal request would find room is this one out of place
 		}
-		if b.expect(s, i, s.rif)*b.costly(s)*margin > room {
+		if b.expect(s, i, s.rif)*margin > room {
 			return false
 		}
 	}
@@ -660,8 +657,7 @@
 	return b.cfg.Classes[class].Worth / b.fit.of(class) / most
 }
 
-// ---- Cold-start budget (rule 4): a server that started lately gets no more than what a warm one gets, times
-// the part of its capacity that it must have by now. So do all sidecars, and the sum stays below what tips.
+// ---- Cold-start budget (rule 4): a cold server gets a warm one's part, times what it must bear by now.
 
 func (b *Balancer) warmth(s *server) float64 {
 	if s.info.StartedAt <= 0 || b.cfg.WarmWithin <= 0 {
@@ -924,12 +920,15 @@
 	if b.now-b.lastProbe >= idleProbe {
 		b.probe(1, b.reach())
 	}
-	due := tickRetries
+	for range tickRetries { // random ones, so that none waits for ever behind others
+		b.ask(b.draw(func(s *server) int {
+			if b.cfg.Probes && s.fails > 0 && !s.probing && b.now >= s.tryAt && s.info.Health == Ready {
+				return 1
+			}
+			return 0
+		}))
+	}
 	for _, s := range b.servers {
-		if b.cfg.Probes && s.fails > 0 && b.now >= s.tryAt && s.info.Health == Ready && due > 0 {
-			b.ask(s)
-			due--
-		}
 		if out := b.excess(s) >= ejectAt; out != s.ejected {
 			s.ejected = out
 			b.logf("server %d ejected=%t silent=%t miss=%.2f", s.info.ID, out, b.silent(s), b.miss(s))
--- a/logic/recovery_test.go
+++ b/logic/recovery_test.go
@@ -133,3 +133,95 @@
 		t.Error("a state of other classes is taken")
 	}
 }
+
+// Many servers are down, some of them for longer than their probes take: those that are back are found all the same, without a
+// request, and the others' news is not kept away by them.
+func TestNoneWaitsForEver(t *testing.T) {
+	cfg := testConfig()
+	cfg.Balancers = 1
+	g := newRig(t, cfg, 60)
+	down := func(s ServerID) bool { return s > 50 || s%2 == 0 }
+	found, healthy := map[ServerID]Ms{}, 0
+	start := g.now
+	silent := map[ServerID]Ms{} // probes out, until when
+	for ; g.now < start+60e3; g.now += tickEvery {
+		for id, until := range silent {
+			if g.now >= until {
+				delete(silent, id)
+				g.do(Event{Kind: ProbeDone, Server: id, Status: TimedOut, Took: 200})
+			}
+		}
+		for _, a := range g.do(Event{Kind: TimerDue, Timer: tickTimer}) {
+			switch {
+			case a.Kind != Probe:
+			case down(a.Server) && (g.now < start+30e3 || a.Server > 50):
+				silent[a.Server] = g.now + 200
+			default:
+				if down(a.Server) && found[a.Server] == 0 {
+					found[a.Server] = g.now - start - 30e3
+				} else if !down(a.Server) {
+					healthy++
+				}
+				g.report(a.Server, 1, 40)
+			}
+		}
+		if g.now == start {
+			for id := range ServerID(60) { // what is down has been found out
+				if down(id + 1) {
+					g.do(Event{Kind: ProbeDone, Server: id + 1, Status: NoConnection, Took: 1})
+				}
+			}
+		}
+	}
+	if len(found) != 25 {
+		t.Errorf("%d of 25 were found again", len(found))
+	}
+	for id, after := range found {
+		if after > 5000 {
+			t.Errorf("server %d was found %.0f ms after its return", id, after)
+		}
+	}
+	if healthy < 20 {
+		t.Errorf("%d probes of the others in a minute of idleness", healthy)
+	}
+}
+
+// A probe that could not even be tried is not tried again the next moment, whoever waits for news.
+func TestLocalFaultsDoNotBurst(t *testing.T) {
+	g := newRig(t, testConfig(), 4)
+	probes := 0
+	for id := range RequestID(400) { // two seconds
+		g.now += 5
+		acts := g.do(Event{Kind: Arrival, Request: id, Left: 900})
+		for ; len(acts) > 0; acts = acts[1:] {
+			if acts[0].Kind == Probe {
+				probes++
+				acts = append(acts, g.do(Event{Kind: ProbeDone, Server: acts[0].Server, Status: NotSent})...)
+			}
+		}
+	}
+	if most := 4 * 2000 / 50; probes > most {
+		t.Errorf("%d probes in 2 s, at most %d", probes, most)
+	}
+}
+
+// A cold server gets more than its budget by the clock only where it has just said that it has room.
+func TestColdServersReport(t *testing.T) {
+	for name, c := range map[string]struct {
+		rif  float64
+		age  Ms
+		want bool
+	}{"has room": {0, 0, true}, "is busy": {5, 0, false}, "said so long ago": {0, coldFresh + 1, false}} {
+		g := newRig(t, testConfig(), 2)
+		s := g.b.byID[1]
+		s.info.StartedAt, s.rif, s.reportAt = g.now, c.rif, g.now-c.age
+		for range 200 { // 100 a second, of which next to none are sent
+			g.b.arrivals.add(g.now)
+		}
+		s.cold = bucket{V: 0, At: g.now - 60}
+		g.b.now = g.now
+		if got := g.b.warmEnough(s); got != c.want {
+			t.Errorf("%s: %t, with %.2f requests left", name, got, s.cold.V)
+		}
+	}
+}
