--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,16 @@
-.PHONY: build test lint run fuzz
+.PHONY: build test lint run fuzz bench recover
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
 
 test:
 	go test -race -count=1 ./...
+	cd middleware/gin && go test -race -count=1 ./...
 
 lint:
 	test -z "$$(gofmt -l .)"
 	go vet ./...
+	cd middleware/gin && go vet ./...
 
 # The GW_ variables say what to run as: see README.md.
 run: build
@@ -17,3 +19,13 @@
 fuzz:
 	go test -run '^$$' -fuzz FuzzRequest -fuzztime 30s ./internal/http1
 	go test -run '^$$' -fuzz FuzzResponse -fuzztime 30s ./internal/http1
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 30s -fuzzminimizetime 2s ./internal/snapshot
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 30s ./internal/handover
+
+# What calls and hops cost, and how long until service is back: see docs/operate/measuring.md.
+bench:
+	go test -run '^$$' -bench . -benchtime 50000x . ./cmd/plankrouter
+
+recover: build
+	bin/planklab recover --program bin/plankrouter
+	bin/planklab handover --program bin/plankrouter --restarts 200
--- a/balancer.go
+++ b/balancer.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,10 @@
 // MaxBody bounds the bodies of requests and answers, in bytes.
 const MaxBody = http1.MaxBody
 
+// afterContext is how much longer than its context a request lives in the core: it is the context that ends it, and the
+// error is then the context's.
+const afterContext = 5 * time.Millisecond
+
 // Balancer is one pool of servers. Its methods are safe for concurrent use.
 type Balancer struct {
 	set     Options
@@ -130,6 +135,9 @@
 	return nil
 }
 
+// Classes returns the classes, in their order.
+func (b *Balancer) Classes() []Class { return slices.Clone(b.set.Classes) }
+
 // Ready reports whether there is a server to send to.
 func (b *Balancer) Ready() bool { return b.core.Ready() }
 
@@ -155,13 +163,16 @@
 		b.cancelled.Add(1)
 		return nil, &CancelledError{Cause: err}
 	}
+	if r == nil {
+		return nil, &RequestError{"Request", "it is nil"}
+	}
 	inv, err := b.word(r)
 	if err != nil {
 		return nil, err
 	}
 	inv.SentAt = time.Now()
 	if until, ends := ctx.Deadline(); ends {
-		inv.Patience = min(inv.Patience, until.Sub(inv.SentAt))
+		inv.Patience = min(inv.Patience, until.Sub(inv.SentAt)+afterContext)
 	}
 	answers := make(chan invocation.Answer, 1)
 	inv.Answer = func(a invocation.Answer) { answers <- a }
@@ -238,7 +249,7 @@
 		}
 		return r, nil
 	case invocation.Refused:
-		return nil, &RefusedError{RetryAfter: a.RetryAfter}
+		return nil, &RefusedError{RetryAfter: a.RetryAfter, MayHaveRun: a.MayHaveRun}
 	case invocation.Conflict:
 		return nil, ErrDuplicate
 	}
@@ -248,7 +259,8 @@
 // Close turns further calls away, waits for those under way, each of which has its outcome by its own deadline, and ends
 // connections and goroutines. If ctx ends first, what is under way ends at once with an error that says whether it may have
 // run, and ctx's error is returned. Further calls of Close wait for the same. From within a callback it needs a ctx that
-// ends, or to be called from a goroutine of its own, if calls under way depend on that callback.
+// ends, or to be called from a goroutine of its own, if calls under way depend on that callback. A logger or a dial function
+// that is being called when Close returns is not waited for.
 func (b *Balancer) Close(ctx context.Context) error {
 	b.mu.Lock()
 	b.closed = true
--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -12,6 +12,8 @@
 	"runtime"
 	"runtime/debug"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -94,7 +96,11 @@
 	front    *consumer.Server
 	writer   *snapshot.Writer  // nil = snapshots are not kept
 	line     handover.Handover // of processes that take over from one another
+	moved    atomic.Bool       // a reload has named another directory than the environment
 	stop     context.CancelFunc
+
+	mu           sync.Mutex
+	endSnapshots func() // writes the last one; nil = none is kept, or it is written
 }
 
 // serve runs the sidecar until a signal ends it and all that it has taken is answered, or until a successor has it all.
@@ -133,13 +139,13 @@
 		p.caller.Wait()
 		return nil
 	})
-	lastSnapshot := p.keepSnapshots(ctx, group)
 	group.Go(func() error {
-		defer stop()         // the core's life ends when the front has answered all that it took
-		defer lastSnapshot() // which the core still has to give
+		defer stop() // the core's life ends when the front has answered all that it took
 		if err := p.inherit(ctx, group, from); err != nil {
 			return err
 		}
+		p.keepSnapshots(ctx, group)
+		defer p.lastSnapshot() // which the core still has to give
 		return p.front.Serve(ctx, l)
 	})
 	group.Go(func() error { p.obey(ctx, group, signals); return nil })
@@ -178,10 +184,11 @@
 				p.front.Stay()
 				stopAt, leave = time.Now(), time.After(plan.Last)
 			default: // told twice: as soon as the first word's new connections have come in
-				leave = time.After(max(0, hasten-time.Since(stopAt)))
+				leave = time.After(max(0, min(hasten, p.cfg.StopPlan.Last)-time.Since(stopAt)))
 			}
 		case <-leave:
 			log.Printf("name=%s state=leaving sockets=%d", p.cfg.Name, p.budget.Used())
+			go p.lastSnapshot() // while there is time: what is still under way matters less than that it is there
 			p.front.Drain(p.listener)
 		}
 	}
@@ -200,6 +207,7 @@
 	}
 	log.Printf("name=%s state=reloaded discovery=%s", p.cfg.Name, cfg.Discovery)
 	p.watch.Move(cfg.Discovery)
+	p.moved.Store(true)
 }
 
 // report prints the counters.
--- a/cmd/plankrouter/succession.go
+++ b/cmd/plankrouter/succession.go
@@ -6,6 +6,9 @@
 	"io/fs"
 	"log"
 	"net"
+	"os"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -54,11 +57,11 @@
 	return &begin
 }
 
-// keepSnapshots writes snapshots from now on, if they are to be kept, until what it returns is called, which writes a last
-// one. A disk that fails is logged and ends nothing.
-func (p *program) keepSnapshots(ctx context.Context, group *errgroup.Group) (last func()) {
+// keepSnapshots writes snapshots from now on, if they are to be kept, until lastSnapshot is called, which writes one more. A
+// disk that fails is logged and ends nothing.
+func (p *program) keepSnapshots(ctx context.Context, group *errgroup.Group) {
 	if p.writer == nil {
-		return func() {}
+		return
 	}
 	ctx, end := context.WithCancel(ctx)
 	done := make(chan struct{})
@@ -69,7 +72,19 @@
 		}
 		return nil
 	})
-	return func() { end(); <-done }
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endSnapshots = func() { end(); <-done }
+}
+
+// lastSnapshot returns when the last one has been written, or has had its time.
+func (p *program) lastSnapshot() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.endSnapshots != nil {
+		p.endSnapshots()
+		p.endSnapshots = nil
+	}
 }
 
 // take returns what the sidecar has learned, or nil if it has stopped or a successor has taken over its file.
@@ -101,7 +116,9 @@
 		return err
 	}
 	log.Printf("name=%s handover=taken_over predecessor=%q", p.cfg.Name, from.Hello().Name)
+	done := p.front.Expect()
 	group.Go(func() error {
+		defer done()
 		err := from.Conns(ctx, func(c *net.TCPConn, note []byte) { p.front.Adopt(c, note) })
 		switch {
 		case ctx.Err() != nil: // this process is at its end, whatever the other does
@@ -122,6 +139,7 @@
 	l, ok := p.listener.(*net.TCPListener)
 	snap := p.take()
 	if !ok || snap == nil {
+		log.Printf("name=%s handover=refused err=%q", p.cfg.Name, "one is under way, or this process is at its end")
 		return
 	}
 	state, err := snapshot.Encode(snap, 0)
@@ -130,7 +148,7 @@
 	}
 	log.Printf("name=%s handover=begun state_bytes=%d", p.cfg.Name, len(state))
 	to, err := p.line.Start(ctx, l, handover.Options{ReadyWithin: p.cfg.ReadyWithin, Name: p.cfg.Name, Address: p.cfg.Listen,
-		State: state})
+		State: state, Env: p.environment()})
 	if err != nil {
 		log.Printf("name=%s handover=failed err=%q", p.cfg.Name, err)
 		return
@@ -142,6 +160,10 @@
 	case <-left:
 		if err := to.Done(); err == nil {
 			log.Printf("name=%s handover=done successor=%d", p.cfg.Name, to.Pid())
+			if ctx.Err() != nil { // told to stop when it was too late to call the handover off: the service was meant
+				log.Printf("name=%s handover=told_to_stop successor=%d err=%v", p.cfg.Name, to.Pid(),
+					syscall.Kill(to.Pid(), syscall.SIGTERM))
+			}
 			p.stop()
 			return
 		}
@@ -152,6 +174,15 @@
 	p.front.Resume()
 }
 
+// environment is the successor's: this process's, but for a directory that a reload has replaced.
+func (p *program) environment() []string {
+	env := os.Environ()
+	if p.moved.Load() {
+		env = slices.DeleteFunc(env, func(kv string) bool { return strings.HasPrefix(kv, "GW_DISCOVERY=") })
+	}
+	return env
+}
+
 // notify tells the service manager, where there is one.
 func notify(state string) {
 	if err := handover.Notify(state); err != nil {
--- /dev/null
+++ b/example_test.go
@@ -0,0 +1,204 @@
+package plankrouter_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"plankrouter"
+)
+
+// server starts a server of the fleet for an example, which says what it was asked.
+func server(name string) (address string, stop func()) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		io.WriteString(w, strings.TrimSpace(fmt.Sprintf("%s: %s %s %s", name, r.Method, r.URL, body)))
+	}))
+	return s.Listener.Addr().String(), s.Close
+}
+
+// A fleet with two classes: tiles may be fetched any number of times, an order must not be printed twice.
+func Example() {
+	address, stop := server("s-1")
+	defer stop()
+
+	b, err := plankrouter.New(plankrouter.Options{
+		Classes: []plankrouter.Class{
+			{Name: "tile", Aim: 750 * time.Millisecond, Deadline: 2500 * time.Millisecond},
+			{Name: "order", Aim: 300 * time.Millisecond, Deadline: time.Second, Worth: 5, Repeat: plankrouter.Once},
+		},
+		Members: []plankrouter.Member{{Address: address}},
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer b.Close(context.Background())
+
+	answer, err := b.Do(context.Background(), &plankrouter.Request{Class: "tile", Target: "/tile/roma?z=3"})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Printf("%d %s\n", answer.Status, answer.Body)
+	// Output: 200 s-1: GET /tile/roma?z=3
+}
+
+// An option that makes no sense is named.
+func ExampleNew() {
+	_, err := plankrouter.New(plankrouter.Options{
+		Classes: []plankrouter.Class{{Name: "tile", Aim: time.Second, Deadline: 500 * time.Millisecond}},
+	})
+	fmt.Println(err)
+
+	var bad *plankrouter.OptionError
+	fmt.Println(errors.As(err, &bad), bad.Option)
+	// Output:
+	// plankrouter: Classes[0].Deadline: 500ms is shorter than the aim, 1s
+	// true Classes[0].Deadline
+}
+
+// Every call ends in an answer or in an error that says what the caller must know.
+func ExampleBalancer_Do() {
+	failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	defer failing.Close()
+	b, err := plankrouter.New(plankrouter.Options{
+		Classes: []plankrouter.Class{{Name: "order", Aim: 300 * time.Millisecond, Deadline: time.Second,
+			Repeat: plankrouter.Once}},
+		Members: []plankrouter.Member{{Address: failing.Listener.Addr().String()}},
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+
+	order := func(ctx context.Context, class string) {
+		_, err := b.Do(ctx, &plankrouter.Request{Class: class, Method: "POST", Target: "/order/7"})
+		var (
+			refused   *plankrouter.RefusedError
+			failed    *plankrouter.FailedError
+			cancelled *plankrouter.CancelledError
+			request   *plankrouter.RequestError
+		)
+		switch {
+		case errors.As(err, &refused):
+			fmt.Println("trying again is harmless, in", refused.RetryAfter)
+		case errors.As(err, &failed):
+			fmt.Println("failed; may have run:", failed.MayHaveRun)
+		case errors.As(err, &cancelled):
+			fmt.Println("given up; may have run:", cancelled.MayHaveRun, "because", cancelled.Cause)
+		case errors.As(err, &request):
+			fmt.Println("can't be sent:", request.Field, request.Why)
+		default: // ErrClosed, ErrDuplicate, ErrTooLarge
+			fmt.Println(err)
+		}
+	}
+	order(context.Background(), "order")
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	order(gone, "order")
+	order(context.Background(), "ordre")
+	b.Close(context.Background())
+	order(context.Background(), "order")
+	// Output:
+	// failed; may have run: true
+	// given up; may have run: false because context canceled
+	// can't be sent: Class there is none named "ordre"
+	// plankrouter: the balancer is closed
+}
+
+// An http.Client sends through the balancer, under whatever host the URL names.
+func ExampleTransport() {
+	address, stop := server("s-1")
+	defer stop()
+	b, err := plankrouter.New(plankrouter.Options{Members: []plankrouter.Member{{Address: address}}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer b.Close(context.Background())
+
+	client := &http.Client{Transport: &plankrouter.Transport{Balancer: b}}
+	resp, err := client.Post("http://orders.internal/order/7", "text/plain", strings.NewReader("print"))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	fmt.Println(resp.Status, string(body))
+
+	// The errors of Do are in the chain of the client's own.
+	ctx := plankrouter.WithClass(context.Background(), "nothing")
+	req, _ := http.NewRequestWithContext(ctx, "GET", "http://orders.internal/", nil)
+	_, err = client.Do(req)
+	var request *plankrouter.RequestError
+	fmt.Println(errors.As(err, &request), request.Field)
+	// Output:
+	// 200 OK s-1: POST /order/7 print
+	// true Class
+}
+
+// An application that knows its servers itself tells the balancer of changes.
+func ExampleBalancer_Update() {
+	first, stopFirst := server("s-1")
+	defer stopFirst()
+	second, stopSecond := server("s-2")
+	defer stopSecond()
+	b, err := plankrouter.New(plankrouter.Options{Members: []plankrouter.Member{{ID: "s-1", Address: first}}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer b.Close(context.Background())
+	ask := func() {
+		answer, err := b.Do(context.Background(), &plankrouter.Request{Target: "/tile/roma"})
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		fmt.Println(string(answer.Body))
+	}
+
+	ask()
+	if err := b.Update(
+		plankrouter.Member{ID: "s-1", Address: first, Phase: plankrouter.Draining},
+		plankrouter.Member{ID: "s-2", Address: second},
+	); err != nil {
+		fmt.Println(err)
+	}
+	ask()
+	// Output:
+	// s-1: GET /tile/roma
+	// s-2: GET /tile/roma
+}
+
+// Two fleets of one application share a limit on connections.
+func ExampleNewSockets() {
+	both := plankrouter.NewSockets(8, nil)
+	for _, name := range []string{"tiles", "orders"} {
+		address, stop := server(name)
+		defer stop()
+		b, err := plankrouter.New(plankrouter.Options{Name: name, Sockets: both,
+			Members: []plankrouter.Member{{Address: address}}})
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		defer b.Close(context.Background())
+		if _, err := b.Do(context.Background(), &plankrouter.Request{}); err != nil {
+			fmt.Println(err)
+		}
+		fmt.Println(name, "sees", b.Stats().Connections, "of 8")
+	}
+	// Output:
+	// tiles sees 1 of 8
+	// orders sees 2 of 8
+}
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -32,6 +32,7 @@
 	lingerMost    = 128 << 10
 	lingerFor     = 500 * time.Millisecond
 	floodFor      = 100 * time.Millisecond
+	closingFor    = 50 * time.Millisecond // instead of lingerFor, once the front is being closed: the process may be killed soon
 	acceptPause   = 5 * time.Millisecond
 
 	// A consumer opens a connection when all it has are busy. One that has just been answered is thus about to carry a
@@ -122,8 +123,10 @@
 	}
 	s.conns[c] = false
 	switch c.idleAt = c.began; {
+	case s.closing && note != "": // between two messages, as those that Drain closes
+		c.wind(0)
 	case s.closing: // accepted at the last moment: it may still bring one request
-		c.wind(lingerFor)
+		c.wind(closingFor)
 	case s.pass != nil:
 		c.wind(0)
 	default:
@@ -145,14 +148,18 @@
 	noteKnown   = "known"   // an invocation
 )
 
-// Adopt serves a connection that a predecessor had, whether or not the limit on sockets leaves room: it is there already.
+// Expect keeps Serve from returning until done is called: a predecessor may still pass connections to Adopt.
+func (s *Server) Expect() (done func()) {
+	wait := make(chan struct{})
+	s.running.Go(func() error { <-wait; return nil })
+	return sync.OnceFunc(func() { close(wait) })
+}
+
+// Adopt serves a connection that a predecessor had, whether or not the limit on sockets leaves room: it is there already,
+// and may have brought a request. It is called between Expect and its done.
 func (s *Server) Adopt(nc net.Conn, note []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing { // as it would any that is between two messages
-		nc.Close()
-		return
-	}
 	s.budget.Force(sockets.Inward)
 	s.Adopted.Add(1)
 	s.admit(nc, string(note))
@@ -383,7 +390,11 @@
 	defer s.mu.Unlock()
 	idle := time.Since(c.idleAt)
 	stays := idle < idleMost && (idle < lookEvery || !s.budget.Scarce())
-	return c.brought && !s.closing && (stays || s.staying) && c.socket.Extend(time.Now().Add(lookEvery))
+	if !c.brought { // it was woken before its time by a handover that came to nothing
+		stays = idle < lookEvery
+		return stays && !s.closing && c.socket.Extend(c.idleAt.Add(lookEvery))
+	}
+	return !s.closing && (stays || s.staying) && c.socket.Extend(time.Now().Add(lookEvery))
 }
 
 // wind ends the connection as soon as it is idle. Its reader does that, not the caller: a request that the reader has
@@ -476,7 +487,9 @@
 	}
 	if r.Close {
 		c.socket.CloseWrite()
-		c.wind(lingerFor)
+		if c.wind(lingerFor); c.server.isClosing() {
+			c.wind(closingFor)
+		}
 		if r.Status == 400 || r.Status == 408 || r.Status == 413 {
 			return ending.BadInput
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -251,7 +251,16 @@
 // Stopping says that the process has been told to stop: what comes in from now on is answered in time for that.
 func (s *Pool) Stopping(plan stopping.Plan) { s.send(stopNow{plan}) }
 
-func (e stopNow) apply(s *Pool) { s.stopAt, s.stopPlan = time.Now(), e.plan }
+func (e stopNow) apply(s *Pool) {
+	s.stopAt, s.stopPlan = time.Now(), e.plan
+	if e.plan.Early == 0 {
+		for id, h := range s.held {
+			if !h.answered {
+				heap.Push(&s.timers, &timer{at: s.stopAt.Add(e.plan.Answer), handle: uint64(id)}) // as its own deadline would
+			}
+		}
+	}
+}
 
 // Counts asks for the present figures; after Run has ended it reads the last ones.
 func (s *Pool) Counts() Counts {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -238,8 +238,11 @@
 	for _, fault := range faults { // one bad line must not hide the others
 		w.set.Logf("directory=%s state=line_skipped err=%q", w.at, fault)
 	}
-	if c.Whole && !list.Complete {
+	switch {
+	case c.Whole && !list.Complete:
 		return none, errors.New("asked for the whole list, got a part")
+	case !list.Complete && list.Revision < w.revision:
+		return none, fmt.Errorf("changes of revision %d after %d: the directory counts anew", list.Revision, w.revision)
 	}
 	if resp.Close {
 		w.hangUp()
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -258,6 +258,9 @@
 	case r.Status == 200, !c.probe && c.at.of.set.Answers != nil && c.at.of.set.Answers(r.Status):
 		out.Ending, out.Code = ending.Served, r.Status
 		out.Fields = r.Header.EndToEnd(ownHeader)
+		if length := r.Header.Get("Content-Length"); c.bodiless && length != "" { // it says what a body would have had
+			out.Fields = append(out.Fields, http1.Field{Name: "Content-Length", Value: length})
+		}
 	case (r.Status == 503 || r.Status == 504) && r.Header.Get(http1.HeaderDeclined) == "1":
 		out.Ending = ending.Declined
 	}
--- a/internal/stopping/stopping.go
+++ b/internal/stopping/stopping.go
@@ -32,15 +32,18 @@
 	Last   time.Duration // then nothing more is taken: the listener and idle connections are closed
 	Answer time.Duration // by then all that was taken is answered
 	Kill   time.Duration // then the process may be killed
+	Early  time.Duration // what is taken before keeps its own deadline, which ends before the kill
 }
 
 // For returns the plan for classes whose longest deadline is longest and a kill that comes no sooner than kill after the
-// word; 0 = as the platform does it.
+// word; 0 = as the platform does it. Where the kill is given it need not leave a deadline its time: then what was taken
+// before the word is given up at Answer, too.
 func For(longest, kill time.Duration) Plan {
+	p := Plan{Kill: kill}
 	if kill <= 0 {
 		kill = min(longest, deadlineMost) + afterLongest
+		p.Kill, p.Early = kill, afterLongest
 	}
-	p := Plan{Kill: kill}
 	p.Answer = max(kill-answerLead, kill/2)
 	p.Last = max(p.Answer-lastLead, p.Answer-p.Answer/lastPart, min(acceptLeast, p.Answer))
 	return p
@@ -57,7 +60,7 @@
 // Patience is how long an invocation may take that comes in at since and whose consumer waits for patience. One that comes
 // so early that its own deadline ends before the kill keeps that.
 func (p Plan) Patience(since, patience time.Duration) time.Duration {
-	if since < afterLongest && since < p.Last {
+	if since < p.Early {
 		return patience
 	}
 	return min(patience, max(0, p.Answer-since))
--- a/internal/stopping/stopping_test.go
+++ b/internal/stopping/stopping_test.go
@@ -9,15 +9,15 @@
 
 // The timetable for what the platform grants, for a kill that comes soon and for one that comes late.
 func TestFor(t *testing.T) {
-	for _, c := range []struct{ longest, kill, last, answer, end time.Duration }{
-		{2500 * ms, 0, 3050 * ms, 3100 * ms, 3200 * ms},
-		{10 * time.Second, 0, 3550 * ms, 3600 * ms, 3700 * ms},
-		{300 * ms, 0, 850 * ms, 900 * ms, 1000 * ms},
-		{2500 * ms, 90 * time.Second, 89850 * ms, 89900 * ms, 90 * time.Second},
-		{2500 * ms, 500 * ms, 400 * ms, 400 * ms, 500 * ms},
+	for _, c := range []struct{ longest, kill, last, answer, end, early time.Duration }{
+		{2500 * ms, 0, 3050 * ms, 3100 * ms, 3200 * ms, 700 * ms},
+		{10 * time.Second, 0, 3550 * ms, 3600 * ms, 3700 * ms, 700 * ms},
+		{300 * ms, 0, 850 * ms, 900 * ms, 1000 * ms, 700 * ms},
+		{2500 * ms, 90 * time.Second, 89850 * ms, 89900 * ms, 90 * time.Second, 0},
+		{2500 * ms, 500 * ms, 400 * ms, 400 * ms, 500 * ms, 0},
 	} {
 		p := For(c.longest, c.kill)
-		if want := (Plan{c.last, c.answer, c.end}); p != want {
+		if want := (Plan{c.last, c.answer, c.end, c.early}); p != want {
 			t.Errorf("longest %s, kill %s: %+v, want %+v", c.longest, c.kill, p, want)
 		}
 		if err := p.Check(); err != nil {
@@ -45,7 +45,7 @@
 		}
 	}
 	for longest := 100 * ms; longest < 6*time.Second; longest += 170 * ms {
-		p := For(longest, 0)
+		p := For(longest, []time.Duration{0, 500 * ms, time.Second, 3 * time.Second}[longest/(170*ms)%4])
 		for since := time.Duration(0); since <= p.Last; since += 10 * ms {
 			for _, patience := range []time.Duration{10 * ms, longest / 2, min(longest, deadlineMost)} {
 				if end := since + p.Patience(since, patience); end > p.Kill {
--- /dev/null
+++ b/middleware/gin/plankroutergin.go
@@ -0,0 +1,55 @@
+// Package plankroutergin is package middleware for applications that serve HTTP by Gin. It adds nothing to it but Gin's
+// manners, and is a module of its own, so that nobody else carries Gin's dependencies.
+package plankroutergin
+
+import (
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"plankrouter"
+	"plankrouter/middleware"
+)
+
+// Handler is middleware.Handler. Where the request was cancelled nothing is written by it, but Gin ends such a request
+// with an answer all the same, which is 502 and empty: nobody reads it, except where the application has cancelled it
+// itself.
+func Handler(b *plankrouter.Balancer, o middleware.Options) (gin.HandlerFunc, error) {
+	h, err := middleware.Handler(b, o)
+	if err != nil {
+		return nil, err
+	}
+	return func(c *gin.Context) { serve(c, h) }, nil
+}
+
+func serve(c *gin.Context, h http.Handler) {
+	defer func() {
+		switch p := recover(); {
+		case p == nil:
+		case p == http.ErrAbortHandler && !c.Writer.Written(): // gin.Recovery would log it, and send a 200
+			c.AbortWithStatus(http.StatusBadGateway)
+		default:
+			panic(p)
+		}
+	}()
+	h.ServeHTTP(c.Writer, c.Request)
+}
+
+// Middleware is middleware.Middleware. Calls have to be made under the context of c.Request; the gin.Context itself
+// passes for it only where the engine's ContextWithFallback is set.
+func Middleware(o middleware.Options) (gin.HandlerFunc, error) {
+	m, err := middleware.Middleware(o)
+	if err != nil {
+		return nil, err
+	}
+	return func(c *gin.Context) {
+		came, passed := c.Request, false
+		m(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			c.Request, passed = r, true
+			c.Next()
+		})).ServeHTTP(c.Writer, came)
+		if c.Request = came; !passed {
+			c.Abort()
+		}
+	}, nil
+}
--- /dev/null
+++ b/middleware/middleware.go
@@ -0,0 +1,34 @@
+package middleware
+
+import (
+	"net/http"
+
+	"plankrouter"
+)
+
+// Middleware returns what wraps a handler so that requests come to it with their class, tenant and deadline in their
+// context: calls that it makes under that context through a plankrouter.Transport carry them, and all others made under
+// it end by that deadline. An error is a *plankrouter.OptionError.
+func Middleware(o Options) (func(http.Handler) http.Handler, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			said, err := o.read(r)
+			if err != nil {
+				o.fail(w, r, err)
+				return
+			}
+			ctx, cancel := said.under(r.Context())
+			defer cancel()
+			if said.class != "" {
+				ctx = plankrouter.WithClass(ctx, said.class)
+			}
+			if said.tenant != "" {
+				ctx = plankrouter.WithTenant(ctx, said.tenant)
+			}
+			next.ServeHTTP(w, r.WithContext(ctx))
+		})
+	}, nil
+}
--- a/plankrouter.go
+++ b/plankrouter.go
@@ -22,6 +22,7 @@
 package plankrouter
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -53,9 +54,10 @@
 	ErrTooLarge  = fmt.Errorf("plankrouter: the body is larger than %d bytes", MaxBody)
 )
 
-// RefusedError says that the request was turned away and has not run: trying again is harmless.
+// RefusedError says that the request was turned away, and that trying again is harmless.
 type RefusedError struct {
 	RetryAfter time.Duration // when that is worth it; 0 = not known
+	MayHaveRun bool          // only of a class that may run any number of times
 }
 
 // FailedError says that the request was given up.
@@ -88,6 +90,9 @@
 	return fmt.Sprintf("plankrouter: %v, %s", e.Cause, ran(e.MayHaveRun))
 }
 
+// Timeout reports whether it was the context's deadline that passed, as net.Error does.
+func (e *CancelledError) Timeout() bool { return errors.Is(e.Cause, context.DeadlineExceeded) }
+
 // Unwrap returns the context's error.
 func (e *CancelledError) Unwrap() error { return e.Cause }
 
--- a/transport.go
+++ b/transport.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 )
 
 // Transport is an http.RoundTripper that sends requests through a Balancer, whatever host their URL names; that goes along as
@@ -69,6 +70,11 @@
 	if len(answer.Body) == 0 {
 		resp.Body = http.NoBody
 	}
+	if length := answer.Header.Get("Content-Length"); length != "" { // of an answer to HEAD, which has no body
+		if n, err := strconv.ParseInt(length, 10, 64); err == nil {
+			resp.ContentLength = n
+		}
+	}
 	return resp, nil
 }
 
