--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -11,6 +11,7 @@
 	"plankrouter/internal/caller"
 	"plankrouter/internal/config"
 	"plankrouter/internal/ending"
+	"plankrouter/internal/freshness"
 	"plankrouter/internal/invocation"
 	"plankrouter/internal/loadreport"
 	"plankrouter/internal/members"
@@ -125,3 +126,24 @@
 		t.Error(diff)
 	}
 }
+
+// What an ending says of the list: a refused connection and a probe that is turned away speak against it, an answer for it, and
+// a request that is turned away says nothing, since a queue may have been full.
+func TestSigns(t *testing.T) {
+	const none = freshness.Sign(255)
+	for e, want := range map[ending.Ending][2]freshness.Sign{
+		ending.Served: {freshness.Alive, freshness.Alive}, ending.Refused: {freshness.Refused, freshness.Refused},
+		ending.Declined: {none, freshness.Draining}, ending.ServerError: {none, freshness.Draining},
+		ending.TimedOut: {none, none}, ending.ConnectTimeout: {none, none}, ending.LocalFault: {none, none},
+	} {
+		for i, probe := range []bool{false, true} {
+			got, is := signOf(e, probe)
+			if !is {
+				got = none
+			}
+			if got != want[i] {
+				t.Errorf("%s, probe %t: %d, want %d", e, probe, got, want[i])
+			}
+		}
+	}
+}
