Don't fade empty evidence, and let a test of the module be the same every time

Cause: at 2,000 emulated sidecars and 200 servers 82% of the time went into ticks that fade evidence of which there is none.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -229,6 +229,9 @@
 // missed is the probability that the server fails a request, by one of its tallies.
 func (s *server) missed(i int, now Ms) float64 {
 	t := &s.by[i]
+	if t.Oks+t.Misses == 0 { // as of most: fading them would take most of the time
+		return 0
+	}
 	k := math.Exp2((t.At - now) / evidenceHalf)
 	*t = Tally{t.Oks * k, t.Misses * k, now}
 	return t.Misses / (t.Oks + t.Misses + missPrior)
@@ -239,7 +242,7 @@
 	for _, i := range slices.Compact([]int{0, who}) {
 		s.missed(i, b.now)
 		t := &s.by[i]
-		if t.Misses += weight; weight == 0 {
+		if t.Misses, t.At = t.Misses+weight, b.now; weight == 0 {
 			t.Oks, t.Misses = t.Oks+1, t.Misses*okShrink
 		}
 	}
--- a/logic/recovery_test.go
+++ b/logic/recovery_test.go
@@ -145,8 +145,8 @@
 	start := g.now
 	silent := map[ServerID]Ms{} // probes out, until when
 	for ; g.now < start+60e3; g.now += tickEvery {
-		for id, until := range silent {
-			if g.now >= until {
+		for id := range ServerID(61) {
+			if until, out := silent[id]; out && g.now >= until {
 				delete(silent, id)
 				g.do(Event{Kind: ProbeDone, Server: id, Status: TimedOut, Took: 200})
 			}
@@ -157,7 +157,7 @@
 			case down(a.Server) && (g.now < start+30e3 || a.Server > 50):
 				silent[a.Server] = g.now + 200
 			default:
-				if down(a.Server) && found[a.Server] == 0 {
+				if _, before := found[a.Server]; down(a.Server) && !before {
 					found[a.Server] = g.now - start - 30e3
 				} else if !down(a.Server) {
 					healthy++
--- a/logic/state.go
+++ b/logic/state.go
@@ -1,9 +1,6 @@
 package logic
 
-import (
-	"fmt"
-	"slices"
-)
+import "fmt"
 
 // State returns what has been learned. Servers that were left are not in it.
 func (b *Balancer) State() State {
@@ -18,7 +15,7 @@
 	for _, s := range b.servers { // the present load, of s.rif and the pool, stays out
 		if s.info.Health == Ready {
 			st.Servers = append(st.Servers, ServerState{s.info.ID, s.info.StartedAt, s.latency, s.reported,
-				s.reportAt, s.network, s.failing, slices.Clone(s.by)})
+				s.reportAt, s.network, s.failing, append([]Tally(nil), s.by...)})
 		}
 	}
 	return st
