--- /dev/null
+++ b/cmd/planklab/emulate.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+
+	"plankrouter/internal/lab/emulator"
+)
+
+// emulateCommand plays a day in virtual time, or compares days.
+type emulateCommand struct {
+	Sidecars   *int           `placeholder:"N" help:"Sidecars (4)."`
+	Servers    *int           `placeholder:"M" help:"Servers (16)."`
+	Rate       *float64       `placeholder:"R" help:"First tries a second over all sidecars (20 for each server)."`
+	For        *time.Duration `placeholder:"D" help:"Length of the day in virtual time (30s)."`
+	Trouble    []string       `placeholder:"NAME" help:"What goes wrong: those below, or random."`
+	Seed       *uint64        `placeholder:"S" help:"Of the day (1)."`
+	PolicySeed *uint64        `placeholder:"S" help:"Of the sidecars' own choices, for the same day (0)."`
+	Policy     *string        `placeholder:"NAME" help:"module, random, round-robin, least or oracle (module)."`
+	Plan       string         `type:"existingfile" placeholder:"FILE" help:"Settings and troubles; flags go first."`
+	JSON       string         `name:"json" placeholder:"FILE" help:"Write the report as JSON, too."`
+	CSV        string         `name:"csv" placeholder:"FILE" help:"Write a row for each second."`
+	Measure    bool           `help:"Say how long it took on this machine, and how much of that in the policy."`
+
+	Days        int    `default:"20" help:"Days of a comparison, whose seeds follow on --seed."`
+	Against     string `type:"existingfile" placeholder:"FILE" help:"Compare with a second plan, over the first one."`
+	AgainstWith string `placeholder:"NAME" help:"Compare with another policy."`
+	AgainstSeed uint64 `placeholder:"S" help:"Compare with other choices of the sidecars: another --policy-seed."`
+	Workers     int    `placeholder:"N" help:"Days of a comparison that run side by side (GOMAXPROCS)."`
+}
+
+// Help shows examples and lists the troubles.
+func (*emulateCommand) Help() string {
+	var b strings.Builder
+	b.WriteString("planklab emulate --sidecars 100 --servers 40 --trouble silence,neighbour --seed 7\n\n" +
+		"planklab emulate --trouble deploy --days 20 --against-with least\n\nTroubles:\n\n")
+	for _, k := range emulator.Troubles() {
+		fmt.Fprintf(&b, "%s: %s.\n\n", k.Name, k.About)
+	}
+	return b.String()
+}
+
+// config reads the plan and puts the flags over it.
+func (c *emulateCommand) config() (emulator.Config, error) {
+	size := emulator.Default(4, 16)
+	if err := read(c.Plan, &size); err != nil {
+		return size, err
+	}
+	set(&size.Servers, c.Servers)
+	set(&size.Sidecars, c.Sidecars)
+	cfg := emulator.Default(size.Sidecars, size.Servers) // whose load goes with its size,
+	if err := read(c.Plan, &cfg); err != nil {           // unless the plan has one
+		return cfg, err
+	}
+	cfg.Servers, cfg.Sidecars = size.Servers, size.Sidecars
+	set(&cfg.Rate, c.Rate)
+	set(&cfg.Seed, c.Seed)
+	set(&cfg.PolicySeed, c.PolicySeed)
+	set(&cfg.Policy, c.Policy)
+	if c.For != nil {
+		cfg.Seconds = c.For.Seconds()
+	}
+	for _, name := range c.Trouble {
+		names := []string{name}
+		if name == "random" {
+			names = emulator.Random(cfg.Seed)
+		}
+		for _, n := range names {
+			cfg.Troubles = append(cfg.Troubles, emulator.Trouble{Name: n})
+		}
+	}
+	return cfg, cfg.Check()
+}
+
+func set[T any](to *T, flag *T) {
+	if flag != nil {
+		*to = *flag
+	}
+}
+
+func read(plan string, into *emulator.Config) error {
+	if plan == "" {
+		return nil
+	}
+	f, err := os.Open(plan)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := emulator.ReadPlan(f, into); err != nil {
+		return fmt.Errorf("%s: %w", plan, err)
+	}
+	return nil
+}
+
+// compares reports whether two settings are to be compared.
+func (c *emulateCommand) compares() bool {
+	return c.Against != "" || c.AgainstWith != "" || c.AgainstSeed != 0
+}
+
+// other is the second setting of a comparison.
+func (c *emulateCommand) other(cfg emulator.Config) (emulator.Config, error) {
+	if err := read(c.Against, &cfg); err != nil {
+		return cfg, err
+	}
+	if c.AgainstWith != "" {
+		cfg.Policy = c.AgainstWith
+	}
+	if c.AgainstSeed != 0 {
+		cfg.PolicySeed = c.AgainstSeed
+	}
+	return cfg, cfg.Check()
+}
+
+// Validate checks the arguments and the plans.
+func (c *emulateCommand) Validate() error {
+	cfg, err := c.config()
+	if err != nil {
+		return err
+	}
+	if c.compares() && (c.CSV != "" || c.Measure) {
+		return errors.New("--csv and --measure are for a single day")
+	}
+	if c.Days < 1 {
+		return fmt.Errorf("--days: %d; want 1 or more", c.Days)
+	}
+	_, err = c.other(cfg)
+	return err
+}
+
+// Run plays the day, or the days.
+func (c *emulateCommand) Run(ctx context.Context, out io.Writer) error {
+	cfg, err := c.config()
+	if err != nil {
+		return err
+	}
+	if c.compares() {
+		return c.compare(ctx, cfg, out)
+	}
+	var o emulator.Options
+	began := time.Now()
+	if c.Measure {
+		o.Clock = func() time.Duration { return time.Since(began) }
+	}
+	r, err := emulator.Run(ctx, cfg, o)
+	if err != nil {
+		return err
+	}
+	took := time.Since(began)
+	if err := r.Write(out); err != nil {
+		return err
+	}
+	if c.Measure {
+		measured(out, r, took)
+	}
+	if err := save(c.JSON, r.WriteJSON); err != nil {
+		return err
+	}
+	if err := save(c.CSV, r.WriteRows); err != nil {
+		return err
+	}
+	if !r.Ok() {
+		return errBroken
+	}
+	return nil
+}
+
+func (c *emulateCommand) compare(ctx context.Context, cfg emulator.Config, out io.Writer) error {
+	other, err := c.other(cfg)
+	if err != nil {
+		return err
+	}
+	workers := c.Workers
+	if workers == 0 {
+		workers = runtime.GOMAXPROCS(0)
+	}
+	result, err := emulator.Compare(ctx, cfg, other, c.Days, workers)
+	if err != nil {
+		return err
+	}
+	if err := result.Write(out); err != nil {
+		return err
+	}
+	return save(c.JSON, result.WriteJSON)
+}
+
+// measured writes what the day has cost here.
+func measured(out io.Writer, r *emulator.Report, took time.Duration) {
+	var use syscall.Rusage
+	memory := "unknown"
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &use) == nil {
+		memory = fmt.Sprintf("%d MB", use.Maxrss/1024)
+	}
+	requests := max(1, r.Requests)
+	fmt.Fprintf(out, "measured  %.2f s for %.0f s: %.1f times real time, %.0f requests a second, %d events; "+
+		"in the policy %.1f us a request; memory at most %s\n", took.Seconds(), r.Seconds, r.Seconds/took.Seconds(),
+		float64(r.Requests)/took.Seconds(), r.Events, float64(r.InPolicy.Microseconds())/float64(requests), memory)
+}
+
+// save writes a file, if one is asked for.
+func save(name string, write func(io.Writer) error) error {
+	if name == "" {
+		return nil
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	if err := write(f); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
--- a/cmd/planklab/main.go
+++ b/cmd/planklab/main.go
@@ -29,6 +29,8 @@
 type commands struct {
 	Recover  recoverCommand  `cmd:"" help:"How long until service is back after a release, a crash and more."`
 	Handover handoverCommand `cmd:"" help:"What a long line of handovers to successors costs."`
+	Load     loadCommand     `cmd:"" help:"Sends load that does not wait for answers, and measures it."`
+	Emulate  emulateCommand  `cmd:"" help:"A fleet in virtual time: troubles, a judge, and policies to compare."`
 }
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
@@ -38,7 +40,7 @@
 	defer stop()
 	var c commands
 	helped := false
-	parser, err := kong.New(&c, kong.Name("planklab"), kong.Description("Measures the sidecar's program."),
+	parser, err := kong.New(&c, kong.Name("planklab"), kong.Description("Measures the sidecar's program and plays fleets of it."),
 		kong.Writers(out, problems), kong.Exit(func(int) { helped = true }),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
 	if err != nil {
--- a/cmd/planklab/main_test.go
+++ b/cmd/planklab/main_test.go
@@ -26,6 +26,14 @@
 		{"recover --program HERE --rate 1", exitUsage, "rate"},
 		{"handover --program HERE --restarts 0", exitUsage, "restarts"},
 		{"handover --program HERE --kill me", exitUsage, "--kill"},
+		{"load --help", 0, "evening.json"},
+		{"load", exitUsage, "--rate"},
+		{"load --rate 5 --to x", exitUsage, "--for"},
+		{"load --rate 5 --for 1s --to x", exitUsage, "HOST:PORT"},
+		{"load nofile --to a:1", exitUsage, "nofile"},
+		{"emulate --trouble tea", exitUsage, `"tea"`},
+		{"emulate --for 0s", exitUsage, "seconds"},
+		{"emulate --against-with least --csv x", exitUsage, "--csv"},
 		{"handover --program HERE --keep /dev/null/x", exitBroken, "/dev/null"},
 	} {
 		var out bytes.Buffer
--- /dev/null
+++ b/internal/lab/emulator/agenda.go
@@ -0,0 +1,64 @@
+package emulator
+
+import "plankrouter/logic"
+
+// event is something that is due.
+type event struct {
+	at  logic.Ms
+	seq uint64 // of two for the same moment the one entered first is due first
+	do  func()
+}
+
+func (e *event) before(o *event) bool { return e.at < o.at || e.at == o.at && e.seq < o.seq }
+
+// agenda is virtual time: what is due, in order. It is a heap of its own, since container/heap would box every event,
+// and four wide, since a world holds some 100,000 of them and most are timers that matter no more when they are due.
+type agenda struct {
+	now  logic.Ms
+	seq  uint64
+	done uint64 // events so far
+	heap []event
+}
+
+// at enters do for time t, or for now if that has passed.
+func (a *agenda) at(t logic.Ms, do func()) {
+	a.seq++
+	e := event{max(t, a.now), a.seq, do}
+	a.heap = append(a.heap, e)
+	h, i := a.heap, len(a.heap)-1
+	for i > 0 {
+		up := (i - 1) / 4
+		if !e.before(&h[up]) {
+			break
+		}
+		h[i], i = h[up], up
+	}
+	h[i] = e
+}
+
+func (a *agenda) after(d logic.Ms, do func()) { a.at(a.now+d, do) }
+
+// next takes the event that is due first and makes its time the present.
+func (a *agenda) next() func() {
+	h := a.heap
+	first, last := h[0], h[len(h)-1]
+	h[len(h)-1] = event{} // else its closure would be kept
+	h = h[:len(h)-1]
+	a.heap = h
+	for i := 0; len(h) > 0; {
+		least := -1
+		for c := 4*i + 1; c < min(4*i+5, len(h)); c++ {
+			if least < 0 || h[c].before(&h[least]) {
+				least = c
+			}
+		}
+		if least < 0 || !h[least].before(&last) {
+			h[i] = last
+			break
+		}
+		h[i], i = h[least], least
+	}
+	a.now = first.at
+	a.done++
+	return first.do
+}
--- /dev/null
+++ b/internal/lab/emulator/compare.go
@@ -0,0 +1,152 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"text/tabwriter"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Comparison is the same days played with two settings.
+type Comparison struct {
+	A       string       `json:"a"` // the policy, as B
+	B       string       `json:"b"`
+	Days    int          `json:"days"`
+	Figures []Difference `json:"figures"`
+	BrokenA int          `json:"broken_a"` // days on which a rule was broken, as BrokenB
+	BrokenB int          `json:"broken_b"`
+}
+
+// Difference is a figure's. B's median less A's need not be the median difference, which is of the pairs.
+type Difference struct {
+	Name        string     `json:"name"`
+	A           float64    `json:"a"` // median over the days, as B
+	B           float64    `json:"b"`
+	SpreadA     float64    `json:"spread_a"` // distance of the quartiles, as SpreadB
+	SpreadB     float64    `json:"spread_b"`
+	Median      float64    `json:"median"`      // of B less A, day by day
+	Quartiles   [2]float64 `json:"quartiles"`   // of the same
+	More        int        `json:"more"`        // days on which B has more
+	Less        int        `json:"less"`        // or less
+	Discernible bool       `json:"discernible"` // a sign test rejects, at 5%, that either is as likely
+}
+
+// figures are what is compared.
+var figures = []struct {
+	name string
+	of   func(*Report) float64
+}{
+	{"service", func(r *Report) float64 { return r.Service }},
+	{"worst 10 s", func(r *Report) float64 { return r.WorstWindow }},
+	{"worst class", func(r *Report) float64 { return r.WorstClass }},
+	{"worst tenant", func(r *Report) float64 { return r.WorstTenant }},
+	{"mean ms", func(r *Report) float64 { return r.MeanMs }},
+	{"waste", func(r *Report) float64 { return r.Waste }},
+	{"attempts", func(r *Report) float64 { return r.Attempts }},
+	{"crossings", func(r *Report) float64 { return r.Crossings }},
+	{"probes", func(r *Report) float64 { return r.Probes }},
+	{"connections", func(r *Report) float64 { return r.ConnsMean }},
+	{"jams", func(r *Report) float64 { return float64(r.Jams) }},
+}
+
+// Compare plays days, whose seeds follow on a's, with the settings of a and of b, workers of them side by side. Load,
+// servers and troubles of a day are the same for both where the settings are.
+func Compare(ctx context.Context, a, b Config, days, workers int) (*Comparison, error) {
+	reports := make([][2]*Report, days)
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(max(1, workers))
+	for day := range days {
+		for side, cfg := range []Config{a, b} {
+			cfg.Seed = a.Seed + uint64(day)
+			g.Go(func() (err error) {
+				reports[day][side], err = Run(ctx, cfg, Options{})
+				return err
+			})
+		}
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	c := &Comparison{A: a.Policy, B: b.Policy, Days: days}
+	for _, r := range reports {
+		if !r[0].Ok() {
+			c.BrokenA++
+		}
+		if !r[1].Ok() {
+			c.BrokenB++
+		}
+	}
+	for _, f := range figures {
+		var as, bs []float64
+		for _, r := range reports {
+			as, bs = append(as, f.of(r[0])), append(bs, f.of(r[1]))
+		}
+		c.Figures = append(c.Figures, differ(f.name, as, bs))
+	}
+	return c, nil
+}
+
+func differ(name string, as, bs []float64) Difference {
+	d := Difference{Name: name}
+	var diffs []float64
+	for i := range as {
+		diff := bs[i] - as[i]
+		diffs = append(diffs, diff)
+		if diff > 0 {
+			d.More++
+		} else if diff < 0 {
+			d.Less++
+		}
+	}
+	spread := func(v []float64) float64 { return quantile(v, 0.75) - quantile(v, 0.25) }
+	d.A, d.B, d.SpreadA, d.SpreadB = quantile(as, 0.5), quantile(bs, 0.5), spread(as), spread(bs)
+	d.Median, d.Quartiles = quantile(diffs, 0.5), [2]float64{quantile(diffs, 0.25), quantile(diffs, 0.75)}
+	d.Discernible = signTest(d.More, d.Less) < 0.05
+	return d
+}
+
+// quantile interpolates between the two nearest.
+func quantile(v []float64, q float64) float64 {
+	v = slices.Sorted(slices.Values(v))
+	at := q * float64(len(v)-1)
+	low := int(at)
+	if low+1 >= len(v) {
+		return v[len(v)-1]
+	}
+	return v[low] + (at-float64(low))*(v[low+1]-v[low])
+}
+
+// signTest is the probability, on both sides, of a split as uneven as this if either way is as likely.
+func signTest(more, less int) float64 {
+	n, few := more+less, min(more, less)
+	sum := 0.0
+	for k := range few + 1 {
+		lg := func(x int) float64 { v, _ := math.Lgamma(float64(x + 1)); return v }
+		sum += math.Exp(lg(n) - lg(k) - lg(n-k) - float64(n)*math.Ln2)
+	}
+	return min(1, 2*sum)
+}
+
+// WriteJSON writes the comparison as JSON.
+func (c *Comparison) WriteJSON(out io.Writer) error { return writeJSON(out, c) }
+
+// Write writes a table.
+func (c *Comparison) Write(out io.Writer) error {
+	fmt.Fprintf(out, "%d days; a = %s, b = %s; medians, and in brackets the distance of the quartiles\n", c.Days, c.A,
+		c.B)
+	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "figure\ta\tb\tb-a, by days\tquartiles\tb more/less\tdiscernible\t")
+	for _, d := range c.Figures {
+		fmt.Fprintf(t, "%s\t%.4f (%.4f)\t%.4f (%.4f)\t%+.4f\t%+.4f to %+.4f\t%d/%d\t%t\t\n", d.Name, d.A, d.SpreadA,
+			d.B, d.SpreadB, d.Median, d.Quartiles[0], d.Quartiles[1], d.More, d.Less, d.Discernible)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(out, "days with a broken rule: a %d, b %d\n", c.BrokenA, c.BrokenB)
+	return err
+}
--- /dev/null
+++ b/internal/lab/emulator/network.go
@@ -0,0 +1,87 @@
+package emulator
+
+import "plankrouter/logic"
+
+// conn is a connection of a sidecar to a server's process.
+type conn struct {
+	at     *machine
+	place  int // among at.conns
+	att    *attempt
+	idleAt logic.Ms
+	broken bool // its end, or its process, is gone
+}
+
+// close ends the connection at both ends; what runs at the server runs on.
+func (c *conn) close() {
+	if c.broken {
+		return
+	}
+	c.broken = true
+	all := c.at.conns
+	last := all[len(all)-1]
+	all[c.place], last.place = last, c.place
+	all[len(all)-1] = nil
+	c.at.conns = all[:len(all)-1]
+}
+
+// reaches reports whether anything gets from one to the other.
+func (w *world) reaches(m *machine, sc *sidecar) bool {
+	return m.phase != silent && (m.zone == sc.zone || !w.cut[m.zone] && !w.cut[sc.zone])
+}
+
+// delay is that of one message.
+func (w *world) delay(from, to int) logic.Ms {
+	return w.far[from][to] + w.rngNetwork.ExpFloat64()*w.cfg.Network.Jitter
+}
+
+// attempt is one try of a request, or a probe, at a server.
+type attempt struct {
+	sc      *sidecar
+	life    int // of sc
+	req     *request
+	number  int
+	at      *machine
+	conn    *conn
+	began   logic.Ms
+	work    float64 // that the server puts into it
+	written bool    // its last byte is on its way: it may run from here on
+	ended   bool
+}
+
+// connect opens a connection for a, which is refused where there is no process or no room, and lost on a silent way.
+func (w *world) connect(a *attempt) {
+	sc, m := a.sc, a.at
+	w.after(w.delay(sc.zone, m.zone), func() {
+		switch {
+		case a.ended:
+		case !w.reaches(m, sc):
+			w.at(a.began+w.cfg.Network.ConnectTimeout, func() { sc.finish(a, logic.NoConnection, logic.Report{}) })
+		case m.phase == dead || len(m.conns) >= w.cfg.Server.Connections:
+			w.after(w.delay(m.zone, sc.zone), func() { sc.finish(a, logic.NoConnection, logic.Report{}) })
+		default:
+			a.conn = &conn{at: m, place: len(m.conns), att: a}
+			m.conns = append(m.conns, a.conn)
+			m.maxConns = max(m.maxConns, len(m.conns))
+			m.busy(w.cfg.Server.Handshake)
+			w.judge.handshakes++
+			w.after(w.delay(m.zone, sc.zone), func() { sc.connected(a) })
+		}
+	})
+}
+
+// carry takes a's last byte to the server.
+func (w *world) carry(a *attempt) {
+	m, life := a.at, a.at.life
+	spoilt := w.resets > 0 && w.rngNetwork.Float64() < w.resets
+	w.after(w.delay(a.sc.zone, m.zone), func() {
+		switch {
+		case life != m.life || !w.reaches(m, a.sc): // reset already, or lost on the way
+		case spoilt:
+			w.after(w.delay(m.zone, a.sc.zone), func() { a.sc.broke(a) })
+		case a.req == nil:
+			m.probe(a)
+		default:
+			m.take(a)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/emulator/policies.go
@@ -0,0 +1,186 @@
+package emulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"plankrouter/logic"
+)
+
+const jamMargin = 3 // requests that may be on their way to a server unseen
+
+// Policy decides for one sidecar. logic.Balancer is one; the textbook ones are there to compare with.
+type Policy interface {
+	Handle(now logic.Ms, e *logic.Event, out []logic.Action) []logic.Action
+}
+
+// Policies lists what a day's sidecars can decide by: the module; a server at random; each in turn; the one that holds
+// the fewest of the sidecar's own requests; and the one that is best by the true state of all servers, which no real
+// sidecar can know.
+func Policies() []string { return []string{"module", "random", "round-robin", "least", "oracle"} }
+
+func newPolicy(w *world, sc *sidecar, seed uint64) (Policy, error) {
+	cfg := w.cfg.logic(sc.zone)
+	if w.cfg.Policy == "module" {
+		return logic.New(cfg, seed)
+	}
+	t := &textbook{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 1)), out: map[logic.ServerID]int{},
+		open: map[logic.RequestID]*choice{}}
+	switch w.cfg.Policy {
+	case "random":
+		t.rank = func(logic.ServerID) float64 { return 0 }
+	case "round-robin":
+		turn := map[logic.ServerID]int{}
+		t.rank = func(id logic.ServerID) float64 { return float64(turn[id]) }
+		t.chosen = func(id logic.ServerID) {
+			turn[id] = t.turns
+			t.turns++
+		}
+		t.turns = 1
+	case "least":
+		t.rank = func(id logic.ServerID) float64 { return float64(t.out[id]) }
+	case "oracle":
+		t.rank = func(id logic.ServerID) float64 { return w.truth(sc, id) }
+		t.knows = true
+	default:
+		return nil, fmt.Errorf("there is no policy %q", w.cfg.Policy)
+	}
+	return t, nil
+}
+
+// truth is how long a request of mean work would take at a server, in ms, as things really are.
+func (w *world) truth(sc *sidecar, id logic.ServerID) float64 {
+	const out = 1e9
+	m := w.byID[id]
+	if m.phase != serving || m.paused || !w.reaches(m, sc) || m.failing > 0 {
+		return out
+	}
+	if float64(m.held()+jamMargin) > m.cores*(1+w.cfg.Server.JamWaiting) {
+		return out // one more could jam it
+	}
+	work := 0.0
+	for _, c := range w.cfg.Classes {
+		work += c.Share * c.WorkMs * m.slow
+	}
+	return work*max(m.cores, float64(m.held()+1))/m.power() + 2*w.far[sc.zone][m.zone]
+}
+
+// textbook sends each request to the server of the lowest rank and tries again what may be tried again. But for the one
+// that knows, it turns nothing away while there is a server. It keeps the rules on answers, repeats and drains; on cold
+// servers it has none.
+type textbook struct {
+	cfg    logic.Config
+	rng    *rand.Rand
+	rank   func(logic.ServerID) float64
+	chosen func(logic.ServerID) // may be nil
+	turns  int
+	knows  bool // rank is the time to an answer, so that what would come after the aim is turned away
+	ready  []logic.ServerID
+	out    map[logic.ServerID]int
+	open   map[logic.RequestID]*choice
+}
+
+// choice is an open request.
+type choice struct {
+	class, attempts int
+	out, mayRun     bool
+	last            logic.ServerID
+	aimAt, endAt    logic.Ms
+}
+
+func (t *textbook) Handle(now logic.Ms, e *logic.Event, acts []logic.Action) []logic.Action {
+	switch e.Kind {
+	case logic.List:
+		t.list(e)
+	case logic.Arrival:
+		end := max(0, e.Left-2*t.cfg.Round-1)
+		c := &choice{class: e.Class, aimAt: now + t.cfg.Classes[e.Class].Aim, endAt: now + end}
+		t.open[e.Request] = c
+		acts = append(acts, logic.Action{Kind: logic.SetTimer, Timer: uint64(e.Request), After: end})
+		return t.send(now, e.Request, c, acts)
+	case logic.AttemptDone:
+		t.out[e.Server]--
+		c := t.open[e.Request]
+		if c == nil {
+			return acts
+		}
+		c.out = false
+		if e.Final {
+			delete(t.open, e.Request)
+			return acts
+		}
+		c.mayRun = c.mayRun || !e.Status.NeverRan()
+		return t.send(now, e.Request, c, acts)
+	case logic.ClientGone:
+		return t.drop(e.Request, acts)
+	case logic.TimerDue:
+		if c := t.open[logic.RequestID(e.Timer)]; c != nil {
+			return t.finish(logic.RequestID(e.Timer), c, acts)
+		}
+	}
+	return acts
+}
+
+func (t *textbook) list(e *logic.Event) {
+	if e.Full {
+		t.ready = t.ready[:0]
+	}
+	for _, s := range e.Servers {
+		t.ready = slices.DeleteFunc(t.ready, func(id logic.ServerID) bool { return id == s.ID })
+		if s.Health == logic.Ready {
+			t.ready = append(t.ready, s.ID)
+		}
+	}
+}
+
+// send makes the next attempt, if one is allowed.
+func (t *textbook) send(now logic.Ms, id logic.RequestID, c *choice, acts []logic.Action) []logic.Action {
+	unsafe := t.cfg.Classes[c.class].Repeat == logic.Unsafe
+	if c.attempts >= t.cfg.MaxAttempts || c.mayRun && unsafe || len(t.ready) == 0 || c.endAt-now < 1 {
+		return t.finish(id, c, acts)
+	}
+	var best logic.ServerID
+	lowest, seen := 0.0, 0
+	for _, s := range t.ready {
+		if s == c.last && c.attempts > 0 && len(t.ready) > 1 {
+			continue
+		}
+		r := t.rank(s)
+		if seen == 0 || r < lowest {
+			lowest, seen = r, 0
+		}
+		if r == lowest {
+			if seen++; t.rng.IntN(seen) == 0 {
+				best = s
+			}
+		}
+	}
+	if t.knows && now+lowest > min(c.aimAt, c.endAt) {
+		return t.finish(id, c, acts)
+	}
+	if t.chosen != nil {
+		t.chosen(best)
+	}
+	c.out, c.last = true, best
+	c.attempts++
+	t.out[best]++
+	return append(acts, logic.Action{Kind: logic.Send, Request: id, Server: best, After: c.endAt - now})
+}
+
+// finish gives the final answer.
+func (t *textbook) finish(id logic.RequestID, c *choice, acts []logic.Action) []logic.Action {
+	act := logic.Action{Kind: logic.Fail, Request: id}
+	if t.cfg.Classes[c.class].Repeat == logic.Safe || !c.mayRun && !c.out {
+		act.Kind = logic.Refuse
+	}
+	return t.drop(id, append(acts, act))
+}
+
+func (t *textbook) drop(id logic.RequestID, acts []logic.Action) []logic.Action {
+	if c := t.open[id]; c != nil && c.out {
+		acts = append(acts, logic.Action{Kind: logic.Cancel, Request: id, Attempt: c.attempts - 1})
+	}
+	delete(t.open, id)
+	return acts
+}
--- /dev/null
+++ b/internal/lab/emulator/report.go
@@ -0,0 +1,245 @@
+package emulator
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+	"time"
+)
+
+// Report is what became of a day. Shares lie between 0 and 1; a share of nothing is 1.
+type Report struct {
+	Policy   string   `json:"policy"`
+	Seed     uint64   `json:"seed"`
+	Sidecars int      `json:"sidecars"`
+	Servers  int      `json:"servers"`
+	Rate     float64  `json:"rate"`
+	Seconds  float64  `json:"seconds"`
+	Troubles []string `json:"troubles"`
+
+	Requests      int     `json:"requests"` // first tries
+	InAim         int     `json:"in_aim"`
+	Late          int     `json:"late"` // answered within the deadline, but after the aim
+	Service       float64 `json:"service"`
+	WorstWindow   float64 `json:"worst_window"` // of 10 s, or the day if that is shorter
+	WorstWindowAt float64 `json:"worst_window_at_s"`
+	Classes       []Share `json:"classes"`
+	Tenants       []Share `json:"tenants"` // within their shares
+	WorstClass    float64 `json:"worst_class"`
+	WorstTenant   float64 `json:"worst_tenant"`
+	MeanMs        float64 `json:"mean_ms"` // of what was served, from the first try's intended send to the answer
+	WaitMs        float64 `json:"wait_ms"` // mean wait for a slot
+
+	Waste       float64 `json:"waste"`     // work that served nobody, as a part of what was asked for
+	Attempts    float64 `json:"attempts"`  // for each request, as the next three
+	Probes      float64 `json:"probes"`    //
+	Crossings   float64 `json:"crossings"` // attempts in another zone
+	Handshakes  float64 `json:"handshakes"`
+	ProbesEach  float64 `json:"probes_each"`  // for each server and second
+	ProbesMost  float64 `json:"probes_most"`  // of the server that got the most
+	ConnsMean   float64 `json:"conns_mean"`   // for each server
+	ConnsMost   int     `json:"conns_most"`   // of any server at any time
+	TurnedAway  int     `json:"turned_away"`  // attempts, by full or draining servers
+	Jams        int     `json:"jams"`         // of servers
+	Falls       int     `json:"falls"`        // of cold servers
+	ClientsLeft int     `json:"clients_left"` // tries that impatient clients gave up
+	Lost        int     `json:"lost"`         // tries that were open in a sidecar that was killed
+	Events      uint64  `json:"events"`       // of the emulator
+
+	Broken   map[Rule]int `json:"broken"`
+	Breaches []Breach     `json:"breaches"` // the first 20 of each rule
+	Timeline []string     `json:"timeline"`
+	Rows     []Row        `json:"-"`
+
+	InPolicy time.Duration `json:"-"` // spent in policies, by Options.Clock: a figure of the machine, not of the day
+}
+
+// Share is how a class or a tenant was served.
+type Share struct {
+	Name    string  `json:"name"`
+	Service float64 `json:"service"`
+}
+
+// Row is one second of a day.
+type Row struct {
+	Second  int
+	Asked   int // first tries
+	InAim   int
+	Late    int
+	Refused int // answers of sidecars, as the next
+	Failed  int
+	Sent    int // attempts
+	Probes  int
+	Held    int // by all servers, at the end of the second, as all that follows
+	Most    int // by any server
+	Conns   int
+	Jammed  int // servers
+	Silent  int // servers
+	Service float64
+}
+
+// row ends a second.
+func (j *judge) row() {
+	r := j.tally
+	r.Second = len(j.rows)
+	for _, m := range j.w.machines {
+		held := m.held()
+		r.Held += held
+		r.Most = max(r.Most, held)
+		r.Conns += len(m.conns)
+		if m.jammed {
+			r.Jammed++
+		}
+		if m.phase == silent {
+			r.Silent++
+		}
+	}
+	j.rows = append(j.rows, r)
+	j.tally = Row{}
+}
+
+const window = 10 // seconds
+
+// worst is the worst window's share and where it begins.
+func (j *judge) worst() (share float64, at int) {
+	full := j.seconds
+	share = 2
+	for from := 0; from == 0 || from+window <= len(full); from++ {
+		sum := part{}
+		for _, s := range full[from:min(len(full), from+window)] {
+			sum.asked, sum.got = sum.asked+s.asked, sum.got+s.got
+		}
+		if s := sum.share(); s < share {
+			share, at = s, from
+		}
+	}
+	return share, at
+}
+
+func (w *world) report() *Report {
+	j, c := w.judge, &w.cfg
+	r := &Report{Policy: c.Policy, Seed: c.Seed, Sidecars: c.Sidecars, Servers: c.Servers, Rate: c.Rate,
+		Seconds: c.Seconds, Requests: j.askedN, InAim: j.inAim, Late: j.late, Service: j.all.share(), WorstClass: 1,
+		WorstTenant: 1, TurnedAway: j.turnedAway, Jams: j.jams, Falls: j.falls, ClientsLeft: j.left, Lost: j.lost,
+		Events: w.done, Broken: j.broken, Breaches: j.breaches, Timeline: j.timeline, Rows: j.rows,
+		InPolicy: w.inPolicy}
+	for _, t := range c.Troubles {
+		r.Troubles = append(r.Troubles, t.String())
+	}
+	at := 0
+	r.WorstWindow, at = j.worst()
+	r.WorstWindowAt = float64(at)
+	for i, p := range j.classes {
+		r.Classes = append(r.Classes, Share{c.Classes[i].Name, p.share()})
+		r.WorstClass = min(r.WorstClass, p.share())
+	}
+	for i, p := range j.tenants {
+		r.Tenants = append(r.Tenants, Share{c.Tenants[i].Name, p.share()})
+		r.WorstTenant = min(r.WorstTenant, p.share())
+	}
+	asked := max(1, float64(j.askedN))
+	r.MeanMs = j.took / max(1, float64(j.servedN))
+	r.WaitMs = j.waits / max(1, float64(j.begun))
+	if j.workAsk > 0 {
+		r.Waste = max(0, j.workDone-j.workUsed) / j.workAsk
+	}
+	r.Attempts, r.Probes = float64(j.attempts)/asked, float64(j.probes)/asked
+	r.Crossings, r.Handshakes = float64(j.crossings)/asked, float64(j.handshakes)/asked
+	looks := 0
+	for _, m := range w.machines {
+		r.ProbesMost = max(r.ProbesMost, float64(m.probes)/c.Seconds)
+		r.ProbesEach += float64(m.probes) / c.Seconds / float64(c.Servers)
+		r.ConnsMean += m.sumConns
+		looks += m.liveChecks
+		r.ConnsMost = max(r.ConnsMost, m.maxConns)
+	}
+	r.ConnsMean /= max(1, float64(looks))
+	for i := range r.Rows {
+		if i < len(j.seconds) {
+			r.Rows[i].Service = j.seconds[i].share()
+		}
+	}
+	return r
+}
+
+// Ok reports whether no rule was broken.
+func (r *Report) Ok() bool { return len(r.Breaches) == 0 }
+
+// Write writes the report as text.
+func (r *Report) Write(out io.Writer) error {
+	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	line := func(name, format string, args ...any) {
+		fmt.Fprintf(t, "%s\t"+format+"\n", append([]any{name}, args...)...)
+	}
+	line("day", "%s, seed %d, %d sidecars, %d servers, %g requests/s for %g s", r.Policy, r.Seed, r.Sidecars, r.Servers,
+		r.Rate, r.Seconds)
+	for _, s := range r.Troubles {
+		line("trouble", "%s", s)
+	}
+	line("requests", "%d, answered within the aim %d, later %d", r.Requests, r.InAim, r.Late)
+	line("service", "%.4f; worst 10 s %.4f (from %.0f s), worst class %.4f, worst tenant %.4f", r.Service,
+		r.WorstWindow, r.WorstWindowAt, r.WorstClass, r.WorstTenant)
+	for _, s := range r.Classes {
+		line("class "+s.Name, "%.4f", s.Service)
+	}
+	for _, s := range r.Tenants {
+		line("tenant "+s.Name, "%.4f", s.Service)
+	}
+	line("mean time to an answer", "%.1f ms, of it waiting for a slot %.1f ms", r.MeanMs, r.WaitMs)
+	line("work wasted", "%.4f of what was asked for", r.Waste)
+	line("for each request", "%.3f attempts (%.3f in another zone), %.3f probes, %.4f handshakes", r.Attempts,
+		r.Crossings, r.Probes, r.Handshakes)
+	line("probes a second", "%.1f for each server, %.1f for the one with most", r.ProbesEach, r.ProbesMost)
+	line("connections", "%.1f for each server, %d at most", r.ConnsMean, r.ConnsMost)
+	line("servers", "turned away %d, jammed %d times, cold ones pushed over %d", r.TurnedAway, r.Jams, r.Falls)
+	line("clients", "left early %d, lost with a sidecar %d", r.ClientsLeft, r.Lost)
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, s := range r.Timeline {
+		fmt.Fprintln(out, s)
+	}
+	for _, rule := range []Rule{OneAnswer, NoRerun, OneAttempt, Drained, ColdServer} {
+		if n := r.Broken[rule]; n > 0 {
+			fmt.Fprintf(out, "BROKEN: %d times: %s\n", n, rule)
+		}
+	}
+	for _, b := range r.Breaches {
+		fmt.Fprintf(out, "BROKEN: %.4f s, sidecar %d, request %d, server %d: %s (%s)\n", b.At, b.Sidecar, b.Request,
+			b.Server, b.What, b.Rule)
+		for _, s := range b.Steps {
+			fmt.Fprintln(out, "   ", s)
+		}
+	}
+	_, err := fmt.Fprintf(out, "rules  %s\n", map[bool]string{true: "kept", false: "broken"}[r.Ok()])
+	return err
+}
+
+// WriteJSON writes the report as JSON, without the rows.
+func (r *Report) WriteJSON(out io.Writer) error { return writeJSON(out, r) }
+
+func writeJSON(out io.Writer, v any) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// WriteRows writes the seconds of the day as CSV.
+func (r *Report) WriteRows(out io.Writer) error {
+	c := csv.NewWriter(out)
+	c.Write([]string{"second", "asked", "in_aim", "late", "refused", "failed", "sent", "probes", "held", "held_most",
+		"connections", "jammed", "silent", "service"})
+	for _, w := range r.Rows {
+		var cells []string
+		for _, n := range []int{w.Second, w.Asked, w.InAim, w.Late, w.Refused, w.Failed, w.Sent, w.Probes, w.Held,
+			w.Most, w.Conns, w.Jammed, w.Silent} {
+			cells = append(cells, strconv.Itoa(n))
+		}
+		c.Write(append(cells, strconv.FormatFloat(w.Service, 'f', 4, 64)))
+	}
+	c.Flush()
+	return c.Error()
+}
--- /dev/null
+++ b/internal/lab/emulator/trouble.go
@@ -0,0 +1,302 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"plankrouter/logic"
+)
+
+// Trouble is something that goes wrong. What is 0 in a plan is drawn from the day's seed; Troubles says what Part, Size
+// and Every mean for each.
+type Trouble struct {
+	Name  string  `json:"name"`
+	At    float64 `json:"at_s"`
+	For   float64 `json:"for_s"`
+	Part  float64 `json:"part"`
+	Size  float64 `json:"size"`
+	Every float64 `json:"every_s"`
+	Class string  `json:"class"` // of costly requests
+}
+
+func (t Trouble) String() string {
+	s := fmt.Sprintf("%s at %.2f s for %.2f s", t.Name, t.At, t.For)
+	if t.Part > 0 {
+		s += fmt.Sprintf(", part %.2f", t.Part)
+	}
+	if t.Size > 0 {
+		s += fmt.Sprintf(", size %.2f", t.Size)
+	}
+	if t.Every > 0 {
+		s += fmt.Sprintf(", every %.2f s", t.Every)
+	}
+	if t.Class != "" {
+		s += ", class " + t.Class
+	}
+	return s
+}
+
+// TroubleKind is a kind of trouble, and the ranges from which it is drawn; a range of zeros is not used.
+type TroubleKind struct {
+	Name, About            string
+	For, Part, Size, Every [2]float64
+	play                   func(w *world, t Trouble, rng *rand.Rand)
+}
+
+// Troubles lists the kinds, by name.
+func Troubles() []TroubleKind {
+	kinds := make([]TroubleKind, 0, len(troubles))
+	for _, k := range troubles {
+		kinds = append(kinds, k)
+	}
+	slices.SortFunc(kinds, func(a, b TroubleKind) int { return strings.Compare(a.Name, b.Name) })
+	return kinds
+}
+
+var troubles = func() map[string]TroubleKind {
+	byName := map[string]TroubleKind{}
+	for _, k := range []TroubleKind{
+		{"silence", "a part of the servers says nothing at all, and is back with cold processes",
+			[2]float64{8, 20}, [2]float64{0.05, 0.2}, [2]float64{}, [2]float64{}, silence},
+		{"failures", "a part of the servers quickly fails a part (size) of what it gets",
+			[2]float64{5, 15}, [2]float64{0.05, 0.2}, [2]float64{0.4, 1}, [2]float64{}, failures},
+		{"neighbour", "another program takes a part (size) of the machine of a part of the servers, on and off (every)",
+			[2]float64{10, 20}, [2]float64{0.1, 0.5}, [2]float64{0.3, 0.7}, [2]float64{1, 5}, neighbour},
+		{"costly", "a part of one class's requests needs many times (size) the work",
+			[2]float64{8, 15}, [2]float64{0.01, 0.03}, [2]float64{5, 30}, [2]float64{}, dear},
+		{"deploy", "a part of the servers is replaced, a batch (size, of all) at a time, each after a drain (every)",
+			[2]float64{12, 20}, [2]float64{0.4, 1}, [2]float64{0.05, 0.2}, [2]float64{1.5, 4}, deploy},
+		{"release-slow", "a deploy whose successors need a multiple (size) of the work; batches are a tenth of all",
+			[2]float64{12, 20}, [2]float64{0.2, 0.6}, [2]float64{1.5, 3}, [2]float64{1.5, 4}, releaseSlow},
+		{"release-mute", "a deploy whose successors refuse probes; batches are a tenth of all",
+			[2]float64{12, 20}, [2]float64{0.2, 0.6}, [2]float64{}, [2]float64{1.5, 4}, releaseMute},
+		{"cutoff", "nothing gets into a zone or out of it",
+			[2]float64{4, 12}, [2]float64{}, [2]float64{}, [2]float64{}, cutoff},
+		{"restart", "a part of the sidecars is killed at once; each is back within a time (for)",
+			[2]float64{0.5, 2}, [2]float64{0.5, 0.5}, [2]float64{}, [2]float64{}, restart},
+		{"pause", "a part of the servers does nothing for a while; connections still come up",
+			[2]float64{0.5, 3}, [2]float64{0.1, 0.4}, [2]float64{}, [2]float64{}, pause},
+		{"resets", "a part of what is sent ends in a reset",
+			[2]float64{5, 15}, [2]float64{0.01, 0.1}, [2]float64{}, [2]float64{}, resets},
+		{"directory", "the directory is down, and tells all when it is back",
+			[2]float64{8, 15}, [2]float64{}, [2]float64{}, [2]float64{}, directoryDown},
+		{"surge", "a multiple (size) of the usual arrivals",
+			[2]float64{3, 10}, [2]float64{}, [2]float64{1.5, 3}, [2]float64{}, surge},
+	} {
+		byName[k.Name] = k
+	}
+	return byName
+}()
+
+func (t *Trouble) check(c *Config) error {
+	_, have := troubles[t.Name]
+	switch {
+	case !have:
+		var names []string
+		for _, k := range Troubles() {
+			names = append(names, k.Name)
+		}
+		return fmt.Errorf("name: there is no %q; there are %s", t.Name, strings.Join(names, ", "))
+	case t.At < 0 || t.For < 0 || t.Part < 0 || t.Part > 1 || t.Size < 0 || t.Every < 0:
+		return fmt.Errorf("%s: a figure is below 0, or part above 1: %v", t.Name, *t)
+	case t.Size >= 1 && (t.Name == "neighbour" || t.Name == "deploy") || t.Size > 1 && t.Name == "failures":
+		return fmt.Errorf("%s: size: %v; it is a part, below 1", t.Name, t.Size)
+	case t.Class != "" && !slices.ContainsFunc(c.Classes, func(k Class) bool { return k.Name == t.Class }):
+		return fmt.Errorf("%s: class: there is no %q", t.Name, t.Class)
+	}
+	return nil
+}
+
+// Random names up to three kinds, drawn from seed.
+func Random(seed uint64) (names []string) {
+	rng := rand.New(rand.NewPCG(seed, mix(seed, 77)))
+	kinds := Troubles()
+	for _, i := range rng.Perm(len(kinds))[:1+rng.IntN(3)] {
+		names = append(names, kinds[i].Name)
+	}
+	return names
+}
+
+// drawn fills in what a plan has left open.
+func (t Trouble) drawn(c *Config, rng *rand.Rand) Trouble {
+	k := troubles[t.Name]
+	at := (0.2 + 0.2*rng.Float64()) * c.Seconds
+	for _, f := range []struct {
+		to *float64
+		in [2]float64
+	}{{&t.For, k.For}, {&t.Part, k.Part}, {&t.Size, k.Size}, {&t.Every, k.Every}} {
+		if v := between(rng, f.in); *f.to == 0 { // drawn in any case: a figure that is given must not move the others
+			*f.to = v
+		}
+	}
+	if t.At == 0 {
+		t.At = at
+		t.For = min(t.For, 0.6*c.Seconds)
+	}
+	class := c.Classes[rng.IntN(len(c.Classes))].Name
+	if t.Name == "costly" && t.Class == "" {
+		t.Class = class
+	}
+	return t
+}
+
+// some are a part of the servers, one at least, and their numbers.
+func (w *world) some(part float64, rng *rand.Rand) ([]*machine, string) {
+	all := w.alive()
+	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	all = all[:min(len(all), max(1, int(math.Round(part*float64(len(all))))))]
+	var ids []string
+	for _, m := range all {
+		ids = append(ids, fmt.Sprint(m.id))
+	}
+	return all, strings.Join(ids, " ")
+}
+
+// upon does something to a part of the servers, and undoes it when the trouble is over, where the process is the same.
+func upon(w *world, t Trouble, rng *rand.Rand, do, undo func(*machine)) {
+	some, ids := w.some(t.Part, rng)
+	w.note("%s begins at servers %s", t.Name, ids)
+	for _, m := range some {
+		do(m)
+		m.settle()
+		m.resume()
+		w.after(t.For*1000, func() {
+			undo(m)
+			m.settle()
+			m.resume()
+		})
+	}
+	w.after(t.For*1000, func() { w.note("%s ends", t.Name) })
+}
+
+func silence(w *world, t Trouble, rng *rand.Rand) {
+	upon(w, t, rng, func(m *machine) { m.phase = silent }, func(m *machine) {
+		if m.phase == silent {
+			m.start()
+		}
+	})
+}
+
+func failures(w *world, t Trouble, rng *rand.Rand) {
+	upon(w, t, rng, func(m *machine) { m.failing = t.Size }, func(m *machine) { m.failing = 0 })
+}
+
+func pause(w *world, t Trouble, rng *rand.Rand) {
+	upon(w, t, rng, func(m *machine) { m.settle(); m.paused = true }, func(m *machine) { m.settle(); m.paused = false })
+}
+
+func neighbour(w *world, t Trouble, rng *rand.Rand) {
+	until := w.now + t.For*1000
+	upon(w, t, rng, func(m *machine) {
+		var toggle func()
+		toggle = func() {
+			if m.settle(); w.now >= until {
+				return
+			}
+			m.taken = t.Size - m.taken
+			m.resume()
+			w.after(t.Every*1000*(0.5+rng.Float64()), toggle)
+		}
+		w.after(rng.Float64()*t.Every*1000, toggle)
+	}, func(m *machine) { m.settle(); m.taken = 0 })
+}
+
+func dear(w *world, t Trouble, _ *rand.Rand) {
+	class := slices.IndexFunc(w.cfg.Classes, func(k Class) bool { return k.Name == t.Class })
+	w.costly = append(w.costly, costly{class, t.Part, t.Size})
+	w.note("costly begins: %.1f%% of %s need %.1f times the work", 100*t.Part, t.Class, t.Size)
+	w.after(t.For*1000, func() {
+		w.costly = slices.DeleteFunc(w.costly, func(c costly) bool { return c == costly{class, t.Part, t.Size} })
+		w.note("costly ends")
+	})
+}
+
+func deploy(w *world, t Trouble, rng *rand.Rand) { replace(w, t, rng, t.Size, func(*machine) {}) }
+
+func releaseSlow(w *world, t Trouble, rng *rand.Rand) {
+	replace(w, t, rng, 0.1, func(m *machine) { m.slow = t.Size })
+}
+
+func releaseMute(w *world, t Trouble, rng *rand.Rand) {
+	replace(w, t, rng, 0.1, func(m *machine) { m.mute = true })
+}
+
+// replace drains servers in batches, ends each after its drain and starts one with a new id in its place.
+func replace(w *world, t Trouble, rng *rand.Rand, batch float64, change func(*machine)) {
+	some, ids := w.some(t.Part, rng)
+	n := max(1, int(math.Round(batch*float64(len(w.alive())))))
+	batches := float64((len(some) + n - 1) / n)
+	w.note("%s begins: %d at a time of servers %s", t.Name, n, ids)
+	for i, old := range some {
+		w.after(t.For*1000*math.Floor(float64(i)/float64(n))/batches, func() {
+			if old.phase != serving {
+				return
+			}
+			old.phase = draining
+			w.dir.change(old, logic.Draining)
+			w.after(t.Every*1000, func() {
+				old.die()
+				w.dir.change(old, logic.Gone)
+				m := &machine{w: w, id: logic.ServerID(len(w.machines) + 1), zone: old.zone, cores: old.cores,
+					speed: old.speed, slow: old.slow, taken: old.taken, probeRoom: w.cfg.Server.ProbesMost}
+				change(m)
+				w.machines = append(w.machines, m)
+				w.byID[m.id] = m
+				m.start()
+			})
+		})
+	}
+	w.after((t.For+t.Every)*1000, func() { w.note("%s ends", t.Name) })
+}
+
+func cutoff(w *world, t Trouble, rng *rand.Rand) {
+	zone := rng.IntN(w.cfg.Zones)
+	w.cut[zone] = true
+	w.note("cutoff begins: zone %d", zone)
+	w.after(t.For*1000, func() {
+		w.cut[zone] = false
+		w.note("cutoff ends")
+	})
+}
+
+func restart(w *world, t Trouble, rng *rand.Rand) {
+	n := max(1, int(math.Round(t.Part*float64(len(w.sidecars)))))
+	w.note("restart: %d sidecars are killed", n)
+	for _, i := range rng.Perm(len(w.sidecars))[:n] {
+		sc := w.sidecars[i]
+		if sc.up {
+			sc.kill()
+			w.after(t.For*1000*(0.5+rng.Float64()/2), sc.start)
+		}
+	}
+}
+
+func resets(w *world, t Trouble, _ *rand.Rand) {
+	w.resets += t.Part
+	w.note("resets begin: %.1f%% of what is sent", 100*t.Part)
+	w.after(t.For*1000, func() {
+		w.resets -= t.Part
+		w.note("resets end")
+	})
+}
+
+func directoryDown(w *world, t Trouble, _ *rand.Rand) {
+	w.dir.stop()
+	w.note("the directory is down")
+	w.after(t.For*1000, func() {
+		w.dir.restart()
+		w.note("the directory is back")
+	})
+}
+
+func surge(w *world, t Trouble, _ *rand.Rand) {
+	w.surge *= t.Size
+	w.note("surge begins: %.2f times the arrivals", t.Size)
+	w.after(t.For*1000, func() {
+		w.surge /= t.Size
+		w.note("surge ends")
+	})
+}
--- /dev/null
+++ b/internal/lab/emulator/world.go
@@ -0,0 +1,323 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"plankrouter/logic"
+)
+
+const (
+	lead       = 1000.0 // ms before the first arrival, in which the sidecars start
+	lookEvery  = 1 << 14
+	sweepEvery = 1000.0 // ms between looks at idle connections, and between two rows
+)
+
+// world is one day while it is played.
+type world struct {
+	agenda
+	cfg      Config
+	machines []*machine // all there ever were, in order of their start
+	byID     map[logic.ServerID]*machine
+	sidecars []*sidecar
+	dir      *directory
+	judge    *judge
+	host     func(sc *sidecar, seed uint64) Policy
+
+	far    [][]logic.Ms // one way, between zones
+	cut    []bool       // zones that nothing enters or leaves
+	resets float64      // part of what is sent that ends in a reset
+	surge  float64      // times the usual arrivals
+	costly []costly
+
+	// Apart from each other, so that what a policy does leaves the load and the troubles as they are.
+	rngLoad, rngServers, rngStarts, rngNetwork, rngDirectory, rngClients *rand.Rand
+
+	clock    func() time.Duration
+	inPolicy time.Duration
+}
+
+// costly makes part of one class's requests cost times the work.
+type costly struct {
+	class       int
+	part, times float64
+}
+
+// Options are what does not belong to a day. The zero value is good.
+type Options struct {
+	// Clock, if there is one, is read around each call of a policy; the time between is in Report.InPolicy.
+	Clock func() time.Duration
+	// Wrap, if there is one, gives the policy that a sidecar hosts in place of its own.
+	Wrap func(sidecar int, own Policy) Policy
+}
+
+// Run plays one day. It returns early with ctx's error if ctx ends. It is safe for concurrent use.
+func Run(ctx context.Context, cfg Config, o Options) (*Report, error) {
+	w, err := newWorld(cfg, o)
+	if err != nil {
+		return nil, err
+	}
+	if err := w.play(ctx); err != nil {
+		return nil, err
+	}
+	return w.report(), nil
+}
+
+// play runs the day until all is answered.
+func (w *world) play(ctx context.Context) error {
+	most := 0.0
+	for _, c := range w.cfg.Classes {
+		most = max(most, c.DeadlineMs)
+	}
+	end := lead + w.cfg.Seconds*1000 + most + sweepEvery
+	for len(w.heap) > 0 && w.heap[0].at <= end {
+		w.next()()
+		if w.done%lookEvery == 0 && ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func newWorld(cfg Config, o Options) (*world, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	w := &world{cfg: cfg, byID: map[logic.ServerID]*machine{}, surge: 1, cut: make([]bool, cfg.Zones), clock: o.Clock}
+	for i, r := range []**rand.Rand{&w.rngLoad, &w.rngServers, &w.rngStarts, &w.rngNetwork,
+		&w.rngDirectory, &w.rngClients} {
+		*r = rand.New(rand.NewPCG(cfg.Seed, mix(cfg.Seed, uint64(i+1))))
+	}
+	w.judge = newJudge(w)
+	w.dir = &directory{w: w}
+	w.host = func(sc *sidecar, seed uint64) Policy {
+		p, err := newPolicy(w, sc, seed)
+		if err != nil {
+			panic(err) // Check and newWorld have seen this configuration work
+		}
+		if o.Wrap != nil {
+			p = o.Wrap(sc.number, p)
+		}
+		return p
+	}
+	if _, err := logic.New(cfg.logic(0), 0); err != nil {
+		return nil, err
+	}
+	w.layOut()
+	w.cfg.Troubles = slices.Clone(cfg.Troubles)
+	for i, t := range cfg.Troubles {
+		rng := rand.New(rand.NewPCG(cfg.Seed, mix(cfg.Seed, uint64(1000+i))))
+		t = t.drawn(&cfg, rng)
+		w.cfg.Troubles[i] = t
+		w.at(lead+t.At*1000, func() { troubles[t.Name].play(w, t, rng) })
+	}
+	w.at(lead, w.load())
+	return w, nil
+}
+
+// layOut draws the network, the servers and the sidecars, and sets going what goes on all day.
+func (w *world) layOut() {
+	cfg := &w.cfg
+	w.far = make([][]logic.Ms, cfg.Zones)
+	for i := range w.far {
+		w.far[i] = make([]logic.Ms, cfg.Zones)
+		w.far[i][i] = cfg.Network.Near
+		for j := range i {
+			d := between(w.rngNetwork, cfg.Network.Far)
+			w.far[i][j], w.far[j][i] = d, d
+		}
+	}
+	for i := range cfg.Servers {
+		kind := cfg.Kinds[pick(w.rngServers, len(cfg.Kinds), func(i int) float64 { return cfg.Kinds[i].Share })]
+		w.machine(i%cfg.Zones, kind.Cores, between(w.rngServers, kind.Speed))
+	}
+	for i := range cfg.Sidecars {
+		sc := &sidecar{w: w, number: i, zone: i % cfg.Zones}
+		w.sidecars = append(w.sidecars, sc)
+		w.at(w.rngClients.Float64()*lead, sc.start) // their clocks must not tick together
+	}
+	w.every(tickEvery, func() {
+		for _, m := range w.machines {
+			if m.phase != dead {
+				m.tick()
+			}
+		}
+	})
+	w.at(lead, func() {
+		w.every(sweepEvery, func() {
+			for _, m := range w.machines {
+				m.sweep()
+			}
+			w.judge.row()
+		})
+	})
+}
+
+// machine adds a server whose process has been running for long.
+func (w *world) machine(zone int, cores, speed float64) *machine {
+	m := &machine{w: w, id: logic.ServerID(len(w.machines) + 1), zone: zone, cores: cores, speed: speed, slow: 1,
+		crowded: -1, idle: -1, probeRoom: w.cfg.Server.ProbesMost}
+	w.machines = append(w.machines, m)
+	w.byID[m.id] = m
+	w.dir.lines = append(w.dir.lines, m.info(logic.Ready))
+	return m
+}
+
+// every does do again and again, for the first time after one period.
+func (w *world) every(period logic.Ms, do func()) {
+	w.after(period, func() {
+		do()
+		w.every(period, do)
+	})
+}
+
+// alive are the machines with a process that serves or is thought to.
+func (w *world) alive() []*machine {
+	return slices.DeleteFunc(slices.Clone(w.machines), func(m *machine) bool {
+		return m.phase == dead || m.phase == draining
+	})
+}
+
+func between(rng *rand.Rand, r [2]float64) float64 { return r[0] + rng.Float64()*(r[1]-r[0]) }
+
+// pick draws one of n by weight.
+func pick(rng *rand.Rand, n int, weight func(int) float64) int {
+	all := 0.0
+	for i := range n {
+		all += weight(i)
+	}
+	x := rng.Float64() * all
+	for i := range n - 1 {
+		if x -= weight(i); x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// note adds a line to the day's time line.
+func (w *world) note(format string, args ...any) {
+	line := fmt.Sprintf("%7.2f s  ", (w.now-lead)/1000) + fmt.Sprintf(format, args...)
+	w.judge.timeline = append(w.judge.timeline, line)
+}
+
+// ---- Clients: arrivals that wait for nothing, deadlines, and tries that are repeated.
+
+// ask is a first try with all that repeats it.
+type ask struct {
+	at, endAt     logic.Ms
+	class, tenant int
+	sidecar       int
+	patience      float64
+	work          float64
+	inShare       bool
+	tries         int
+	settled       bool
+}
+
+// load returns what brings the next request and enters itself again.
+func (w *world) load() func() {
+	cfg := &w.cfg
+	heavy := make([]float64, cfg.Sidecars) // cumulated, of the sidecars' traffic
+	sum := 0.0
+	for i := range heavy {
+		sum += math.Pow(float64(i+1), -cfg.Skew)
+		heavy[i] = sum
+	}
+	rng := w.rngLoad
+	var next func()
+	next = func() {
+		if w.now >= lead+cfg.Seconds*1000 || cfg.Rate == 0 {
+			return
+		}
+		a := &ask{at: w.now, tenant: -1,
+			class: pick(rng, len(cfg.Classes), func(i int) float64 { return cfg.Classes[i].Share })}
+		a.sidecar, _ = slices.BinarySearch(heavy, rng.Float64()*sum)
+		if len(cfg.Tenants) > 0 {
+			a.tenant = pick(rng, len(cfg.Tenants), func(i int) float64 { return cfg.Tenants[i].Share })
+		}
+		class := &cfg.Classes[a.class]
+		a.endAt = a.at + class.DeadlineMs
+		a.patience = between(rng, cfg.Clients.Patience) * class.DeadlineMs
+		a.work = rng.ExpFloat64() * class.WorkMs
+		dear := rng.Float64() // drawn on every day, so that days with and without costly ones are otherwise the same
+		for _, c := range w.costly {
+			if c.class == a.class && dear < c.part {
+				a.work *= c.times
+			}
+		}
+		a.inShare = w.judge.asked(a)
+		w.try(a)
+		w.after(rng.ExpFloat64()*1000/(cfg.Rate*w.surge), next)
+	}
+	return next
+}
+
+// try brings a to its sidecar.
+func (w *world) try(a *ask) {
+	left := min(a.patience, a.endAt-w.now)
+	a.tries++
+	sc := w.sidecars[a.sidecar]
+	if !sc.up {
+		w.again(a, true)
+		return
+	}
+	r := sc.take(a, a.tries, left)
+	life := sc.life
+	w.after(left+w.cfg.Rules.AnswerSlack, func() {
+		if r.answered || sc.life != life {
+			return
+		}
+		w.judge.overdue(sc, r)
+		sc.gone(r)
+		w.again(a, !w.cfg.Classes[a.class].Unsafe)
+	})
+	if w.rngClients.Float64() < w.cfg.Clients.Impatient {
+		w.after(w.rngClients.Float64()*left, func() {
+			if !r.answered && sc.life == life {
+				w.judge.left++
+				a.settled = true
+				sc.gone(r)
+			}
+		})
+	}
+}
+
+// answered is a final answer at the client: kind is Send for the server's own, Refuse or Fail for the sidecar's.
+func (w *world) answered(r *request, kind logic.ActionKind) {
+	a := r.ask
+	switch {
+	case a.settled:
+	case kind == logic.Send:
+		a.settled = true
+		w.judge.served(r)
+	case kind == logic.Refuse:
+		w.again(a, true)
+	default:
+		w.again(a, !w.cfg.Classes[a.class].Unsafe)
+	}
+}
+
+// lost is a try whose sidecar has died with it.
+func (w *world) lost(r *request) {
+	w.judge.lost++
+	w.again(r.ask, !w.cfg.Classes[r.ask.class].Unsafe)
+}
+
+// again tries once more where that is harmless and there is time, or gives up.
+func (w *world) again(a *ask, harmless bool) {
+	wait := w.cfg.Clients.Wait
+	if a.settled || !harmless || a.tries > w.cfg.Clients.Retries || w.now+wait >= a.endAt-1 {
+		a.settled = true
+		return
+	}
+	w.after(wait, func() {
+		if !a.settled {
+			w.try(a)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/load/plot.go
@@ -0,0 +1,134 @@
+package load
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+
+	"github.com/wcharczuk/go-chart/v2"
+	"github.com/wcharczuk/go-chart/v2/drawing"
+)
+
+// The parts of a plot.
+const (
+	plotWidth, plotHeight = 1200, 600
+	leastMs               = 0.1 // where the axis of latency begins
+	neverMs               = 1e6 // stands for requests that were never served, above all that were
+)
+
+// PlotForm returns how to draw a plot by the ending of its file's name, .svg or .png.
+func PlotForm(ending string) (chart.RendererProvider, error) {
+	switch ending {
+	case ".svg":
+		return chart.SVG, nil
+	case ".png":
+		return chart.PNG, nil
+	}
+	return nil, fmt.Errorf("a plot is .svg or .png, not %q; rename it", ending)
+}
+
+// perSecond is one line of a plot.
+type perSecond struct {
+	name  string
+	color drawing.Color
+	value func(*SecondRow) *float64
+	merge func(a, b float64) float64 // of classes
+
+	xs, ys []float64
+}
+
+func plotLines() (latencies, rates []perSecond) {
+	line := func(name, color string, merge func(a, b float64) float64, v func(*SecondRow) *float64) perSecond {
+		return perSecond{name: name, color: drawing.ColorFromHex(color), value: v, merge: merge}
+	}
+	larger := func(a, b float64) float64 { return max(a, b) }
+	add := func(a, b float64) float64 { return a + b }
+	whole := func(n uint64) *float64 { f := float64(n); return &f }
+	return []perSecond{
+			line("p50 from due", "6baed6", larger, func(s *SecondRow) *float64 { return s.Due[0] }),
+			line("p99 from due", "08519c", larger, func(s *SecondRow) *float64 { return s.Due[2] }),
+			line("p99 from send", "e6550d", larger, func(s *SecondRow) *float64 { return s.Sent[2] }),
+			line("generator late", "999999", larger, func(s *SecondRow) *float64 { return &s.LateMs }),
+		}, []perSecond{
+			line("asked/s", "31a354", add, func(s *SecondRow) *float64 { return whole(s.Asked) }),
+			line("in aim/s", "a1d99b", add, func(s *SecondRow) *float64 { return whole(s.InAim) }),
+		}
+}
+
+// Plot draws the seconds of the run: latency of the worst class against the axis on the right, which is logarithmic,
+// and rates of all classes against the one on the left. A latency at the very top means that too few requests were
+// served.
+func (r *Report) Plot(w io.Writer, form chart.RendererProvider) error {
+	if len(r.Seconds) == 0 {
+		return errors.New("nothing was due, so that there is nothing to draw; ask for something")
+	}
+	c := chart.Chart{Width: plotWidth, Height: plotHeight,
+		Background: chart.Style{Padding: chart.Box{Top: 60, Left: 10, Right: 10, Bottom: 10}},
+		XAxis: chart.XAxis{Name: "second in which requests were due",
+			Ticks: secondTicks(r.Seconds[len(r.Seconds)-1].Second)},
+		YAxisSecondary: chart.YAxis{ValueFormatter: chart.IntValueFormatter}}
+	latencies, rates := plotLines()
+	longest, most := leastMs, 1.0
+	for i := range latencies {
+		for _, y := range latencies[i].draw(r) {
+			if y < neverMs {
+				longest = max(longest, y)
+			}
+		}
+	}
+	top := math.Floor(math.Log10(longest)) + 1
+	for i := range latencies {
+		for j, y := range latencies[i].ys { // the library's own logarithmic range is one for values above 1 only
+			latencies[i].ys[j] = min(top, math.Log10(max(leastMs, y)))
+		}
+		c.Series = append(c.Series, latencies[i].series(chart.YAxisPrimary))
+	}
+	for i := range rates {
+		most = max(most, slices.Max(rates[i].draw(r)))
+		c.Series = append(c.Series, rates[i].series(chart.YAxisSecondary))
+	}
+	for power := math.Log10(leastMs); power <= top; power++ {
+		label := fmt.Sprintf("%.4g ms", math.Pow(10, power))
+		c.YAxis.Ticks = append(c.YAxis.Ticks, chart.Tick{Value: power, Label: label})
+	}
+	c.YAxisSecondary.Range = &chart.ContinuousRange{Max: most * 1.05}
+	c.Elements = []chart.Renderable{chart.LegendThin(&c)}
+	return c.Render(form, w)
+}
+
+// secondTicks returns some ten whole seconds from 0 to the last or a little beyond.
+func secondTicks(last int) (ticks []chart.Tick) {
+	step := max(1, (last+9)/10)
+	for s := 0; s < max(1, last)+step; s += step {
+		ticks = append(ticks, chart.Tick{Value: float64(s), Label: strconv.Itoa(s)})
+	}
+	return ticks
+}
+
+func (l *perSecond) series(axis chart.YAxisType) chart.Series {
+	return chart.ContinuousSeries{Name: l.name, XValues: l.xs, YValues: l.ys, YAxis: axis,
+		Style: chart.Style{StrokeColor: l.color, StrokeWidth: 2}}
+}
+
+// draw fills in a value for each second in which something was due, of all classes, and returns the values.
+func (l *perSecond) draw(r *Report) []float64 {
+	for i := range r.Seconds {
+		s := &r.Seconds[i]
+		y := neverMs
+		if v := l.value(s); v != nil {
+			y = *v
+		}
+		if n := len(l.xs); n > 0 && l.xs[n-1] == float64(s.Second) {
+			l.ys[n-1] = l.merge(l.ys[n-1], y)
+			continue
+		}
+		l.xs, l.ys = append(l.xs, float64(s.Second)), append(l.ys, y)
+	}
+	if len(l.xs) == 1 { // a line needs two ends
+		l.xs, l.ys = append(l.xs, l.xs[0]+1), append(l.ys, l.ys[0])
+	}
+	return l.ys
+}
--- /dev/null
+++ b/internal/lab/load/report.go
@@ -0,0 +1,228 @@
+package load
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// quantiles are those that a report gives.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999, 1}
+
+// Latency has the quantiles 0.5, 0.9, 0.99, 0.999 and 1 in milliseconds, over all requests that were asked for: nil
+// means that fewer than that were served at all.
+type Latency [5]*float64
+
+func newLatency(h Hist, total uint64) (l Latency) {
+	for i, q := range quantiles {
+		l[i] = quantileMs(h, q, total)
+	}
+	return l
+}
+
+func quantileMs(h Hist, q float64, total uint64) *float64 {
+	if d, ok := h.Quantile(q, total); ok {
+		ms := d.Seconds() * 1000
+		return &ms
+	}
+	return nil
+}
+
+// Row is what came of the requests of one class, or of all.
+type Row struct {
+	Class   string            `json:"class"` // "all" for all of them
+	Asked   uint64            `json:"asked"`
+	Tries   uint64            `json:"tries"`
+	Resent  uint64            `json:"resent"`
+	InAim   uint64            `json:"in_aim"`
+	Goodput float64           `json:"goodput_per_s"` // requests served within their aim a second of due time
+	Ends    map[string]uint64 `json:"ends"`          // of requests
+	TryEnds map[string]uint64 `json:"try_ends"`
+	Due     Latency           `json:"latency_from_due_ms"`
+	Sent    Latency           `json:"latency_from_send_ms"`
+}
+
+func newRow(class string, t *Tally, lasted float64) Row {
+	row := Row{Class: class, Asked: t.Asked, Tries: t.Tries, Resent: t.Resent, InAim: t.InAim,
+		Ends: map[string]uint64{}, TryEnds: map[string]uint64{},
+		Due: newLatency(t.Due, t.Asked), Sent: newLatency(t.Sent, t.Asked)}
+	if lasted > 0 {
+		row.Goodput = float64(t.InAim) / lasted
+	}
+	for i, name := range endNames {
+		row.Ends[name], row.TryEnds[name] = t.Ends[i], t.TryEnds[i]
+	}
+	return row
+}
+
+// SecondRow is what came of the requests of one class that were due in one second.
+type SecondRow struct {
+	Second int               `json:"second"`
+	Class  string            `json:"class"`
+	Asked  uint64            `json:"asked"`
+	Tries  uint64            `json:"tries"`
+	InAim  uint64            `json:"in_aim"`
+	Ends   map[string]uint64 `json:"ends"`
+	Due    Latency           `json:"latency_from_due_ms"`
+	Sent   Latency           `json:"latency_from_send_ms"`
+	LateMs float64           `json:"late_longest_ms"` // of all classes
+}
+
+// Report is what a run has shown. Times are in milliseconds unless they say otherwise.
+type Report struct {
+	Address   string      `json:"address"`
+	Seed      uint64      `json:"seed"`
+	Processes int         `json:"processes"`
+	LastedS   float64     `json:"lasted_s"` // seconds in which requests were due
+	RanS      float64     `json:"ran_s"`    // until the last had ended
+	Valid     bool        `json:"valid"`
+	Invalid   []string    `json:"invalid,omitempty"` // why not
+	Partial   bool        `json:"partial"`           // it was interrupted
+	LateMs    Latency     `json:"late_ms"`
+	StallMs   float64     `json:"stall_ms"` // by which the generator's own clock was late at most
+	Held      uint64      `json:"held"`     // tries that had to wait for a connection
+	HeldMs    float64     `json:"held_longest_ms"`
+	Opened    uint64      `json:"connections_opened"`
+	Classes   []Row       `json:"classes"` // the last one is all of them
+	Seconds   []SecondRow `json:"seconds"`
+}
+
+// NewReport makes the report of a run of a plan against an address, in a number of processes.
+func NewReport(p *Plan, r *Result, address string, processes int) *Report {
+	ms := func(d time.Duration) float64 { return d.Seconds() * 1000 }
+	out := &Report{Address: address, Seed: p.Seed, Processes: processes, LastedS: p.ForS, RanS: r.Ran.Seconds(),
+		Partial: r.Partial, LateMs: newLatency(r.Late, r.Late.Count()), StallMs: ms(r.Stall), Held: r.Held,
+		HeldMs: ms(r.HeldLonger), Opened: r.Opened}
+	if n := float64(len(r.Seconds)); r.Partial {
+		out.LastedS = min(n, out.RanS)
+	} else if p.ForS == 0 || p.Trace != nil && n < p.ForS {
+		out.LastedS = n
+	}
+	out.judge(p.Lateness)
+	all := newTally(fineDigits)
+	for i := range r.Classes {
+		out.Classes = append(out.Classes, newRow(p.Classes[i].Name, &r.Classes[i], out.LastedS))
+		all.merge(&r.Classes[i])
+	}
+	out.Classes = append(out.Classes, newRow("all", &all, out.LastedS))
+	for i, s := range r.Seconds {
+		for j := range s.Classes {
+			if t := &s.Classes[j]; t.Asked > 0 {
+				row := newRow(p.Classes[j].Name, t, 1)
+				out.Seconds = append(out.Seconds, SecondRow{i, row.Class, row.Asked, row.Tries, row.InAim, row.Ends,
+					row.Due, row.Sent, float64(s.LateUs) / 1000})
+			}
+		}
+	}
+	return out
+}
+
+// judge says whether the generator kept to its plan well enough.
+func (r *Report) judge(l Lateness) {
+	say := func(what string, is, most float64) {
+		if is > most {
+			r.Invalid = append(r.Invalid, fmt.Sprintf("%s %.3f ms, more than %v ms", what, is, most))
+		}
+	}
+	if r.LateMs[0] != nil {
+		say("requests were taken up late, at the 99th percentile by", *r.LateMs[2], l.P99Ms)
+		say("a request was taken up late by", *r.LateMs[4], l.MostMs)
+	}
+	say("the generator itself was held up for", r.StallMs, l.MostMs)
+	r.Valid = len(r.Invalid) == 0
+}
+
+func text(ms *float64) string {
+	if ms == nil {
+		return "never"
+	}
+	return strconv.FormatFloat(*ms, 'f', 3, 64)
+}
+
+// Write writes the report for people. The first line that begins with INVALID or PARTIAL is what to look for.
+func (r *Report) Write(w io.Writer) error {
+	b := &strings.Builder{}
+	fmt.Fprintf(b, "%.1f s of load on %s, seed %d; processes: %d, connections: %d; all over after %.1f s\n", r.LastedS,
+		r.Address, r.Seed, r.Processes, r.Opened, r.RanS)
+	if r.Partial {
+		fmt.Fprintln(b, "PARTIAL: the run was interrupted, and the requests that were due later are not in it")
+	}
+	for _, why := range r.Invalid {
+		fmt.Fprintf(b, "INVALID: %s: the figures are the generator's, not the server's\n", why)
+	}
+	if r.LateMs[0] != nil {
+		fmt.Fprintf(b, "taken up late: p50 %s ms, p99 %s ms, at most %s ms; own clock late by at most %.3f ms\n",
+			text(r.LateMs[0]), text(r.LateMs[2]), text(r.LateMs[4]), r.StallMs)
+	}
+	if r.Held > 0 {
+		fmt.Fprintf(b, "%d tries waited for a connection, for up to %.3f ms: raise the plan's connections, unless "+
+			"clients have that limit\n", r.Held, r.HeldMs)
+	}
+	r.tables(b)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func (r *Report) tables(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "\nclass\tasked\tin aim\tshare\tin aim/s\t%s\ttries\tresent\t\n",
+		strings.ReplaceAll(strings.Join(endNames[:], "\t"), "_", " "))
+	for _, c := range r.Classes {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.4f\t%.1f\t", c.Class, c.Asked, c.InAim,
+			float64(c.InAim)/math.Max(1, float64(c.Asked)), c.Goodput)
+		for _, name := range endNames {
+			fmt.Fprintf(t, "%d\t", c.Ends[name])
+		}
+		fmt.Fprintf(t, "%d\t%d\t\n", c.Tries, c.Resent)
+	}
+	t.Flush()
+	fmt.Fprint(t, "\nms, of all asked for\tcounted from\tp50\tp90\tp99\tp99.9\tlongest\t\n")
+	for _, c := range r.Classes {
+		for _, from := range []struct {
+			what string
+			l    Latency
+		}{{"due", c.Due}, {"send", c.Sent}} {
+			fmt.Fprintf(t, "%s\t%s\t", c.Class, from.what)
+			for _, ms := range from.l {
+				fmt.Fprintf(t, "%s\t", text(ms))
+			}
+			fmt.Fprintln(t)
+		}
+	}
+	t.Flush()
+}
+
+// WriteCSV writes a row for each second and class in which something was due. A quantile is empty where too few
+// requests were served for it.
+func (r *Report) WriteCSV(w io.Writer) error {
+	c := csv.NewWriter(w)
+	head := append([]string{"second", "class", "asked", "tries", "in_aim"}, endNames[:]...)
+	for _, from := range []string{"due", "sent"} {
+		for _, q := range []string{"p50", "p90", "p99", "p999", "max"} {
+			head = append(head, from+"_"+q+"_ms")
+		}
+	}
+	c.Write(append(head, "late_max_ms"))
+	number := func(ms float64) string { return strconv.FormatFloat(ms, 'f', 3, 64) }
+	for _, s := range r.Seconds {
+		row := []string{strconv.Itoa(s.Second), s.Class, fmt.Sprint(s.Asked), fmt.Sprint(s.Tries), fmt.Sprint(s.InAim)}
+		for _, name := range endNames {
+			row = append(row, fmt.Sprint(s.Ends[name]))
+		}
+		for _, ms := range append(s.Due[:], s.Sent[:]...) {
+			if ms == nil {
+				row = append(row, "")
+			} else {
+				row = append(row, number(*ms))
+			}
+		}
+		c.Write(append(row, number(s.LateMs)))
+	}
+	c.Flush()
+	return c.Error()
+}
--- /dev/null
+++ b/internal/lab/load/shape.go
@@ -0,0 +1,275 @@
+package load
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"sort"
+	"strings"
+)
+
+// Shape says how many requests a second are due as time goes by. It is one of
+//
+//   - constant: Rate;
+//   - step: Rate, from AtS on To;
+//   - ramp: Rate, from AtS on in a straight line to To within OverS;
+//   - spike: Rate, from AtS on up to Times as much within OverS (0 = 1), for HoldS, and back within BackS (0 = 1);
+//   - sine: Rate on average, Swing of it more and less, with a period of PeriodS; it rises through Rate at AtS;
+//   - sum: all of Of at once;
+//   - sequence: one of Of after another, each for its ForS, the last one on and on.
+//
+// Rates are requests a second; keys that end in _s are seconds from the start of the shape.
+type Shape struct {
+	Kind    string  `json:"kind"`
+	Rate    float64 `json:"rate,omitempty"`
+	To      float64 `json:"to,omitempty"`
+	Times   float64 `json:"times,omitempty"`
+	Swing   float64 `json:"swing,omitempty"`
+	AtS     float64 `json:"at_s,omitempty"`
+	OverS   float64 `json:"over_s,omitempty"`
+	HoldS   float64 `json:"hold_s,omitempty"`
+	BackS   float64 `json:"back_s,omitempty"`
+	PeriodS float64 `json:"period_s,omitempty"`
+	ForS    float64 `json:"for_s,omitempty"`
+	Of      []Shape `json:"of,omitempty"`
+}
+
+// kinds has the keys that each kind of shape takes, and those of them that it needs to be above 0.
+var kinds = map[string]struct{ takes, needs []string }{
+	"constant": {[]string{"rate"}, nil},
+	"step":     {[]string{"rate", "to", "at_s"}, nil},
+	"ramp":     {[]string{"rate", "to", "at_s", "over_s"}, []string{"over_s"}},
+	"spike":    {[]string{"rate", "times", "at_s", "over_s", "hold_s", "back_s"}, []string{"rate", "times"}},
+	"sine":     {[]string{"rate", "swing", "period_s", "at_s"}, []string{"rate", "period_s"}},
+	"sum":      {[]string{"of"}, nil},
+	"sequence": {[]string{"of"}, nil},
+}
+
+const (
+	mostRate  = 1e6 // requests a second, of one shape
+	edge      = 1.0 // seconds that a spike takes to rise and to fall, unless it says more
+	deepShape = 8   // shapes within shapes
+)
+
+func (s *Shape) numbers() map[string]float64 {
+	return map[string]float64{"rate": s.Rate, "to": s.To, "times": s.Times, "swing": s.Swing, "at_s": s.AtS,
+		"over_s": s.OverS, "hold_s": s.HoldS, "back_s": s.BackS, "period_s": s.PeriodS, "for_s": s.ForS}
+}
+
+// check returns what is wrong with the shape under key; inner tells that it is one of a sequence that must end.
+func (s *Shape) check(key string, inner bool, depth int) error {
+	kind, known := kinds[s.Kind]
+	switch {
+	case !known:
+		return fmt.Errorf("%s.kind: there is no %q; want %s", key, s.Kind,
+			strings.Join(slices.Sorted(maps.Keys(kinds)), ", "))
+	case depth > deepShape:
+		return fmt.Errorf("%s: shapes are nested deeper than %d; write them side by side", key, deepShape)
+	case inner && s.ForS <= 0:
+		return fmt.Errorf("%s.for_s: %v; a sequence must know how long each but the last lasts: want more than 0", key,
+			s.ForS)
+	}
+	numbers := s.numbers()
+	for _, name := range slices.Sorted(maps.Keys(numbers)) {
+		v := numbers[name]
+		switch {
+		case name == "for_s" && inner:
+		case v != 0 && !slices.Contains(kind.takes, name):
+			return fmt.Errorf("%s.%s: does not belong to a %s; leave it out (it takes %s)", key, name, s.Kind,
+				strings.Join(kind.takes, ", "))
+		case v < 0 || math.IsNaN(v) || math.IsInf(v, 0):
+			return fmt.Errorf("%s.%s: %v; want 0 or more", key, name, v)
+		case v == 0 && slices.Contains(kind.needs, name):
+			return fmt.Errorf("%s.%s: a %s needs it; want more than 0", key, name, s.Kind)
+		}
+	}
+	switch {
+	case max(s.Rate, s.To, s.Rate*s.Times) > mostRate:
+		return fmt.Errorf("%s: more than %v requests a second; lower rate, to or times", key, mostRate)
+	case s.Swing > 1:
+		return fmt.Errorf("%s.swing: %v; want at most 1, or the rate would fall below 0", key, s.Swing)
+	}
+	return s.checkInner(key, depth)
+}
+
+func (s *Shape) checkInner(key string, depth int) error {
+	composed := s.Kind == "sum" || s.Kind == "sequence"
+	switch {
+	case composed && len(s.Of) == 0:
+		return fmt.Errorf("%s.of: a %s needs one shape or more", key, s.Kind)
+	case !composed && len(s.Of) > 0:
+		return fmt.Errorf("%s.of: does not belong to a %s; leave it out", key, s.Kind)
+	}
+	for i := range s.Of {
+		ends := s.Kind == "sequence" && i < len(s.Of)-1
+		if err := s.Of[i].check(fmt.Sprintf("%s.of[%d]", key, i), ends, depth+1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// curve is a rate over time. Time is in seconds, from 0.
+type curve interface {
+	rate(t float64) float64  // arrivals a second at t
+	total(t float64) float64 // arrivals expected in [0, t)
+}
+
+func (s *Shape) curve() curve {
+	switch s.Kind {
+	case "constant":
+		return newLines(point{0, s.Rate})
+	case "step":
+		return newLines(point{0, s.Rate}, point{s.AtS, s.Rate}, point{s.AtS, s.To})
+	case "ramp":
+		return newLines(point{0, s.Rate}, point{s.AtS, s.Rate}, point{s.AtS + s.OverS, s.To})
+	case "spike":
+		up, down := s.OverS, s.BackS
+		if up == 0 {
+			up = edge
+		}
+		if down == 0 {
+			down = edge
+		}
+		top, full := s.Rate*s.Times, s.AtS+up
+		return newLines(point{0, s.Rate}, point{s.AtS, s.Rate}, point{full, top}, point{full + s.HoldS, top},
+			point{full + s.HoldS + down, s.Rate})
+	case "sine":
+		return sine{s.Rate, s.Swing, 2 * math.Pi / s.PeriodS, s.AtS}
+	case "sum":
+		return sum(curves(s.Of))
+	default:
+		return newSequence(s.Of)
+	}
+}
+
+func curves(shapes []Shape) (all []curve) {
+	for i := range shapes {
+		all = append(all, shapes[i].curve())
+	}
+	return all
+}
+
+// point is where a line ends and the next begins.
+type point struct{ t, rate float64 }
+
+// lines is straight lines between points, and the last point's rate from there on. Two points at one time are a jump.
+type lines struct {
+	points []point
+	before []float64 // arrivals expected before each point
+}
+
+func newLines(points ...point) lines {
+	before := make([]float64, len(points))
+	for i := 1; i < len(points); i++ {
+		a, b := points[i-1], points[i]
+		before[i] = before[i-1] + (b.t-a.t)*(a.rate+b.rate)/2
+	}
+	return lines{points, before}
+}
+
+// at returns the last point that is not after t.
+func (l lines) at(t float64) int {
+	return max(0, sort.Search(len(l.points), func(i int) bool { return l.points[i].t > t })-1)
+}
+
+func (l lines) rate(t float64) float64 {
+	i := l.at(t)
+	if i == len(l.points)-1 {
+		return l.points[i].rate
+	}
+	a, b := l.points[i], l.points[i+1]
+	return a.rate + (b.rate-a.rate)*(t-a.t)/(b.t-a.t)
+}
+
+func (l lines) total(t float64) float64 {
+	i := l.at(t)
+	return l.before[i] + (t-l.points[i].t)*(l.points[i].rate+l.rate(t))/2
+}
+
+// sine swings around a mean; w is 2π over the period.
+type sine struct{ mean, swing, w, at float64 }
+
+func (s sine) rate(t float64) float64 { return s.mean * (1 + s.swing*math.Sin(s.w*(t-s.at))) }
+
+func (s sine) total(t float64) float64 {
+	return s.mean * (t + s.swing/s.w*(math.Cos(-s.w*s.at)-math.Cos(s.w*(t-s.at))))
+}
+
+// sum is several at once.
+type sum []curve
+
+func (s sum) rate(t float64) (all float64) {
+	for _, c := range s {
+		all += c.rate(t)
+	}
+	return all
+}
+
+func (s sum) total(t float64) (all float64) {
+	for _, c := range s {
+		all += c.total(t)
+	}
+	return all
+}
+
+// sequence is one after another.
+type sequence struct {
+	of     []curve
+	from   []float64 // when each begins
+	before []float64 // arrivals expected before that
+}
+
+func newSequence(shapes []Shape) sequence {
+	s := sequence{of: curves(shapes), from: make([]float64, len(shapes)), before: make([]float64, len(shapes))}
+	for i := 1; i < len(shapes); i++ {
+		length := shapes[i-1].ForS
+		s.from[i] = s.from[i-1] + length
+		s.before[i] = s.before[i-1] + s.of[i-1].total(length)
+	}
+	return s
+}
+
+func (s sequence) at(t float64) int {
+	return max(0, sort.Search(len(s.from), func(i int) bool { return s.from[i] > t })-1)
+}
+
+func (s sequence) rate(t float64) float64 {
+	i := s.at(t)
+	return s.of[i].rate(t - s.from[i])
+}
+
+func (s sequence) total(t float64) float64 {
+	i := s.at(t)
+	return s.before[i] + s.of[i].total(t-s.from[i])
+}
+
+const (
+	nearArrivals = 1e-8
+	nearSeconds  = 1e-11
+)
+
+// invert returns the time from lo to hi at which target arrivals are expected, or false if there is none. It is
+// Newton's method, kept between two bounds that close in.
+func invert(c curve, target, lo, hi float64) (float64, bool) {
+	if c.total(hi) <= target {
+		return 0, false
+	}
+	t, a, b := lo, lo, hi
+	for b-a > nearSeconds {
+		off := c.total(t) - target
+		switch {
+		case math.Abs(off) < nearArrivals:
+			return t, true
+		case off < 0:
+			a = t
+		default:
+			b = t
+		}
+		if t -= off / c.rate(t); !(t > a && t < b) { // a rate of 0 leads out of all bounds
+			t = (a + b) / 2
+		}
+	}
+	return t, true
+}
--- /dev/null
+++ b/internal/lab/load/spread.go
@@ -0,0 +1,143 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os/exec"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// job is what a process is told on its standard input, before the moment at which it starts.
+type job struct {
+	Plan    *Plan  `json:"plan"`
+	Address string `json:"address"`
+	Part    int    `json:"part"`
+	Parts   int    `json:"parts"`
+}
+
+const (
+	saysReady = "ready"
+	startIn   = 50 * time.Millisecond // from when all are ready
+)
+
+// Spread sends a checked plan from several processes at once, each a part of it, and merges what they report. Each
+// command must call Work with its standard input and output. The end of ctx interrupts them; what they have sent by
+// then is reported.
+func Spread(ctx context.Context, p *Plan, address string, commands []*exec.Cmd) (*Result, error) {
+	workers := make([]*worker, len(commands))
+	defer func() {
+		for _, w := range workers {
+			w.kill()
+		}
+	}()
+	for i, cmd := range commands {
+		w, err := startWorker(cmd, job{p, address, i, len(commands)})
+		if workers[i] = w; err != nil {
+			return nil, fmt.Errorf("process %d of the generator: %w", i+1, err)
+		}
+	}
+	for i, w := range workers {
+		if line, err := w.out.ReadString('\n'); line != saysReady+"\n" {
+			return nil, fmt.Errorf("process %d of the generator did not get ready: %w", i+1, errors.Join(err, w.kill()))
+		}
+	}
+	start := time.Now().Add(startIn)
+	for i, w := range workers {
+		if err := json.NewEncoder(w.in).Encode(start); err != nil {
+			return nil, fmt.Errorf("process %d of the generator: %w", i+1, errors.Join(err, w.kill()))
+		}
+	}
+	all, ctx := errgroup.WithContext(ctx) // one that fails interrupts the others
+	context.AfterFunc(ctx, func() {
+		for _, w := range workers {
+			w.in.Close()
+		}
+	})
+	results := make([]*Result, len(workers))
+	for i, w := range workers {
+		all.Go(func() (err error) {
+			if results[i], err = w.result(); err != nil {
+				err = fmt.Errorf("process %d of the generator: %w", i+1, err)
+			}
+			return err
+		})
+	}
+	if err := all.Wait(); err != nil {
+		return nil, err
+	}
+	return Merge(results...)
+}
+
+// worker is one process.
+type worker struct {
+	cmd *exec.Cmd
+	in  io.WriteCloser
+	out *bufio.Reader
+}
+
+func startWorker(cmd *exec.Cmd, j job) (*worker, error) {
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	w := &worker{cmd, in, bufio.NewReader(out)}
+	return w, json.NewEncoder(in).Encode(j)
+}
+
+// result waits for what came of its part.
+func (w *worker) result() (*Result, error) {
+	r := &Result{}
+	err := json.NewDecoder(w.out).Decode(r)
+	w.in.Close()
+	return r, errors.Join(err, w.cmd.Wait())
+}
+
+// kill ends a process that is still there, and returns how it ended.
+func (w *worker) kill() error {
+	if w == nil || w.cmd.ProcessState != nil {
+		return nil
+	}
+	w.cmd.Process.Kill()
+	return w.cmd.Wait()
+}
+
+// Work is one process of Spread, on its standard input and output. It calls arrivals off when its input or ctx ends.
+func Work(ctx context.Context, in io.Reader, out io.Writer) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	d := json.NewDecoder(in)
+	var j job
+	var start time.Time
+	if err := d.Decode(&j); err != nil {
+		return fmt.Errorf("read the job: %w", err)
+	}
+	if _, err := fmt.Fprintln(out, saysReady); err != nil {
+		return err
+	}
+	if err := d.Decode(&start); err != nil {
+		return fmt.Errorf("read the moment of the start: %w", err)
+	}
+	go func() {
+		io.Copy(io.Discard, in)
+		stop()
+	}()
+	start = time.Now().Add(time.Until(start)) // with this process's own steady clock
+	r, err := Run(ctx, j.Plan, Options{Address: j.Address, Start: start, Part: j.Part, Parts: j.Parts})
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(out).Encode(r)
+}
