--- /dev/null
+++ b/conformance/daemon_test.go
@@ -0,0 +1,287 @@
+package conformance
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"plankrouter"
+	"plankrouter/internal/lab/peers"
+)
+
+// program builds the daemon once, into a folder that TestMain removes.
+var (
+	programDir string
+	program    = sync.OnceValues(func() (path string, err error) {
+		if programDir, err = os.MkdirTemp("", "conformance"); err != nil {
+			return "", err
+		}
+		path = filepath.Join(programDir, "plankrouter")
+		build := exec.Command("go", "build", "-o", path, "plankrouter/cmd/plankrouter")
+		if out, err := build.CombinedOutput(); err != nil {
+			return path, fmt.Errorf("build: %w: %s", err, out)
+		}
+		return path, nil
+	})
+)
+
+// daemon is the real program, as a process.
+type daemon struct {
+	ctx      context.Context
+	set      *settings
+	cmd      *exec.Cmd
+	address  string
+	ended    chan error
+	sockets  int // descriptors after the start
+	reported int // lines of counters asked for
+
+	mu  sync.Mutex
+	log []string
+}
+
+var (
+	startedLine  = regexp.MustCompile(`state=started listen=(\S+)`)
+	stoppingLine = regexp.MustCompile(`state=(stopping)`)
+	takenLine    = regexp.MustCompile(`counters=core taken=(\d+)`)
+)
+
+func (d *daemon) config() ([]byte, error) {
+	var classes []peers.Class
+	for _, c := range d.set.classes {
+		classes = append(classes, peers.Class{Name: c.Name, Safe: c.Repeat == plankrouter.Safe, Aim: c.Aim,
+			Deadline: c.Deadline, Worth: c.Worth})
+	}
+	s, ms := d.set, func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	return peers.Config(peers.Sidecar{Name: "n1", Listen: "127.0.0.1:0", Directory: s.directory.Address(), Seed: 1,
+		Known: peers.List{Revision: 1, Members: s.members}, Classes: classes, Sockets: s.sockets, NoProbes: !s.probes,
+		MaxAttempts: s.attempts, ConnIdle: s.connIdle, Connect: s.connect, DrainGrace: s.grace,
+		Edit: func(document map[string]any) {
+			set := document["settings"].(map[string]any)
+			set["Limits"].(map[string]any)["MaxRetryAfterMs"] = ms(s.advice)
+			set["OverShareWorth"] = s.over
+			set["Safety"] = map[string]any{"StartCapacity": s.cold.Share, "WarmWithinMs": ms(s.cold.Within),
+				"TipMultiple": s.cold.Multiple, "FallMs": ms(s.cold.Window), "DrainGraceMs": ms(s.grace)}
+			realms := []any{}
+			for _, t := range s.tenants {
+				realms = append(realms, map[string]any{"Name": t.Name, "QuotaPerS": t.PerSecond})
+			}
+			set["Realms"] = realms
+		}})
+}
+
+func (d *daemon) Start(s *settings) error {
+	d.set, d.ended = s, make(chan error, 1)
+	path, err := program()
+	if err != nil {
+		return err
+	}
+	raw, err := d.config()
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(s.dir, "config.json")
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		return err
+	}
+	d.cmd = exec.CommandContext(d.ctx, path)
+	d.cmd.Env = []string{"GW_CONFIG=" + file}
+	lines, err := d.cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := d.cmd.Start(); err != nil {
+		return err
+	}
+	go func() {
+		for scan := bufio.NewScanner(lines); scan.Scan(); {
+			d.mu.Lock()
+			d.log = append(d.log, scan.Text())
+			d.mu.Unlock()
+		}
+		d.ended <- d.cmd.Wait()
+	}()
+	if err := await(d.ctx, func() bool { return len(d.said(startedLine)) > 0 }); err != nil {
+		return fmt.Errorf("the daemon did not start: %w", err)
+	}
+	d.address = d.said(startedLine)[0]
+	if err := told(d.ctx, s.directory); err != nil {
+		return err
+	}
+	d.sockets, err = d.descriptors()
+	return err
+}
+
+// said returns what a pattern finds in the log, line by line.
+func (d *daemon) said(pattern *regexp.Regexp) (found []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, line := range d.log {
+		if m := pattern.FindStringSubmatch(line); m != nil {
+			found = append(found, m[1])
+		}
+	}
+	return found
+}
+
+func (d *daemon) descriptors() (int, error) {
+	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.cmd.Process.Pid))
+	return len(all), err
+}
+
+func (d *daemon) Update(changed []peers.Member, all bool) error {
+	return change(d.ctx, d.set.directory, changed, all)
+}
+
+func (d *daemon) Taken() (n int, err error) {
+	d.reported++
+	if err := d.cmd.Process.Signal(syscall.SIGUSR1); err != nil {
+		return 0, err
+	}
+	if err := await(d.ctx, func() bool { return len(d.said(takenLine)) >= d.reported }); err != nil {
+		return 0, fmt.Errorf("no counters: %w", err)
+	}
+	return strconv.Atoi(d.said(takenLine)[d.reported-1])
+}
+
+func (d *daemon) Left() (int, error) {
+	n, err := d.descriptors()
+	return n - d.sockets, err
+}
+
+// Stop sends SIGTERM, after which it serves on for some seconds; told twice, it does so for half a second.
+func (d *daemon) Stop(soon bool) error {
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil || !soon {
+		return err
+	}
+	if err := await(d.ctx, func() bool { return len(d.said(stoppingLine)) > 0 }); err != nil {
+		return fmt.Errorf("the daemon does not heed SIGTERM: %w", err)
+	}
+	return d.cmd.Process.Signal(syscall.SIGTERM)
+}
+
+func (d *daemon) Closed() bool {
+	c, err := net.Dial("tcp", d.address)
+	if err == nil {
+		c.Close()
+	}
+	return err != nil
+}
+
+func (d *daemon) Wait() error {
+	select {
+	case err := <-d.ended:
+		return err
+	case <-time.After(patience):
+		return fmt.Errorf("it has not ended within %s", patience)
+	}
+}
+
+func (d *daemon) Kill() {
+	if d.cmd != nil && d.cmd.Process != nil {
+		d.cmd.Process.Kill()
+	}
+}
+
+// message words the request as a client of the platform does.
+func (r *request) message() []byte {
+	b := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: api.internal\r\n", r.method, r.target)
+	if !r.nameless {
+		b = fmt.Appendf(b, "Req-Id: %s\r\n", r.id)
+	}
+	switch {
+	case r.past:
+		b = append(b, "Req-Deadline: 0\r\n"...)
+	case r.deadline > 0:
+		b = fmt.Appendf(b, "Req-Deadline: %.3f\r\n", r.deadline.Seconds())
+	}
+	if r.tenant != "" {
+		b = fmt.Appendf(b, "Req-Owner: %s\r\n", r.tenant)
+	}
+	for _, f := range r.fields {
+		b = fmt.Appendf(b, "%s: %s\r\n", f[0], f[1])
+	}
+	if len(r.body) > 0 || r.method == "POST" {
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(r.body))
+	}
+	return fmt.Appendf(b, "\r\n%s", r.body)
+}
+
+// Do sends the request on a connection of its own.
+func (d *daemon) Do(ctx context.Context, r *request) outcome {
+	c, err := net.Dial("tcp", d.address)
+	if err != nil {
+		return outcome{word: "closed"}
+	}
+	defer c.Close()
+	// Who gives a request up closes the connection. Its other half stays open here, to see that the daemon has noticed.
+	leave := func() { c.(*net.TCPConn).CloseWrite() }
+	defer context.AfterFunc(ctx, leave)()
+	message := r.message()
+	if r.early {
+		c.Write(message[:len(message)/2])
+		leave()
+		io.Copy(io.Discard, c)
+		return outcome{word: "cancelled"}
+	}
+	c.Write(message) // what is wrong with it shows in the answer, which may come before the end
+	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: r.method})
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(resp.Body)
+	}
+	switch {
+	case ctx.Err() != nil && err != nil:
+		return outcome{word: "cancelled"}
+	case err != nil:
+		return outcome{word: fmt.Sprintf("lost: %v", err)}
+	}
+	return daemonOutcome(r, resp, body)
+}
+
+func daemonOutcome(r *request, resp *http.Response, body []byte) outcome {
+	switch resp.StatusCode {
+	case 200:
+		var fields []string
+		for name, values := range resp.Header {
+			for _, v := range values {
+				if name != "Content-Length" && name != "Connection" {
+					fields = append(fields, name+"="+v)
+				}
+			}
+		}
+		slices.Sort(fields)
+		return served(200, fields, body)
+	case 429, 503:
+		s, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		return refused(r, time.Duration(s*float64(time.Second)))
+	case 502:
+		return outcome{word: "failed"}
+	case 409:
+		return outcome{word: "conflict"}
+	case 413:
+		return outcome{word: "too large"}
+	case 400, 404, 405:
+		return outcome{word: "turned away"}
+	}
+	return outcome{word: "status " + strconv.Itoa(resp.StatusCode)}
+}
+
+// tail is the end of the log, for the report of a failure.
+func (d *daemon) tail() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return strings.Join(d.log[max(0, len(d.log)-20):], "\n")
+}
--- /dev/null
+++ b/conformance/library_test.go
@@ -0,0 +1,171 @@
+package conformance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"plankrouter"
+	"plankrouter/internal/lab/peers"
+)
+
+// library is a Balancer in this process.
+type library struct {
+	ctx  context.Context
+	set  *settings
+	b    *plankrouter.Balancer
+	ends chan error
+}
+
+func (l *library) Start(s *settings) (err error) {
+	l.set, l.ends = s, make(chan error, 1)
+	members := libraryMembers(s.members)
+	o := plankrouter.Options{Name: "n1", Classes: s.classes, Tenants: s.tenants, Members: members, Probes: s.probes,
+		Attempts: s.attempts, Sockets: plankrouter.NewSockets(s.sockets, nil), Connect: s.connect, ConnIdle: s.connIdle,
+		DrainGrace: s.grace, Cold: s.cold, AdviceMost: s.advice, OverShare: s.over, Seed: 1}
+	if s.fed == "directory" {
+		o.Directory = s.directory.Address()
+	}
+	if l.b, err = plankrouter.New(o); err == nil && s.fed == "directory" {
+		err = told(l.ctx, s.directory)
+	}
+	return err
+}
+
+func libraryMembers(in []peers.Member) (out []plankrouter.Member) {
+	phases := map[string]plankrouter.Phase{peers.Serving: plankrouter.Serving, peers.Draining: plankrouter.Draining,
+		peers.Deleted: plankrouter.Gone}
+	for _, m := range in {
+		one := plankrouter.Member{ID: m.ID, Address: m.Address, Phase: phases[m.Phase]}
+		if m.UpSince > 0 {
+			one.StartedAt = time.UnixMilli(m.UpSince)
+		}
+		out = append(out, one)
+	}
+	return out
+}
+
+func (l *library) Update(changed []peers.Member, all bool) error {
+	if l.set.fed == "directory" {
+		return change(l.ctx, l.set.directory, changed, all)
+	}
+	members := libraryMembers(changed)
+	if all {
+		return l.b.Replace(members...)
+	}
+	return l.b.Update(members...)
+}
+
+func (l *library) Do(ctx context.Context, r *request) outcome {
+	if r.deadline > 0 {
+		until := time.Now().Add(r.deadline)
+		if r.past {
+			until = time.Now().Add(-r.deadline)
+		}
+		var stop context.CancelFunc
+		ctx, stop = context.WithDeadline(ctx, until)
+		defer stop()
+	}
+	if r.early {
+		var stop context.CancelFunc
+		ctx, stop = context.WithCancel(ctx)
+		stop()
+	}
+	header := http.Header{}
+	for _, f := range r.fields {
+		header.Add(f[0], f[1])
+	}
+	req := plankrouter.Request{Class: r.class, Tenant: r.tenant, ID: r.id, Method: r.method, Target: r.target,
+		Header: header, Body: r.body}
+	if r.nameless {
+		req.ID = ""
+	}
+	answer, err := l.b.Do(ctx, &req)
+	if err != nil {
+		return l.outcome(r, err)
+	}
+	var fields []string
+	for name, values := range answer.Header {
+		for _, v := range values {
+			fields = append(fields, name+"="+v)
+		}
+	}
+	slices.Sort(fields)
+	return served(answer.Status, fields, answer.Body)
+}
+
+// outcome words an error. Where the context's deadline ended a call before its answer could, that is what the answer
+// would have been: a refusal if trying again is harmless, else a failure.
+func (l *library) outcome(r *request, err error) outcome {
+	var (
+		refusal *plankrouter.RefusedError
+		failure *plankrouter.FailedError
+		given   *plankrouter.CancelledError
+		request *plankrouter.RequestError
+	)
+	switch {
+	case errors.As(err, &refusal):
+		return refused(r, refusal.RetryAfter)
+	case errors.As(err, &failure):
+		return outcome{word: "failed", ran: mayRun(failure.MayHaveRun)}
+	case errors.As(err, &given) && errors.Is(err, context.Canceled):
+		return outcome{word: "cancelled", ran: mayRun(given.MayHaveRun)}
+	case errors.As(err, &given) && given.MayHaveRun && l.set.once(r.class):
+		return outcome{word: "failed", ran: mayRun(true)}
+	case errors.As(err, &given):
+		return refused(r, 0)
+	case errors.As(err, &request):
+		return outcome{word: "turned away"}
+	case errors.Is(err, plankrouter.ErrClosed):
+		return outcome{word: "closed"}
+	case errors.Is(err, plankrouter.ErrDuplicate):
+		return outcome{word: "conflict"}
+	case errors.Is(err, plankrouter.ErrTooLarge):
+		return outcome{word: "too large"}
+	}
+	return outcome{word: fmt.Sprintf("an error of no kind: %v", err)}
+}
+
+func (l *library) Taken() (int, error) { return l.b.Stats().Taken, nil }
+
+func (l *library) Left() (int, error) {
+	n := l.b.Stats().Connections
+	if l.set.fed == "directory" {
+		n--
+	}
+	return n, nil
+}
+
+func (l *library) Stop(bool) error {
+	go func() { l.ends <- l.b.Close(context.Background()) }()
+	return await(l.ctx, l.Closed)
+}
+
+// Closed asks with a request that can't be sent: nothing comes of it before the close.
+func (l *library) Closed() bool {
+	_, err := l.b.Do(l.ctx, &plankrouter.Request{Method: "?"})
+	return errors.Is(err, plankrouter.ErrClosed)
+}
+
+func (l *library) Wait() error {
+	select {
+	case err := <-l.ends:
+		if n := l.b.Stats().Connections; n != 0 && err == nil {
+			err = fmt.Errorf("%d connections are left", n)
+		}
+		return err
+	case <-time.After(patience):
+		return fmt.Errorf("it has not ended within %s", patience)
+	}
+}
+
+func (l *library) Kill() {
+	if l.b != nil {
+		now, end := context.WithCancel(context.Background())
+		end()
+		l.b.Close(now)
+	}
+}
--- /dev/null
+++ b/conformance/script_test.go
@@ -0,0 +1,223 @@
+package conformance
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+)
+
+// script is a file of scenarios.
+type script struct {
+	path      string
+	head      string // what stands before the first scenario
+	scenarios []*scenario
+}
+
+// scenario is one of them. Its text is kept, so that -update replaces the outcome alone.
+type scenario struct {
+	name  string
+	text  string // from its first line up to and with the line "outcome"
+	tail  string // behind the outcome
+	told  bool   // there is a comment
+	setup [][]string
+	steps []step
+	want  []string
+	known map[string]string // by side, the defect because of which it is not as the file says
+}
+
+// step is one line.
+type step struct {
+	line  int
+	words []string
+}
+
+// setups are the first words of lines that say what there is before the first step.
+var setups = map[string]bool{"provider": true, "class": true, "tenant": true, "set": true, "alone": true,
+	"merged": true}
+
+// readScripts reads all files of testdata/.
+func readScripts() (all []*script, err error) {
+	paths, err := filepath.Glob("testdata/*.txt")
+	if err == nil && len(paths) == 0 {
+		err = fmt.Errorf("testdata: there is no scenario")
+	}
+	for _, path := range paths {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		s := &script{path: path}
+		if err := s.parse(string(raw)); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		all = append(all, s)
+	}
+	return all, err
+}
+
+func (f *script) parse(text string) error {
+	var now *scenario
+	inOutcome := false // it goes on
+	for i, line := range strings.SplitAfter(text, "\n") {
+		words, err := split(line)
+		if err != nil {
+			return fmt.Errorf("line %d: %w", i+1, err)
+		}
+		switch {
+		case len(words) > 0 && words[0] == "scenario":
+			now = &scenario{name: strings.Join(words[1:], " "), text: line, known: map[string]string{}}
+			f.scenarios, inOutcome = append(f.scenarios, now), false
+			continue
+		case now == nil:
+			f.head += line
+			continue
+		case inOutcome && len(words) > 0 && strings.HasPrefix(line, " "):
+			now.want = append(now.want, strings.TrimSpace(line))
+			continue
+		case inOutcome:
+			now.tail += line
+			continue
+		}
+		now.text += line
+		switch {
+		case len(words) == 0:
+			now.told = now.told || strings.HasPrefix(line, "#")
+		case words[0] == "outcome":
+			inOutcome = true
+		case words[0] == "known" && len(words) > 2:
+			now.known[words[1]] = strings.Join(words[2:], " ")
+		case setups[words[0]]:
+			now.setup = append(now.setup, words)
+		default:
+			now.steps = append(now.steps, step{i + 1, words})
+		}
+	}
+	for _, s := range f.scenarios {
+		switch {
+		case s.name == "" || !s.told:
+			return fmt.Errorf("scenario %q: it needs a name, and a comment that says what it guards against", s.name)
+		case !strings.HasSuffix(s.text, "\noutcome\n"):
+			return fmt.Errorf("scenario %q: it does not end in a line \"outcome\"", s.name)
+		}
+	}
+	return nil
+}
+
+// write replaces the outcomes.
+func (f *script) write() error {
+	var b strings.Builder
+	b.WriteString(f.head)
+	for _, s := range f.scenarios {
+		b.WriteString(s.text)
+		for _, line := range s.want {
+			fmt.Fprintf(&b, "  %s\n", line)
+		}
+		b.WriteString(s.tail)
+	}
+	return os.WriteFile(f.path, []byte(b.String()), 0o644)
+}
+
+// has reports whether the setup has a line of that one word.
+func (s *scenario) has(word string) bool {
+	for _, w := range s.setup {
+		if w[0] == word {
+			return true
+		}
+	}
+	return false
+}
+
+// split splits a line into words at blanks. What stands in double quotes, with Go's escapes, is part of one word.
+func split(line string) (words []string, err error) {
+	word, open := "", false
+	for line = strings.TrimSpace(line); line != "" && line[0] != '#'; {
+		switch line[0] {
+		case ' ', '\t':
+			if open {
+				words = append(words, word)
+			}
+			word, open, line = "", false, line[1:]
+		case '"':
+			quoted, err := strconv.QuotedPrefix(line)
+			if err != nil {
+				return nil, fmt.Errorf("a quote that does not end: %s", line)
+			}
+			plain, _ := strconv.Unquote(quoted)
+			word, open, line = word+plain, true, line[len(quoted):]
+		default:
+			word, open, line = word+line[:1], true, line[1:]
+		}
+	}
+	if open {
+		words = append(words, word)
+	}
+	return words, nil
+}
+
+// option is a word such as "header=X-A: 1".
+type option struct{ key, value string }
+
+// options are what is said by key, in order.
+type options []option
+
+// sift takes the options out of words.
+func sift(words []string) (plain []string, o options) {
+	for _, w := range words {
+		if key, value, is := strings.Cut(w, "="); is {
+			o = append(o, option{key, value})
+		} else {
+			plain = append(plain, w)
+		}
+	}
+	return plain, o
+}
+
+// get returns the last value of a key; "" = there is none.
+func (o options) get(key string) (value string) {
+	for _, one := range o {
+		if one.key == key {
+			value = one.value
+		}
+	}
+	return value
+}
+
+// all returns the values of a key.
+func (o options) all(key string) (values []string) {
+	for _, one := range o {
+		if one.key == key {
+			values = append(values, one.value)
+		}
+	}
+	return values
+}
+
+// size reads a body: a number asks for so many bytes that look like nothing else, any other word is the body itself.
+func size(word string) []byte {
+	n, err := strconv.Atoi(word)
+	if err != nil {
+		return []byte(word)
+	}
+	return pattern(n)
+}
+
+func pattern(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte('a' + (i*7+i/26)%26)
+	}
+	return b
+}
+
+// describe words a body in short.
+func describe(body []byte) string {
+	switch {
+	case len(body) <= 200:
+		return strconv.Quote(string(body))
+	case string(body) == string(pattern(len(body))):
+		return fmt.Sprintf("%d bytes as made", len(body))
+	}
+	return fmt.Sprintf("%d other bytes: %q...", len(body), body[:100])
+}
