Let the uses of a pool's entry follow the present rate of probes

Cause: a busy sidecar sends fewer probes for each request (each server at most once in 40 ms), but an entry's uses were still reckoned with the nominal rate of two. At 20,000 requests a second over 64 servers the pool ran dry between probes, and requests waited for probes of their own: 0.75 probes a request where 0.08 were due.

Change: the paper's b_reuse takes the present rate, and its cap is at least the requests between two probes. Below some 500 requests a second over 15 servers nothing changes.

--- a/bench_test.go
+++ b/bench_test.go
@@ -49,6 +49,7 @@
 					_, err := lib.Do(context.Background(), &plankrouter.Request{Target: "/tile/roma?z=3"})
 					return err
 				})
+				b.ReportMetric(float64(lib.Stats().Probes)/float64(b.N), "probes/op")
 			})
 		}
 		b.Run(fmt.Sprintf("transport/callers=%d", callers), func(b *testing.B) {
--- a/logic/admission_test.go
+++ b/logic/admission_test.go
@@ -132,3 +132,32 @@
 		t.Errorf("its requests went to %v", to)
 	}
 }
+
+// A busy sidecar has few probes for each request. An entry of its pool must then do for as many requests as come until the next
+// probe's answer, or most of them would find the pool empty and wait for probes of their own.
+func TestUsesFollowTheRateOfProbes(t *testing.T) {
+	g := newRig(t, testConfig(), 40)
+	if n := g.b.reuse(); n < 1 || n > 4 {
+		t.Errorf("%d uses before any request", n)
+	}
+	waited := 0
+	for id := range RequestID(10000) { // half a second of 20,000 a second, and a probe of each server in 40 ms
+		g.now += 0.05
+		acts := g.do(Event{Kind: Arrival, Request: id, Left: 900})
+		if find(acts, Send) == nil {
+			waited++
+		}
+		for ; len(acts) > 0; acts = acts[1:] {
+			switch a := acts[0]; a.Kind {
+			case Send:
+				acts = append(acts, g.done(a.Request, 0, a.Server, OK)...)
+			case Probe:
+				acts = append(acts, g.do(Event{Kind: ProbeDone, Server: a.Server, Took: 1,
+					Report: Report{HasRIF: true, HasLatency: true, RIF: 1, Latency: 40}})...)
+			}
+		}
+	}
+	if waited > 70 { // 119 where uses do not follow
+		t.Errorf("%d of 10,000 requests waited for probes of their own", waited)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -102,13 +102,13 @@
 	outAll       int // attempts out
 	askWait      Ms
 
-	pool                []entry
-	rifs                []float64 // ring of recently probed RIF
-	hotRIF              float64
-	removeDue, probeDue float64
-	dropWorst           bool
-	waiting             []*request // for answers of probes, in order of arrival
-	lastProbe           Ms
+	pool                            []entry
+	rifs                            []float64 // ring of recently probed RIF
+	hotRIF                          float64
+	removeDue, probeDue, perRequest float64 // perRequest: probes, at the present rate of requests
+	dropWorst                       bool
+	waiting                         []*request // for answers of probes, in order of arrival
+	lastProbe                       Ms
 
 	fit                fit
 	medianMiss         float64
@@ -127,8 +127,8 @@
 	if len(cfg.Classes) == 0 {
 		return nil, errors.New("logic: no request classes")
 	}
-	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), minAim: math.Inf(1),
-		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, hotRIF: math.Inf(1)}
+	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), byID: map[ServerID]*server{},
+		requests: map[RequestID]*request{}, minAim: math.Inf(1), hotRIF: math.Inf(1), perRequest: probeRate}
 	aims := 0.0
 	for i, c := range cfg.Classes {
 		if !(c.Aim > 0) || !(c.Deadline > 0) || c.Repeat > Unsafe || c.Scope > ScopeCell || c.Window < 0 {
@@ -445,8 +445,8 @@
 
 // reuse is the paper's b_reuse, randomly rounded; a small cap where its divisor is not positive.
 func (b *Balancer) reuse() int {
-	v := reuseCap
-	if d := (1 - poolSize/float64(max(1, b.ready)) - removePart) * probeRate; d > 0 {
+	v := max(reuseCap, poolDelta/b.perRequest) // an entry must do for all requests until the next one comes
+	if d := (1 - poolSize/float64(max(1, b.ready)) - removePart) * b.perRequest; d > 0 {
 		v = min(v, max(1, (1+poolDelta)/d))
 	}
 	return int(v + b.rng.Float64())
@@ -495,9 +495,9 @@
 // tend ages the pool and removes the oldest and the worst entry in turn: bad servers must not collect there.
 func (b *Balancer) tend(r *request) {
 	b.age()
-	rate := min(probeRate, float64(b.ready)/(probeFresh*b.arrivals.perMs(b.now)))
-	b.probeDue = min(b.probeDue, probeRate) + rate
-	for b.removeDue += removePart * rate; b.removeDue >= 1; b.removeDue-- {
+	b.perRequest = min(probeRate, float64(b.ready)/(probeFresh*b.arrivals.perMs(b.now)))
+	b.probeDue = min(b.probeDue, probeRate) + b.perRequest
+	for b.removeDue += removePart * b.perRequest; b.removeDue >= 1; b.removeDue-- {
 		if len(b.pool) <= 2 {
 			continue
 		}
