--- a/logic/logic.go
+++ b/logic/logic.go
@@ -127,8 +127,8 @@
 	if len(cfg.Classes) == 0 {
 		return nil, errors.New("logic: no request classes")
 	}
-	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), byID: map[ServerID]*server{},
-		requests: map[RequestID]*request{}, minAim: math.Inf(1), hotRIF: math.Inf(1), perRequest: probeRate}
+	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), minAim: math.Inf(1),
+		perRequest: probeRate, hotRIF: math.Inf(1), byID: map[ServerID]*server{}, requests: map[RequestID]*request{}}
 	aims := 0.0
 	for i, c := range cfg.Classes {
 		if !(c.Aim > 0) || !(c.Deadline > 0) || c.Repeat > Unsafe || c.Scope > ScopeCell || c.Window < 0 {
