--- a/logic/logic.go
+++ b/logic/logic.go
@@ -128,7 +128,7 @@
 		return nil, errors.New("logic: no request classes")
 	}
 	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), minAim: math.Inf(1),
-		perRequest: probeRate, hotRIF: math.Inf(1), byID: map[ServerID]*server{}, requests: map[RequestID]*request{}}
+		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, hotRIF: math.Inf(1)}
 	aims := 0.0
 	for i, c := range cfg.Classes {
 		if !(c.Aim > 0) || !(c.Deadline > 0) || c.Repeat > Unsafe || c.Scope > ScopeCell || c.Window < 0 {
@@ -143,7 +143,7 @@
 		}
 	}
 	b.cfg.MaxAttempts, b.cfg.Balancers = max(1, cfg.MaxAttempts), max(1, cfg.Balancers)
-	b.margin = 2*cfg.Round + 1
+	b.margin, b.perRequest = 2*cfg.Round+1, probeRate
 	b.fit.class = make([]classFit, len(cfg.Classes))
 	for i, c := range cfg.Classes { // who is to be answered sooner takes less time
 		b.fit.class[i] = classFit{prior: c.Aim / aims}
