One client for the lab's consumers and its load

Need: internal/lab/load and internal/lab/peers both kept connections, told requests that crossed a close from those that were read, and judged answers, by ten shared runs of lines. peers.Client now does that for both; neither reports anything else than before.

--- a/internal/lab/load/record.go
+++ b/internal/lab/load/record.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"plankrouter/internal/lab/peers"
 )
 
 // End is how a try ended, as its client has seen it, and a request by its last try.
@@ -17,13 +19,13 @@
 
 // The ends. Each try has exactly one.
 const (
-	Served      End = iota // 200
-	Refused                // 429 or 503
-	Failed                 // any other answer, or one that broke off
-	Lost                   // the connection ended without an answer
-	TimedOut               // nothing came while the client waited, or it got no connection in that time
-	Unreachable            // no connection came up
-	ends
+	Served      = End(peers.Served)      // 200
+	Refused     = End(peers.Refused)     // 429 or 503
+	Failed      = End(peers.Failed)      // any other answer, or one that broke off
+	Lost        = End(peers.Lost)        // the connection ended without an answer
+	TimedOut    = End(peers.TimedOut)    // nothing came while the client waited, or it got no connection in that time
+	Unreachable = End(peers.Unreachable) // no connection came up
+	ends        = Unreachable + 1
 )
 
 var endNames = [ends]string{"served", "refused", "failed", "lost", "timed_out", "unreachable"}
@@ -231,21 +233,8 @@
 	s.Classes[d.class].add(d)
 }
 
-func (r *recorder) held(d time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.result.Held++
-	r.result.HeldLonger = max(r.result.HeldLonger, d)
-}
-
 func (r *recorder) stall(d time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.result.Stall = max(r.result.Stall, d)
 }
-
-func (r *recorder) opened() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.result.Opened++
-}
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"plankrouter/internal/lab/peers"
 )
 
 // Options are what a run needs besides its plan.
@@ -46,8 +48,8 @@
 		o.Start = now
 	}
 	rec := &recorder{start: o.Start, result: newResult(len(p.Classes))}
-	c := &client{dialer: o.Dialer, address: o.Address, plan: p, limit: (p.Connections + o.Parts - 1) / o.Parts,
-		recorder: rec, bodies: make([]byte, 4096)}
+	c := &client{plan: p, recorder: rec, bodies: make([]byte, 4096), conns: peers.Client{Dial: o.Dialer.Dial,
+		Address: o.Address, MaxConns: (p.Connections + o.Parts - 1) / o.Parts, Read: answer}}
 	for i := range c.bodies {
 		c.bodies[i] = 'a' + byte(i%26)
 	}
@@ -55,9 +57,10 @@
 	var watch sync.WaitGroup
 	watch.Go(func() { rec.watch(stop) })
 	err := c.play(ctx, o)
-	c.close()
+	used := c.conns.Close()
 	close(stop)
 	watch.Wait()
+	rec.result.Opened, rec.result.Held, rec.result.HeldLonger = uint64(used.Opened), used.Held, used.HeldLonger
 	rec.result.Partial = ctx.Err() != nil || err != nil
 	rec.result.Ran = time.Since(o.Start)
 	return rec.result, err
--- /dev/null
+++ b/internal/lab/peers/client.go
@@ -0,0 +1,320 @@
+package peers
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Client sends requests by HTTP/1.1 to one address. Connections are kept and carry one request at a time: the idle one
+// most lately used, and a further one when all are busy. Its fields are set before its methods are called, which are
+// safe for concurrent use.
+type Client struct {
+	Dial     func(ctx context.Context, address string) (net.Conn, error)
+	Address  string // host:port
+	MaxConns int    // a request waits when all are busy; 0 = no limit
+
+	// Read reads one answer to its end, and returns what is wanted of its body.
+	Read func(*bufio.Reader) (*http.Response, []byte, error)
+
+	readers sync.WaitGroup
+
+	mu      sync.Mutex
+	idle    []*callerConn // most lately used last
+	open    int           // or coming up
+	waiters []chan *callerConn
+	usage   Usage
+}
+
+// Usage is what a Client's connections came to.
+type Usage struct {
+	Opened     int           // connections
+	Held       uint64        // waits because no further connection was allowed
+	HeldLonger time.Duration // the longest of them
+}
+
+// Exchange is how the sending of a request went, as its client has seen it.
+type Exchange struct {
+	SentAt time.Time      // its first byte; zero = it got no connection
+	Conn   int            // the last connection's number, from 1; 0 = none
+	Resent bool           // it crossed the close of a kept connection and went out again on a new one
+	Answer *http.Response // read to its end; nil = none
+	Body   []byte
+	Err    error  // that there was no answer
+	Result Result // by the answer's status alone, so that none is Wrong
+}
+
+// Send sends a request and waits for its answer until a moment. A request on a kept connection that the other side has
+// closed without reading it is sent once more, on a new one; message words it each time.
+func (c *Client) Send(message func() []byte, until time.Time) (x Exchange) {
+	for {
+		k, err := c.connect(until, x.Resent)
+		if err != nil {
+			if x.Err, x.Result = err, Unreachable; errors.Is(err, errBusy) {
+				x.Result = TimedOut
+			}
+			return x
+		}
+		if !x.Resent {
+			x.SentAt = time.Now()
+		}
+		x.Conn = k.number
+		r := k.ask(message(), until)
+		if r.resp != nil {
+			k.free(!r.resp.Close)
+			x.Answer, x.Body, x.Result = r.resp, r.body, r.result()
+			return x
+		}
+		again := k.carried > 0 && !x.Resent && k.crossed(&r)
+		k.hangUp()
+		if !again {
+			x.Err, x.Result = r.err, r.result()
+			return x
+		}
+		x.Resent = true
+	}
+}
+
+// Close ends idle connections and waits until all readers have ended. Nothing may be sent any more.
+func (c *Client) Close() Usage {
+	c.mu.Lock()
+	idle := slices.Clone(c.idle)
+	c.mu.Unlock()
+	for _, k := range idle {
+		k.hangUp()
+	}
+	c.readers.Wait()
+	return c.usage
+}
+
+var errBusy = errors.New("every connection that the consumers may have is busy")
+
+// connect takes an idle connection, or opens one, or waits for its turn until a moment.
+func (c *Client) connect(until time.Time, fresh bool) (*callerConn, error) {
+	c.mu.Lock()
+	if n := len(c.idle); n > 0 && !fresh {
+		k := c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		c.mu.Unlock()
+		return k, nil
+	}
+	if c.MaxConns == 0 || c.open < c.MaxConns {
+		c.open++
+		c.mu.Unlock()
+		return c.dial(until)
+	}
+	turn := make(chan *callerConn, 1)
+	c.waiters = append(c.waiters, turn)
+	c.mu.Unlock()
+	k, err := c.wait(turn, until)
+	switch {
+	case err != nil:
+		return nil, err
+	case k == nil:
+		return c.dial(until)
+	case fresh:
+		k.hangUp()
+		return c.connect(until, fresh)
+	}
+	return k, nil
+}
+
+// wait waits for a turn: a connection, or nil for a place to open one.
+func (c *Client) wait(turn chan *callerConn, until time.Time) (k *callerConn, err error) {
+	start := time.Now()
+	late := time.NewTimer(time.Until(until))
+	defer late.Stop()
+	select {
+	case k = <-turn:
+	case <-late.C:
+		err = errBusy
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.usage.Held++
+	c.usage.HeldLonger = max(c.usage.HeldLonger, time.Since(start))
+	if err == nil {
+		return k, nil
+	}
+	if i := slices.Index(c.waiters, turn); i >= 0 {
+		c.waiters = slices.Delete(c.waiters, i, i+1)
+	} else if k := <-turn; k == nil {
+		c.leave()
+	} else {
+		c.offer(k)
+	}
+	return nil, err
+}
+
+// leave gives a place to the next who waits. Its caller holds the mutex, as that of offer does.
+func (c *Client) leave() {
+	if len(c.waiters) == 0 {
+		c.open--
+		return
+	}
+	c.waiters[0] <- nil
+	c.waiters = c.waiters[1:]
+}
+
+// offer gives a connection to the next who waits.
+func (c *Client) offer(k *callerConn) {
+	switch {
+	case k.gone:
+	case len(c.waiters) == 0:
+		c.idle = append(c.idle, k)
+	default:
+		c.waiters[0] <- k
+		c.waiters = c.waiters[1:]
+	}
+}
+
+func (c *Client) dial(until time.Time) (*callerConn, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	nc, err := c.Dial(ctx, c.Address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.leave()
+		return nil, err
+	}
+	c.usage.Opened++
+	k := &callerConn{Conn: nc, of: c, number: c.usage.Opened, replies: make(chan reply), done: make(chan struct{})}
+	c.readers.Go(k.read)
+	return k, nil
+}
+
+// callerConn is one connection.
+type callerConn struct {
+	net.Conn
+	of      *Client
+	number  int
+	carried int // requests answered
+	replies chan reply
+	done    chan struct{} // closed when nobody asks any more
+
+	gone bool // guarded by of.mu
+}
+
+// reply is an answer, or how the connection ended without one.
+type reply struct {
+	resp   *http.Response // nil = none
+	body   []byte
+	begun  bool // its first byte came
+	unsent bool // the request could not be written
+	err    error
+}
+
+func (r *reply) timedOut() bool { return errors.Is(r.err, context.DeadlineExceeded) }
+
+func (r *reply) result() Result {
+	switch {
+	case r.timedOut():
+		return TimedOut
+	case !r.begun:
+		return Lost
+	case r.resp == nil:
+		return Failed
+	}
+	switch r.resp.StatusCode {
+	case http.StatusOK:
+		return Served
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return Refused
+	}
+	return Failed
+}
+
+// read reads answers until the connection ends. Whatever comes while nobody asks is the end of it.
+func (k *callerConn) read() {
+	br := bufio.NewReader(k)
+	for {
+		var r reply
+		_, r.err = br.Peek(1)
+		k.forget()
+		if r.err == nil {
+			r.begun = true
+			r.resp, r.body, r.err = k.of.Read(br)
+		}
+		switch {
+		case errors.Is(r.err, os.ErrDeadlineExceeded):
+			r.resp, r.err = nil, context.DeadlineExceeded
+		case r.err != nil:
+			r.resp = nil
+		}
+		k.SetReadDeadline(time.Time{}) // it was this request's
+		select {
+		case k.replies <- r:
+		case <-k.done:
+			return
+		}
+	}
+}
+
+// forget ends the connection if it is idle.
+func (k *callerConn) forget() {
+	c := k.of
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i := slices.Index(c.idle, k); i >= 0 {
+		c.idle = slices.Delete(c.idle, i, i+1)
+		k.end()
+	}
+}
+
+// end closes the connection and leaves its place. Its caller holds the mutex.
+func (k *callerConn) end() {
+	if k.gone {
+		return
+	}
+	k.gone = true
+	close(k.done)
+	k.Conn.Close()
+	k.of.leave()
+}
+
+func (k *callerConn) hangUp() {
+	k.of.mu.Lock()
+	defer k.of.mu.Unlock()
+	k.end()
+}
+
+// free ends the connection's request; it may carry another if it is to be kept.
+func (k *callerConn) free(keep bool) {
+	k.of.mu.Lock()
+	defer k.of.mu.Unlock()
+	if k.carried++; keep {
+		k.of.offer(k)
+	} else {
+		k.end()
+	}
+}
+
+// ask sends a request and waits for what comes, until a moment.
+func (k *callerConn) ask(message []byte, until time.Time) reply {
+	k.SetDeadline(until)
+	_, err := k.Write(message)
+	r := <-k.replies
+	r.unsent = err != nil
+	return r
+}
+
+// crossed reports whether the other side had closed the connection before it read the request: then the request was
+// answered with a reset, and so is what is written next. Else the other side has read it, and may have run it.
+func (k *callerConn) crossed(r *reply) bool {
+	if r.begun || r.timedOut() {
+		return false
+	}
+	if r.unsent || errors.Is(r.err, syscall.ECONNRESET) {
+		return true
+	}
+	_, err := k.Write([]byte("\n"))
+	return err != nil
+}
--- /dev/null
+++ b/internal/lab/peers/client_test.go
@@ -0,0 +1,60 @@
+package peers
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// One client's requests, one step after another, each long after the deadlines of those before.
+func TestClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := NewMemory()
+		p, err := NewProvider(n, ProviderOptions{Cores: 9, Default: Service{50 * time.Millisecond, true, 0}})
+		ok(t, err)
+		defer p.Close()
+		c := Client{Dial: n.Dial, Address: p.Address(), MaxConns: 2, Read: whole}
+		for _, step := range []struct {
+			name     string
+			do       func()
+			requests int    // 10 ms apart
+			want     string // of each the number of its connection, what came of it, and whether it went out again
+		}{
+			{"a third one waits", func() {}, 3, "1 served false, 2 served false, 1 served false"},
+			{"connections are kept, the last used goes first", func() {}, 1, "1 served false"},
+			{"what crosses a close goes out again on a new one", p.ResetKept, 1, "3 served true"},
+			{"idle ones that end are forgotten", func() { ok(t, p.Restart("s-2")) }, 1, "4 served false"},
+			{"the place of one that ends is passed on", func() { time.AfterFunc(25*time.Millisecond, p.Kill) }, 3,
+				"4 unreachable true, 5 lost false, 0 unreachable false"},
+			{"on a new one nothing is crossed", func() { ok(t, p.Start("")); p.Behave(Behaviour{ResetAll: true}) }, 1,
+				"6 lost false"},
+		} {
+			step.do()
+			time.Sleep(time.Millisecond)
+			got := make([]string, step.requests)
+			var all sync.WaitGroup
+			for i := range got {
+				all.Go(func() {
+					time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+					due := time.Now()
+					x := c.Send(func() []byte { return []byte("GET /tile/1 HTTP/1.1\r\n" + headerID + ": x\r\n\r\n") },
+						due.Add(time.Second))
+					if got[i] = fmt.Sprint(x.Conn, " ", x.Result, " ", x.Resent); x.Resent && !x.SentAt.Equal(due) {
+						t.Errorf("%s: sent %s late", step.name, x.SentAt.Sub(due))
+					}
+				})
+			}
+			all.Wait()
+			if got := strings.Join(got, ", "); got != step.want {
+				t.Errorf("%s: got %q, want %q", step.name, got, step.want)
+			}
+			time.Sleep(2 * time.Second)
+		}
+		if used := c.Close(); used.Opened != 6 || used.Held != 3 || used.HeldLonger.Round(time.Millisecond) != 31e6 {
+			t.Errorf("%+v", used)
+		}
+	})
+}
--- a/internal/lab/peers/consumers.go
+++ b/internal/lab/peers/consumers.go
@@ -4,17 +4,14 @@
 	"bufio"
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -104,23 +101,21 @@
 // InAim reports whether the try served its request within the aim, counted from when the request was first due.
 func (t *Try) InAim() bool { return t.Result == Served && t.EndedAt.Sub(t.AskedAt) <= t.Class.Aim }
 
-// Consumers are a sidecar's clients. Arrivals don't wait for answers; connections are kept, and a further one is
-// opened when all are busy. A request on a kept connection that the sidecar has closed without reading it is sent once
-// more, on a new one. Its methods are safe for concurrent use.
+// Consumers are a sidecar's clients, which share the connections of one Client. Arrivals don't wait for answers. Its
+// methods are safe for concurrent use.
 type Consumers struct {
-	load Load
-	wg   sync.WaitGroup
+	load   Load
+	client Client
 
-	mu      sync.Mutex
-	idle    []*callerConn // most lately used last
-	open    int           // or coming up
-	opened  int
-	waiters []chan *callerConn // nil is sent for a place in which to open a connection
-	tries   []Try
+	mu    sync.Mutex
+	tries []Try
 }
 
 // NewConsumers returns clients that Run sets going.
-func NewConsumers(l Load) *Consumers { return &Consumers{load: l} }
+func NewConsumers(l Load) *Consumers {
+	return &Consumers{load: l,
+		client: Client{Dial: l.Network.Dial, Address: l.Address, MaxConns: l.MaxConns, Read: whole}}
+}
 
 // arrival is a request drawn ahead.
 type arrival struct {
@@ -160,13 +155,7 @@
 		})
 	}
 	requests.Wait()
-	c.mu.Lock()
-	idle := slices.Clone(c.idle)
-	c.mu.Unlock()
-	for _, k := range idle {
-		k.hangUp()
-	}
-	c.wg.Wait()
+	c.client.Close()
 	return c.Tries()
 }
 
@@ -211,41 +200,13 @@
 
 // try sends the request and says how that ended.
 func (c *Consumers) try(t *Try, until time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), until)
-	defer cancel()
-	for {
-		k, err := c.connect(ctx, t.Resent)
-		if err != nil {
-			if t.Err, t.Result = err, Unreachable; errors.Is(err, errBusy) {
-				t.Result = TimedOut
-			}
-			return
-		}
-		if t.SentAt.IsZero() {
-			t.SentAt = time.Now()
-		}
-		t.Conn = k.number
-		r := k.ask(ctx, t.message(until), until)
-		if r.resp != nil {
-			t.judge(&r)
-			k.free(!r.resp.Close)
-			return
-		}
-		again := k.carried > 0 && !t.Resent && k.crossed(&r)
-		k.hangUp()
-		switch {
-		case again:
-			t.Resent = true
-			continue
-		case r.timedOut:
-			t.Result = TimedOut
-		case r.begun:
-			t.Result = Failed
-		default:
-			t.Result = Lost
-		}
-		t.Err = r.err
-		return
+	x := c.client.Send(func() []byte { return t.message(until) }, until)
+	t.SentAt, t.Conn, t.Resent, t.Err, t.Result = x.SentAt, x.Conn, x.Resent, x.Err, x.Result
+	if x.Answer != nil {
+		t.Status = x.Answer.StatusCode
+	}
+	if t.Result == Served && !strings.HasPrefix(string(x.Body), t.ID+"\n") {
+		t.Result = Wrong
 	}
 }
 
@@ -269,209 +230,14 @@
 	return fmt.Appendf(b, "\r\n%s", body)
 }
 
-func (t *Try) judge(r *reply) {
-	t.Status = r.resp.StatusCode
-	switch {
-	case t.Status == 200 && strings.HasPrefix(string(r.body), t.ID+"\n"):
-		t.Result = Served
-	case t.Status == 200:
-		t.Result = Wrong
-	case t.Status == 429 || t.Status == 503:
-		t.Result = Refused
-	default:
-		t.Result = Failed
-	}
-}
-
-var errBusy = errors.New("every connection that the consumers may have is busy")
-
-// connect takes the idle connection most lately used, or opens one.
-func (c *Consumers) connect(ctx context.Context, fresh bool) (*callerConn, error) {
-	c.mu.Lock()
-	if n := len(c.idle); n > 0 && !fresh {
-		k := c.idle[n-1]
-		c.idle = c.idle[:n-1]
-		c.mu.Unlock()
-		return k, nil
-	}
-	if c.load.MaxConns == 0 || c.open < c.load.MaxConns {
-		c.open++
-		c.mu.Unlock()
-		return c.dial(ctx)
-	}
-	turn := make(chan *callerConn, 1)
-	c.waiters = append(c.waiters, turn)
-	c.mu.Unlock()
-	select {
-	case k := <-turn:
-		switch {
-		case k == nil:
-			return c.dial(ctx)
-		case fresh:
-			k.hangUp()
-			return c.connect(ctx, fresh)
-		}
-		return k, nil
-	case <-ctx.Done():
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if i := slices.Index(c.waiters, turn); i >= 0 {
-		c.waiters = slices.Delete(c.waiters, i, i+1)
-	} else if k := <-turn; k == nil {
-		c.leave()
-	} else {
-		c.offer(k)
-	}
-	return nil, errBusy
-}
-
-// leave gives a place to the next who waits. Its caller holds the mutex, as that of offer does.
-func (c *Consumers) leave() {
-	if len(c.waiters) == 0 {
-		c.open--
-		return
-	}
-	c.waiters[0] <- nil
-	c.waiters = c.waiters[1:]
-}
-
-// offer gives a connection to the next who waits.
-func (c *Consumers) offer(k *callerConn) {
-	switch {
-	case k.gone:
-	case len(c.waiters) == 0:
-		c.idle = append(c.idle, k)
-	default:
-		c.waiters[0] <- k
-		c.waiters = c.waiters[1:]
-	}
-}
-
-func (c *Consumers) dial(ctx context.Context) (*callerConn, error) {
-	nc, err := c.load.Network.Dial(ctx, c.load.Address)
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// whole reads an answer and keeps its body.
+func whole(br *bufio.Reader) (*http.Response, []byte, error) {
+	resp, err := http.ReadResponse(br, nil)
 	if err != nil {
-		c.leave()
-		return nil, err
-	}
-	c.opened++
-	k := &callerConn{Conn: nc, of: c, number: c.opened, replies: make(chan reply), done: make(chan struct{})}
-	c.wg.Go(k.read)
-	return k, nil
-}
-
-// callerConn is one connection to the sidecar.
-type callerConn struct {
-	net.Conn
-	of      *Consumers
-	number  int
-	carried int // requests answered
-	replies chan reply
-	done    chan struct{} // closed when nobody asks any more
-
-	gone bool // guarded by of.mu
-}
-
-// reply is an answer, or how the connection ended without one.
-type reply struct {
-	resp     *http.Response // nil = none
-	body     []byte
-	begun    bool // its first byte came
-	timedOut bool
-	err      error
-	unsent   bool // the request could not be written
-}
-
-// read reads answers until the connection ends. Whatever comes while nobody asks is the end of it.
-func (k *callerConn) read() {
-	br := bufio.NewReader(k)
-	for {
-		var r reply
-		_, r.err = br.Peek(1)
-		k.forget()
-		if r.err == nil {
-			r.begun = true
-			r.resp, r.err = http.ReadResponse(br, nil)
-		}
-		if r.err == nil {
-			r.body, r.err = io.ReadAll(r.resp.Body)
-		}
-		if r.err != nil {
-			r.resp = nil
-		}
-		select {
-		case k.replies <- r:
-		case <-k.done:
-			return
-		}
-	}
-}
-
-// forget ends the connection if it is idle.
-func (k *callerConn) forget() {
-	c := k.of
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if i := slices.Index(c.idle, k); i >= 0 {
-		c.idle = slices.Delete(c.idle, i, i+1)
-		k.end()
-	}
-}
-
-// end closes the connection and leaves its place. Its caller holds the mutex.
-func (k *callerConn) end() {
-	if k.gone {
-		return
-	}
-	k.gone = true
-	close(k.done)
-	k.Conn.Close()
-	k.of.leave()
-}
-
-func (k *callerConn) hangUp() {
-	k.of.mu.Lock()
-	defer k.of.mu.Unlock()
-	k.end()
-}
-
-// free ends the connection's request; it may carry another if it is to be kept.
-func (k *callerConn) free(keep bool) {
-	k.of.mu.Lock()
-	defer k.of.mu.Unlock()
-	if k.carried++; keep {
-		k.of.offer(k)
-	} else {
-		k.end()
-	}
-}
-
-// ask sends a request and waits for what comes.
-func (k *callerConn) ask(ctx context.Context, message []byte, until time.Time) reply {
-	k.SetWriteDeadline(until)
-	_, err := k.Write(message)
-	select {
-	case r := <-k.replies:
-		r.unsent = err != nil
-		return r
-	case <-ctx.Done():
-		return reply{timedOut: true, err: ctx.Err()}
-	}
-}
-
-// crossed reports whether the sidecar had closed the connection before it read the request: then the request was
-// answered with a reset, and so is what is written next. Else the sidecar has read it, and whether it ran is not known.
-func (k *callerConn) crossed(r *reply) bool {
-	if r.begun || r.timedOut {
-		return false
-	}
-	if r.unsent || errors.Is(r.err, syscall.ECONNRESET) {
-		return true
+		return nil, nil, err
 	}
-	_, err := k.Write([]byte("\n"))
-	return err != nil
+	body, err := io.ReadAll(resp.Body)
+	return resp, body, err
 }
 
 // Ready waits until the sidecar at address answers GET /up with 200, or for the end of ctx.
--- a/internal/lab/peers/doc.go
+++ b/internal/lab/peers/doc.go
@@ -3,7 +3,7 @@
 // testing/synctest, where the sidecar is given the Memory network's listener and its Dial.
 //
 // It knows the platform's protocol from that protocol's own description and shares no code with the program, so that a
-// fault of one does not hide the same fault of the other.
+// fault of one does not hide the same fault of the other. Package load sends by the same Client as its consumers do.
 //
 // The whole picture, as a test of the command in a bubble: half of the providers are replaced while the directory's
 // answers are lost, and the test asks for how long service stays below normal.
