Heed the context while a request's body is read; survive a logger that ends its goroutine

Both found by the conformance suite: RoundTrip stayed in the read of a body whose writer went on after the request was given up, and a slog handler that called runtime.Goexit was told nothing more.

--- a/balancer.go
+++ b/balancer.go
@@ -273,6 +273,7 @@
 	var err error
 	select {
 	case <-answered:
+	case <-b.ended: // by an earlier Close
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
--- a/conformance/balancers_test.go
+++ b/conformance/balancers_test.go
@@ -93,19 +93,6 @@
 	}
 }
 
-// known reports a defect that is known, as long as it is there, without failing: what is right does not come within
-// some seconds.
-func known(t *testing.T, defect string, right func() bool) {
-	t.Helper()
-	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if right() {
-			t.Errorf("mended: %s: take the call of known out of the test", defect)
-			return
-		}
-	}
-	t.Logf("known defect: %s", defect)
-}
-
 // lines are what a logger was told.
 type lines struct {
 	slog.Handler
@@ -432,12 +419,7 @@
 				return log.count() > 0
 			}
 			must(t, await(t.Context(), first))
-			if name == "panics" {
-				must(t, await(t.Context(), func() bool { return first() && log.count() > 1 }))
-			} else {
-				known(t, "a logger that calls runtime.Goexit gets no further line",
-					func() bool { return first() && log.count() > 1 })
-			}
+			must(t, await(t.Context(), func() bool { return first() && log.count() > 1 })) // and goes on being told
 			must(t, b.Update(plankrouter.Member{Address: p.address}))
 			if _, err := b.Do(t.Context(), &plankrouter.Request{}); err != nil {
 				t.Error(err)
--- a/conformance/conformance_test.go
+++ b/conformance/conformance_test.go
@@ -107,7 +107,7 @@
 	if r.verdict != "same" {
 		return
 	}
-	if *update {
+	if *update && len(r.scenario.known) == 0 { // what is right of a defect is written by hand
 		r.scenario.want = merge(r.got["daemon"], r.got["library"])
 	}
 	for _, side := range sides {
@@ -122,7 +122,9 @@
 			r.verdict = "MENDED"
 			t.Errorf("%s: it is as the file says: take out the line \"known %s %s\"", side, side, known)
 		case diff != "" && known != "":
-			r.verdict = "known defect"
+			if r.verdict != "DIFFERS" {
+				r.verdict = "known defect"
+			}
 			t.Logf("%s: known: %s: as the file says (-), as played (+):\n%s", side, known, diff)
 		case diff != "":
 			r.verdict = "DIFFERS"
--- a/conformance/transport_test.go
+++ b/conformance/transport_test.go
@@ -124,9 +124,6 @@
 	_, err = write.Write([]byte("half of it"))
 	must(t, err)
 	cancel()
-	known(t, "RoundTrip does not return when its context ends while it reads a body",
-		func() bool { return len(done) > 0 })
-	write.Close()
 	if err := <-done; !errors.Is(err, context.Canceled) {
 		t.Errorf("%v", err)
 	}
--- a/logger.go
+++ b/logger.go
@@ -26,17 +26,27 @@
 		to = to.With("balancer", name)
 	}
 	l.lines = make(chan string, linesAhead)
-	go func() {
-		for {
-			select {
-			case line := <-l.lines:
-				l.pass(to, line)
-			case <-ctx.Done():
-				return
-			}
+	go l.run(ctx, to)
+	return l
+}
+
+func (l *logger) run(ctx context.Context, to *slog.Logger) {
+	ended := false
+	defer func() {
+		if !ended { // the application's handler has ended this goroutine, as a test's FailNow does
+			l.lost.Add(1)
+			go l.run(ctx, to)
 		}
 	}()
-	return l
+	for {
+		select {
+		case line := <-l.lines:
+			l.pass(to, line)
+		case <-ctx.Done():
+			ended = true
+			return
+		}
+	}
 }
 
 func (l *logger) pass(to *slog.Logger, line string) {
--- a/transport.go
+++ b/transport.go
@@ -94,7 +94,13 @@
 	}
 	if req.Body != nil {
 		var err error
-		if body, err = io.ReadAll(io.LimitReader(req.Body, MaxBody+1)); err != nil {
+		stop := context.AfterFunc(req.Context(), func() { req.Body.Close() }) // whoever still writes it must not hold this up
+		body, err = io.ReadAll(io.LimitReader(req.Body, MaxBody+1))
+		stop()
+		switch cause := req.Context().Err(); {
+		case cause != nil:
+			return nil, &CancelledError{Cause: cause}
+		case err != nil:
 			return nil, fmt.Errorf("plankrouter: request: body: %w", err)
 		}
 		if len(body) > MaxBody {
