Emulator: neighbours stay with the host, and a directory that is down tells nobody

Found by a hostile read. A neighbour's part was copied into the process that a deploy put in place, and the undo met the old one only: the successor stayed robbed. Two neighbours on one host could give it more than its capacity. A sidecar that was restarted while the directory was down got the present list from it. The one that sees all took shares that do not sum to 1 for more work, a for_s of the plan's own was cut, and a comparison in which the module broke a rule ended with 0. A test plays two neighbours through a deploy; the one of the directory restarts a sidecar in it.

--- a/cmd/planklab/emulate.go
+++ b/cmd/planklab/emulate.go
@@ -172,6 +172,9 @@
 	return nil
 }
 
+// module is the policy that has to keep all rules; the textbook ones have none on cold servers.
+const module = "module"
+
 func (c *emulateCommand) compare(ctx context.Context, cfg emulator.Config, out io.Writer) error {
 	other, err := c.other(cfg)
 	if err != nil {
@@ -188,7 +191,13 @@
 	if err := result.Write(out); err != nil {
 		return err
 	}
-	return save(c.JSON, result.WriteJSON)
+	if err := save(c.JSON, result.WriteJSON); err != nil {
+		return err
+	}
+	if cfg.Policy == module && result.BrokenA > 0 || other.Policy == module && result.BrokenB > 0 {
+		return errBroken
+	}
+	return nil
 }
 
 // measured writes what the day has cost here.
--- a/internal/lab/emulator/directory.go
+++ b/internal/lab/emulator/directory.go
@@ -7,6 +7,7 @@
 	w     *world
 	lines []logic.ServerInfo // of all that are not gone, in order of their first mention
 	down  bool
+	asOf  []logic.ServerInfo // lines when it went down
 }
 
 func (m *machine) info(h logic.Health) logic.ServerInfo {
@@ -60,7 +61,15 @@
 }
 
 // stop loses all that is still on its way; restart tells everyone the whole list.
-func (d *directory) stop() { d.down = true }
+func (d *directory) stop() { d.down, d.asOf = true, d.lines }
+
+// known is the list that a process begins with: it asks nobody who is down.
+func (d *directory) known() []logic.ServerInfo {
+	if d.down {
+		return d.asOf
+	}
+	return d.lines
+}
 
 func (d *directory) restart() {
 	d.down = false
--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -421,7 +421,7 @@
 		"very crowded": {func(m *machine) { m.running = make([]*job, 400) }, 4 * 0.6},
 		"half table":   {func(m *machine) { m.conns = make([]*conn, 200) }, 4 * 0.9},
 		"jam":          {func(m *machine) { m.jammed = true }, 4 / 2.9},
-		"neighbour":    {func(m *machine) { m.taken = 0.25 }, 3},
+		"neighbour":    {func(m *machine) { m.host.taken = []float64{0.25} }, 3},
 		"probes":       {func(m *machine) { m.busy(500) }, 3},
 		"cold":         {func(m *machine) { m.startedAt, m.coldShare, m.warmIn = 1000, 0.4, 3000 }, 4 * 0.6},
 		"warm again":   {func(m *machine) { m.startedAt, m.coldShare, m.warmIn = 1000, 0.4, 500 }, 4},
@@ -455,6 +455,39 @@
 	}
 }
 
+// Neighbours stay while processes come and go beside them, and leave nothing behind.
+func TestNeighboursOutliveProcesses(t *testing.T) {
+	cfg := Default(1, 4)
+	cfg.Rate = 0
+	for _, size := range []float64{0.3, 0.7} {
+		cfg.Troubles = append(cfg.Troubles, Trouble{Name: "neighbour", At: 2, For: 12, Part: 1, Size: size, Every: 1})
+	}
+	cfg.Troubles = append(cfg.Troubles, Trouble{Name: "deploy", At: 3, For: 6, Part: 1, Size: 0.25, Every: 1})
+	w, err := newWorld(cfg, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	robbed := false // a process that began beside a neighbour, or one before it came
+	for w.heap[0].at <= 20e3 {
+		w.next()()
+		for _, m := range w.machines {
+			if p := m.power(); p > m.capacity() {
+				t.Fatalf("at %v ms server %d does %v of %v", w.now, m.id, p, m.capacity())
+			}
+		}
+		last := w.machines[len(w.machines)-1]
+		robbed = robbed || len(w.machines) == 8 && last.power() < 0.8*last.capacity()
+	}
+	for _, m := range w.machines {
+		if m.power() < 0.99*m.capacity() {
+			t.Errorf("server %d does %v of %v for good", m.id, m.power(), m.capacity())
+		}
+	}
+	if !robbed {
+		t.Error("no neighbour was beside a process that had come after it")
+	}
+}
+
 func TestDirectoryThatIsDownLosesNews(t *testing.T) {
 	cfg := Default(2, 3)
 	cfg.Rate, cfg.Directory = 0, Directory{Late: [2]float64{100, 100}, Repair: 1}
@@ -478,6 +511,11 @@
 	if h := w.sidecars[0].known[m.id].health; h != logic.Ready {
 		t.Errorf("a directory that is down has told %v", h)
 	}
+	w.sidecars[1].kill()
+	w.sidecars[1].start()
+	if k := w.sidecars[1].known[m.id]; k == nil || k.health != logic.Draining {
+		t.Errorf("a sidecar that starts meanwhile knows %+v", k)
+	}
 	w.dir.restart()
 	until(4200)
 	for _, sc := range w.sidecars {
--- a/internal/lab/emulator/policies.go
+++ b/internal/lab/emulator/policies.go
@@ -59,11 +59,11 @@
 	if float64(m.held()+jamMargin) > m.cores*(1+w.cfg.Server.JamWaiting) {
 		return out // one more could jam it
 	}
-	work := 0.0
+	work, shares := 0.0, 0.0
 	for _, c := range w.cfg.Classes {
-		work += c.Share * c.WorkMs * m.slow
+		work, shares = work+c.Share*c.WorkMs*m.slow, shares+c.Share
 	}
-	return work*max(m.cores, float64(m.held()+1))/m.power() + 2*w.far[sc.zone][m.zone]
+	return work/shares*max(m.cores, float64(m.held()+1))/m.power() + 2*w.far[sc.zone][m.zone]
 }
 
 // textbook sends each request to the server of the lowest rank and tries again what may be tried again. But for the one
--- a/internal/lab/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -53,7 +53,7 @@
 	head    int
 	next    uint64 // number of the completion that counts
 
-	taken    float64 // part of the machine that a neighbour has
+	host     *host   // what it runs on
 	failing  float64 // part of the requests that it fails
 	slow     float64 // times the work that a request needs here
 	mute     bool    // probes are turned away
@@ -78,6 +78,12 @@
 	liveChecks int
 }
 
+// host is what processes run on, one after another.
+type host struct {
+	now   *machine
+	taken []float64 // parts of it that neighbours have at present, in a place for each neighbour
+}
+
 // push is work that has reached a cold server.
 type push struct {
 	at   logic.Ms
@@ -101,7 +107,10 @@
 // power is the work that it does in a ms with all cores busy, as things are.
 func (m *machine) power() float64 {
 	set := &m.w.cfg.Server
-	p := m.capacity() * (1 - m.taken)
+	p := m.capacity()
+	for _, taken := range m.host.taken {
+		p *= 1 - taken
+	}
 	crowd := float64(m.held())/m.cores - set.CrowdFrom
 	p *= 1 - min(set.CrowdMost, max(0, set.CrowdLoss*crowd))
 	p *= 1 - set.TableLoss*float64(len(m.conns))/float64(set.Connections)
--- a/internal/lab/emulator/sidecar.go
+++ b/internal/lab/emulator/sidecar.go
@@ -57,7 +57,7 @@
 	log      []step
 }
 
-// start begins a process, which knows the list as the directory has it.
+// start begins a process, which knows the list as the directory has it, or had it before it went down.
 func (sc *sidecar) start() {
 	sc.up = true
 	sc.seeds++
@@ -65,7 +65,7 @@
 	seed := mix(mix(sc.w.cfg.Seed, sc.w.cfg.PolicySeed), uint64(sc.number)<<20|sc.seeds)
 	sc.policy = sc.w.host(sc, seed)
 	sc.step(logic.Event{Kind: logic.Started})
-	sc.told(sc.w.dir.lines, true)
+	sc.told(sc.w.dir.known(), true)
 }
 
 // kill ends the process. Servers work on at what they have.
--- a/internal/lab/emulator/trouble.go
+++ b/internal/lab/emulator/trouble.go
@@ -123,6 +123,7 @@
 // drawn fills in what a plan has left open.
 func (t Trouble) drawn(c *Config, rng *rand.Rand) Trouble {
 	k := troubles[t.Name]
+	timed := t.For > 0
 	at := (0.2 + 0.2*rng.Float64()) * c.Seconds
 	for _, f := range []struct {
 		to *float64
@@ -134,6 +135,8 @@
 	}
 	if t.At == 0 {
 		t.At = at
+	}
+	if !timed {
 		t.For = min(t.For, 0.6*c.Seconds)
 	}
 	class := c.Classes[rng.IntN(len(c.Classes))].Name
@@ -191,17 +194,23 @@
 func neighbour(w *world, t Trouble, rng *rand.Rand) {
 	until := w.now + t.For*1000
 	upon(w, t, rng, func(m *machine) {
+		h, place := m.host, len(m.host.taken) // the process may be replaced meanwhile: the neighbour stays
+		h.taken = append(h.taken, 0)
+		set := func(part float64) {
+			h.now.settle()
+			h.taken[place] = part
+			h.now.resume()
+		}
 		var toggle func()
 		toggle = func() {
-			if m.settle(); w.now >= until {
-				return
+			if w.now < until {
+				set(t.Size - h.taken[place])
+				w.after(t.Every*1000*(0.5+rng.Float64()), toggle)
 			}
-			m.taken = t.Size - m.taken
-			m.resume()
-			w.after(t.Every*1000*(0.5+rng.Float64()), toggle)
 		}
 		w.after(rng.Float64()*t.Every*1000, toggle)
-	}, func(m *machine) { m.settle(); m.taken = 0 })
+		w.after(t.For*1000, func() { set(0) })
+	}, func(*machine) {})
 }
 
 func dear(w *world, t Trouble, _ *rand.Rand) {
@@ -241,7 +250,8 @@
 				old.die()
 				w.dir.change(old, logic.Gone)
 				m := &machine{w: w, id: logic.ServerID(len(w.machines) + 1), zone: old.zone, cores: old.cores,
-					speed: old.speed, slow: old.slow, taken: old.taken, probeRoom: w.cfg.Server.ProbesMost}
+					speed: old.speed, slow: old.slow, host: old.host, probeRoom: w.cfg.Server.ProbesMost}
+				m.host.now = m
 				change(m)
 				w.machines = append(w.machines, m)
 				w.byID[m.id] = m
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -160,7 +160,8 @@
 // machine adds a server whose process has been running for long.
 func (w *world) machine(zone int, cores, speed float64) *machine {
 	m := &machine{w: w, id: logic.ServerID(len(w.machines) + 1), zone: zone, cores: cores, speed: speed, slow: 1,
-		crowded: -1, idle: -1, probeRoom: w.cfg.Server.ProbesMost}
+		host: new(host), crowded: -1, idle: -1, probeRoom: w.cfg.Server.ProbesMost}
+	m.host.now = m
 	w.machines = append(w.machines, m)
 	w.byID[m.id] = m
 	w.dir.lines = append(w.dir.lines, m.info(logic.Ready))
