planklab load writes over nothing that it reads, and repeats nothing of the peers kit

Both are refused now, with the file or the argument named; the test of arguments plays them and sees the recording untouched. The kit's pause, its loopback dialer and its bounds of recovery serve the other tools too, in place of copies that only a comment held together. The child of a benchmark is no longer sent a signal that nothing waits for.

--- a/cmd/planklab/load.go
+++ b/cmd/planklab/load.go
@@ -68,6 +68,8 @@
 		return fmt.Errorf("--for, --rate: %v, %v; want more than 0", c.For, c.Rate)
 	case c.To == "" && c.Trace == "":
 		return errors.New("--to: say where to send the load, as in --to 127.0.0.1:3000")
+	case c.To == "" && c.JSON+c.CSV+c.Plot != "":
+		return errors.New("--json, --csv, --plot: they are of a run; say where to send the load by --to")
 	case c.Workers < 1 || c.Workers > 64:
 		return fmt.Errorf("--workers: %d; want from 1 to 64", c.Workers)
 	}
@@ -84,7 +86,30 @@
 			return fmt.Errorf("--plot: %w", err)
 		}
 	}
-	return c.makePlan()
+	if err := c.makePlan(); err != nil {
+		return err
+	}
+	return c.spare()
+}
+
+// spare refuses to write over what is to be read.
+func (c *loadCommand) spare() error {
+	sources := []string{c.Plan}
+	if c.plan.Trace != nil {
+		sources = append(sources, c.plan.Trace.File)
+	}
+	for _, name := range []string{c.JSON, c.CSV, c.Plot, c.Trace} {
+		to, err := os.Stat(name)
+		if err != nil {
+			continue // there is nothing yet
+		}
+		for _, source := range sources {
+			if from, err := os.Stat(source); err == nil && os.SameFile(from, to) {
+				return fmt.Errorf("%s: the run reads it, so that it can't be written; choose another name", name)
+			}
+		}
+	}
+	return nil
 }
 
 // makePlan reads the plan, or makes one of the arguments.
--- a/cmd/planklab/main_test.go
+++ b/cmd/planklab/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -12,6 +13,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	dir := t.TempDir()
+	recorded := "at_s,class,tenant,method,path,size,key\n0.5,tile,,GET,/tile/1,0,\n"
+	for name, text := range map[string]string{"recorded.csv": recorded, "playback.json": `{"for_s": 1,
+		"classes": [{"name": "tile", "aim_ms": 100, "deadline_ms": 200}], "trace": {"file": "recorded.csv"}}`} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
 	for _, test := range []struct {
 		args string
 		code int
@@ -30,6 +39,9 @@
 		{"load", exitUsage, "--rate"},
 		{"load --rate 5 --to x", exitUsage, "--for"},
 		{"load --rate 5 --for 1s --to x", exitUsage, "HOST:PORT"},
+		{"load --rate 5 --for 1s --trace x.csv --json x", exitUsage, "--to"},
+		{"load DIR/playback.json --trace DIR/recorded.csv", exitUsage, "recorded.csv"},
+		{"load DIR/playback.json --to a:1 --json DIR/playback.json", exitUsage, "playback.json"},
 		{"load nofile --to a:1", exitUsage, "nofile"},
 		{"emulate --trouble tea", exitUsage, `"tea"`},
 		{"emulate --for 0s", exitUsage, "seconds"},
@@ -37,9 +49,12 @@
 		{"handover --program HERE --keep /dev/null/x", exitBroken, "/dev/null"},
 	} {
 		var out bytes.Buffer
-		args := strings.Fields(strings.ReplaceAll(test.args, "HERE", here))
+		args := strings.Fields(strings.NewReplacer("HERE", here, "DIR", dir).Replace(test.args))
 		if code := run(args, &out, &out); code != test.code || !strings.Contains(out.String(), test.say) {
 			t.Errorf("planklab %s: exit code %d, want %d; it says %s", test.args, code, test.code, out.String())
 		}
 	}
+	if left, err := os.ReadFile(filepath.Join(dir, "recorded.csv")); err != nil || string(left) != recorded {
+		t.Errorf("a trace that was to be played is now %q, %v", left, err)
+	}
 }
--- a/internal/lab/cost/cost.go
+++ b/internal/lab/cost/cost.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -69,7 +70,7 @@
 	os.Exit(0)
 }
 
-func pick(addresses []string) string { return addresses[time.Now().UnixNano()%int64(len(addresses))] }
+func pick(addresses []string) string { return addresses[rand.IntN(len(addresses))] }
 
 func serveAll(l net.Listener, serve func(net.Conn)) {
 	for {
@@ -141,7 +142,7 @@
 	in        io.WriteCloser
 }
 
-// Start starts this program again in a role, with one core if it is to be measured, and reads its first n lines.
+// Start starts this program again in a role and reads its first n lines.
 func Start(role string, n int, env ...string) (*Process, error) {
 	self, err := os.Executable()
 	if err != nil {
@@ -182,7 +183,6 @@
 // Stop ends the child.
 func (p *Process) Stop() {
 	p.in.Close()
-	p.cmd.Process.Signal(syscall.SIGTERM)
 	p.cmd.Process.Kill()
 	p.cmd.Wait()
 }
--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -19,14 +19,6 @@
 	Dial(ctx context.Context, address string) (net.Conn, error)
 }
 
-// TCP is the Dialer of real connections.
-type TCP struct{}
-
-// Dial opens a TCP connection.
-func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
-	return (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", address)
-}
-
 // client sends a plan's requests. It is safe for concurrent use.
 type client struct {
 	conns    peers.Client
--- a/internal/lab/load/record.go
+++ b/internal/lab/load/record.go
@@ -55,9 +55,6 @@
 // Count is how many were recorded.
 func (h Hist) Count() uint64 { return uint64(h.packed.TotalCount()) }
 
-// Max is the longest recorded, 0 if there is none, as exact as the histogram is.
-func (h Hist) Max() time.Duration { return time.Duration(h.packed.Max()) * time.Microsecond }
-
 // Quantile is the duration that a share q of total is not above, where what was not recorded counts as endless: false
 // says that it is. total is at least Count. It is the nearest rank, as exact as the histogram is.
 func (h Hist) Quantile(q float64, total uint64) (time.Duration, bool) {
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -35,7 +35,7 @@
 // makes the result a partial one. An error says that the plan could not be played to its end.
 func Run(ctx context.Context, p *Plan, o Options) (*Result, error) {
 	set(&o.Parts, 1)
-	set(&o.Dialer, Dialer(TCP{}))
+	set(&o.Dialer, Dialer(peers.Loopback()))
 	if o.Pause == nil {
 		a, err := newAlarm()
 		if err != nil {
--- a/internal/lab/peers/consumers.go
+++ b/internal/lab/peers/consumers.go
@@ -147,7 +147,7 @@
 	var requests sync.WaitGroup
 	for _, a := range c.load.plan() {
 		at := start.Add(a.after)
-		if pause(ctx, time.Until(at)) != nil {
+		if Pause(ctx, time.Until(at)) != nil {
 			break
 		}
 		requests.Go(func() {
@@ -247,7 +247,7 @@
 		if err == nil {
 			return nil
 		}
-		if pause(ctx, 10*time.Millisecond) != nil {
+		if Pause(ctx, 10*time.Millisecond) != nil {
 			return fmt.Errorf("sidecar at %s: not ready: %w", address, err)
 		}
 	}
--- a/internal/lab/peers/fleet.go
+++ b/internal/lab/peers/fleet.go
@@ -77,7 +77,7 @@
 	for from := 0; from < most; from += max(1, r.Batch) {
 		to := min(most, from+max(1, r.Batch))
 		if from > 0 {
-			if err := pause(ctx, r.Between); err != nil {
+			if err := Pause(ctx, r.Between); err != nil {
 				return err
 			}
 		}
@@ -97,14 +97,14 @@
 		p.Change(func(b *Behaviour) { b.Drain = true })
 	}
 	f.Directory.Change(news...)
-	if err := pause(ctx, r.Grace); err != nil {
+	if err := Pause(ctx, r.Grace); err != nil {
 		return err
 	}
 	for i, p := range f.Providers[from:to] {
 		p.Kill()
 		news[i].Phase = Deleted
 	}
-	if err := pause(ctx, r.Down); err != nil {
+	if err := Pause(ctx, r.Down); err != nil {
 		return err
 	}
 	for i := from; i < to; i++ {
--- a/internal/lab/peers/memory.go
+++ b/internal/lab/peers/memory.go
@@ -79,7 +79,7 @@
 // Dial connects to a listener.
 func (n *Memory) Dial(ctx context.Context, address string) (net.Conn, error) {
 	delay := n.delayTo(address)
-	if err := pause(ctx, 2*delay); err != nil {
+	if err := Pause(ctx, 2*delay); err != nil {
 		return nil, opError("dial", address, err)
 	}
 	for {
@@ -103,8 +103,8 @@
 	}
 }
 
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) error {
+// Pause waits for d or the end of ctx, whose error it returns.
+func Pause(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
 		return ctx.Err()
 	}
--- a/internal/lab/peers/tally.go
+++ b/internal/lab/peers/tally.go
@@ -67,9 +67,10 @@
 	return windows
 }
 
+// What is well, for Recovered.
 const (
-	wellAt  = 0.95        // of the normal share
-	wellFor = time.Second // that it has to last
+	WellAt  = 0.95        // of the normal share
+	WellFor = time.Second // that it has to last
 )
 
 // Recovered returns the time from the event until the share of requests served within their aim is 95% or more of
@@ -81,9 +82,9 @@
 	if len(windows) > 0 { // the last may be cut short by the end of the load
 		windows = windows[:len(windows)-1]
 	}
-	need := int((wellFor + width - 1) / width)
+	need := int((WellFor + width - 1) / width)
 	for i, well := 0, 0; i < len(windows); i++ {
-		if well++; windows[i].Share() < wellAt*normal {
+		if well++; windows[i].Share() < WellAt*normal {
 			well = 0
 		}
 		if well == need {
--- a/internal/lab/peers/timeline.go
+++ b/internal/lab/peers/timeline.go
@@ -29,7 +29,7 @@
 	steps := slices.Clone(t)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	for _, s := range steps {
-		if pause(ctx, time.Until(start.Add(s.At))) != nil {
+		if Pause(ctx, time.Until(start.Add(s.At))) != nil {
 			return done
 		}
 		done = append(done, Done{Name: s.Name, At: time.Now()})
--- a/internal/lab/recovery/figures.go
+++ b/internal/lab/recovery/figures.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	well       = 0.95 // of the normal share, and how long that has to last: as peers.Recovered has it
-	wellFor    = time.Second
 	firstSpan  = 2 * time.Second        // of a second life
 	leastSpan  = 2 * time.Second        // in which probes and calls are counted
 	leastWidth = 250 * time.Millisecond // of a window, which also holds windowAsked requests
@@ -88,11 +86,11 @@
 	out := trouble{ok: true, worst: 1}
 	windows := peers.Tally(tries, event, width)
 	windows = windows[:max(0, len(windows)-1)] // the last may be cut short
-	seen := len(windows) - int(wellFor/width)
+	seen := len(windows) - int(peers.WellFor/width)
 	first := -1
 	for i, w := range windows {
 		out.worst = min(out.worst, w.Share())
-		if w.Share() < well*normal {
+		if w.Share() < peers.WellAt*normal {
 			out.below += width
 			if first < 0 && i < seen {
 				first = i
--- a/internal/lab/recovery/handovers.go
+++ b/internal/lab/recovery/handovers.go
@@ -99,7 +99,7 @@
 	if time.Since(r.start) > long {
 		return out, fmt.Errorf("a handover takes more than %s: the load has ended before the last", perHandover)
 	}
-	if err := pause(ctx, time.Second); err != nil {
+	if err := peers.Pause(ctx, time.Second); err != nil {
 		return out, err
 	}
 	r.end()
@@ -112,7 +112,7 @@
 func (p HandoverPlan) run(ctx context.Context, r *rig) (took []phases, kills []kill, err error) {
 	draw := rand.New(rand.NewPCG(p.Seed, 0))
 	for n := 1; n <= p.Restarts; n++ {
-		if err := pause(ctx, p.Pause); err != nil {
+		if err := peers.Pause(ctx, p.Pause); err != nil {
 			return nil, nil, err
 		}
 		if p.Kill != Nobody && n%max(1, p.Nth) == 0 {
--- a/internal/lab/recovery/rig.go
+++ b/internal/lab/recovery/rig.go
@@ -151,7 +151,7 @@
 // stall returns, at the end of ctx, the longest time by which a timer has come late: so long this process, and any
 // other of the machine, may have been held up.
 func stall(ctx context.Context) (longest time.Duration) {
-	for before := time.Now(); pause(ctx, stallTick) == nil; before = time.Now() {
+	for before := time.Now(); peers.Pause(ctx, stallTick) == nil; before = time.Now() {
 		longest = max(longest, time.Since(before)-stallTick)
 	}
 	return longest
@@ -201,15 +201,3 @@
 		r.fleet.Close()
 	}
 }
-
-// pause waits for d or the end of ctx, whose error it returns.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/lab/recovery/run.go
+++ b/internal/lab/recovery/run.go
@@ -46,7 +46,7 @@
 		s.prepare(r)
 	}
 	r.begin(ctx, calm+s.after)
-	if err := pause(ctx, calm); err != nil {
+	if err := peers.Pause(ctx, calm); err != nil {
 		return out, err
 	}
 	event := time.Now()
--- a/internal/lab/recovery/scenario.go
+++ b/internal/lab/recovery/scenario.go
@@ -79,7 +79,7 @@
 			return err
 		}
 	}
-	if err := pause(ctx, silentFor); err != nil {
+	if err := peers.Pause(ctx, silentFor); err != nil {
 		return err
 	}
 	var back []peers.Member
@@ -102,7 +102,7 @@
 	if err := r.line.main.Signal(syscall.SIGTERM); err != nil {
 		return fmt.Errorf("signal process %d: %w", r.line.main.Pid, err)
 	}
-	if err := pause(ctx, min(longest, deadlineMost)+killAfter); err != nil {
+	if err := peers.Pause(ctx, min(longest, deadlineMost)+killAfter); err != nil {
 		return err
 	}
 	return crash(ctx, r) // however early the first one has ended, the next one starts only now
@@ -137,13 +137,13 @@
 		return err
 	}
 	back := time.Now().Add(downFor)
-	if err := pause(ctx, time.Second); err != nil {
+	if err := peers.Pause(ctx, time.Second); err != nil {
 		return err
 	}
 	if err := r.release(ctx, len(r.some())); err != nil {
 		return err
 	}
-	if err := pause(ctx, time.Until(back)); err != nil {
+	if err := peers.Pause(ctx, time.Until(back)); err != nil {
 		return err
 	}
 	return r.fleet.Directory.Down(false)
