--- a/balancer.go
+++ b/balancer.go
@@ -1,13 +1,13 @@
 package plankrouter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -135,9 +135,6 @@
 	return nil
 }
 
-// Classes returns the classes, in their order.
-func (b *Balancer) Classes() []Class { return slices.Clone(b.set.Classes) }
-
 // Ready reports whether there is a server to send to.
 func (b *Balancer) Ready() bool { return b.core.Ready() }
 
@@ -202,7 +199,7 @@
 func (b *Balancer) word(r *Request) (*invocation.Invocation, error) {
 	class, known := b.classes[r.Class]
 	tenant, named := b.tenants[r.Tenant]
-	method, target, id := or(r.Method, http.MethodGet), or(r.Target, "/"), r.ID
+	method, target, id := cmp.Or(r.Method, http.MethodGet), cmp.Or(r.Target, "/"), r.ID
 	if !named {
 		tenant = -1
 	}
--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -132,13 +132,11 @@
 		return err
 	}
 	p.front = consumer.New(cfg, p.core, p.budget)
-	group.Go(func() error { return p.core.Run(ctx) })
-	group.Go(func() error { return p.watch.Run(ctx) })
 	group.Go(func() error {
-		<-ctx.Done()
-		p.caller.Wait()
-		return nil
+		defer p.caller.Wait() // once nothing starts a call any more
+		return p.core.Run(ctx)
 	})
+	group.Go(func() error { return p.watch.Run(ctx) })
 	group.Go(func() error {
 		defer stop() // the core's life ends when the front has answered all that it took
 		if err := p.inherit(ctx, group, from); err != nil {
--- a/cmd/plankrouter/succession.go
+++ b/cmd/plankrouter/succession.go
@@ -21,8 +21,8 @@
 // firstListWithin is how long the directory has, before a successor takes over with the list that it was given.
 const firstListWithin = 2 * time.Second
 
-// before returns what this process can go by from an earlier one: the predecessor's state, else the snapshot that was kept.
-// Nil says that there is nothing but the configuration.
+// before returns what this process can go by from an earlier one: the predecessor's state, or the snapshot that was
+// kept if it has handed over none. Nil says that there is nothing but the configuration.
 func (p *program) before(from *handover.Successor, now time.Time) *snapshot.Beginning {
 	cfg := p.cfg
 	if cfg.Own.Snapshot.Path != "" {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -225,8 +225,7 @@
 // Abandon says that the consumer is gone.
 func (s *Pool) Abandon(inv *invocation.Invocation) { s.send(abandoned{inv: inv}) }
 
-// Cancel is Abandon for one who has to know whether an attempt may have run. What has been answered meanwhile may have, and
-// so may all when the pool has stopped.
+// Cancel is Abandon for one who has to know whether an attempt may have run. What has been answered meanwhile may have.
 func (s *Pool) Cancel(inv *invocation.Invocation) (mayRun bool) {
 	told := make(chan bool, 1)
 	if s.send(abandoned{inv, told}) {
@@ -236,7 +235,8 @@
 		case <-s.stopped:
 		}
 	}
-	return true
+	h := s.held[s.byInv[inv]] // as Run has left it: nothing changes it any more
+	return h == nil || h.mayRun || h.call != 0
 }
 
 // Stopped is closed when Run has ended: nothing is answered any more.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -60,8 +60,8 @@
 	if o.Logf == nil {
 		o.Logf = func(string, ...any) {}
 	}
-	w := &Watch{set: o, keeper: keeper, revision: o.Known.Revision, address: o.Address, source: o.Address,
-		first: make(chan struct{})}
+	w := &Watch{set: o, keeper: keeper, revision: o.Known.Revision, address: o.Address, at: o.Address,
+		source: o.Address, first: make(chan struct{})}
 	known := o.Known
 	known.Complete = true
 	w.note(known)
@@ -121,7 +121,6 @@
 
 // Run watches until ctx ends.
 func (w *Watch) Run(ctx context.Context) error {
-	w.at = w.address
 	defer w.hangUp()
 	for ctx.Err() == nil {
 		here, c := w.begin(ctx)
@@ -149,6 +148,9 @@
 		if w.Answers.Add(1) == 1 {
 			close(w.first)
 		}
+		if ctx.Err() != nil { // left as it answered: the connection is closed
+			w.hangUp()
+		}
 		w.revision = list.Revision
 		if list.Complete || len(list.Members) > 0 {
 			w.set.Told(list) // not under the lock: it may wait for one who wants to tell what it saw
--- a/internal/handover/predecessor.go
+++ b/internal/handover/predecessor.go
@@ -20,15 +20,14 @@
 
 // Options says how to start the successor and what to tell it. The zero value of each field but Address has a meaning.
 type Options struct {
-	Path           string        // the program, looked up anew: it may be a new binary; "" = as this one was started
-	Args           []string      // without the program's name; nil = this process's
-	Env            []string      // as KEY=value; nil = this process's
-	Stdout, Stderr *os.File      // nil = this process's
-	ReadyWithin    time.Duration // from Start on; 0 = 30 s
-	AckWithin      time.Duration // without any answer that is due; then the successor is killed; 0 = 10 s
-	Name           string        // of the daemon, for the successor's log
-	Address        string        // that the daemon was told to listen on; a successor told another one refuses
-	State          []byte        // for the successor; at most MaxState bytes
+	Path        string        // the program, looked up anew: it may be a new binary; "" = as this one was started
+	Args        []string      // without the program's name; nil = this process's
+	Env         []string      // as KEY=value; nil = this process's
+	ReadyWithin time.Duration // from Start on; 0 = 30 s
+	AckWithin   time.Duration // without any answer that is due; then the successor is killed; 0 = 10 s
+	Name        string        // of the daemon, for the successor's log
+	Address     string        // that the daemon was told to listen on; a successor told another one refuses
+	State       []byte        // for the successor; at most MaxState bytes
 }
 
 // Predecessor is the running process's side of a handover whose successor is ready.
@@ -98,7 +97,7 @@
 	cmd := exec.Command(cmp.Or(o.Path, os.Args[0]), args...)
 	cmd.Env = append(slices.Clip(env), Variable+"=3") // the first after the standard ones
 	cmd.ExtraFiles = []*os.File{theirs}
-	cmd.Stdout, cmd.Stderr = cmp.Or(o.Stdout, os.Stdout), cmp.Or(o.Stderr, os.Stderr)
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
 	if err := cmd.Start(); err != nil {
 		mine.Close()
 		return nil, err
--- a/internal/snapshot/still.go
+++ b/internal/snapshot/still.go
@@ -123,7 +123,9 @@
 		return out, v.out
 	}
 	v.learned(s, out, dir)
-	if v.fresh(v.taken, r.Reuse, ofReuse, "", min(1, len(s.Reuse))) {
+	if dir != "" { // it is of single providers, too
+		v.drop(ofReuse, "", min(1, len(s.Reuse)), dir)
+	} else if v.fresh(v.taken, r.Reuse, ofReuse, "", min(1, len(s.Reuse))) {
 		out.Reuse = slices.Clone(s.Reuse)
 	}
 	return out, v.out
--- a/internal/snapshot/writer.go
+++ b/internal/snapshot/writer.go
@@ -28,7 +28,6 @@
 	Take  func() *Snapshot // called by a goroutine of the Writer's, one at a time; nil = nothing to write
 	Every time.Duration    // between two, more than 0
 	Seed  uint64
-	AtEnd time.Duration        // for the last one; 0 = 1 s
 	Logf  func(string, ...any) // nil = log.Printf
 
 	Written, Failed, Skipped atomic.Int64 // Skipped: the earlier one was still being written
@@ -38,7 +37,7 @@
 }
 
 // Run takes and writes snapshots until ctx ends, then a last one, whose error it returns. It returns ErrLate if that
-// takes longer than AtEnd, or is not begun by then because the disk hangs in an earlier one; the goroutine that waits
+// takes longer than a second, or is not begun by then because the disk hangs in an earlier one; the goroutine that waits
 // for the disk is then left behind. The first failure is logged, and the first success after it.
 func (w *Writer) Run(ctx context.Context) error {
 	if w.Every <= 0 {
@@ -68,7 +67,7 @@
 			write()
 		}
 	}
-	limit := time.NewTimer(w.atEnd())
+	limit := time.NewTimer(endWithin)
 	defer limit.Stop()
 	for last := false; ; last = true {
 		if busy {
@@ -85,13 +84,6 @@
 	}
 }
 
-func (w *Writer) atEnd() time.Duration {
-	if w.AtEnd <= 0 {
-		return endWithin
-	}
-	return w.AtEnd
-}
-
 // pause is the time to the next snapshot, twice as long after each failure.
 func (w *Writer) pause() time.Duration {
 	every := float64(w.Every) * float64(min(backoffMost, 1<<min(w.failures, 10)))
--- a/options.go
+++ b/options.go
@@ -1,6 +1,7 @@
 package plankrouter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -122,13 +123,6 @@
 	return &OptionError{option, fmt.Sprintf(format, args...)}
 }
 
-func or[T comparable](v, none T) T {
-	if zero := *new(T); v == zero {
-		return none
-	}
-	return v
-}
-
 // check fills in what is left out and names what makes no sense.
 func (o *Options) check() error {
 	if len(o.Classes) == 0 {
@@ -139,7 +133,7 @@
 	for i := range classes {
 		c := &classes[i]
 		at := fmt.Sprintf("Classes[%d]", i)
-		switch c.Worth = or(c.Worth, 1); {
+		switch c.Worth = cmp.Or(c.Worth, 1); {
 		case c.Name == "" || seen[c.Name]:
 			return bad(at+".Name", "%q is empty or given twice", c.Name)
 		case c.Aim <= 0:
@@ -181,7 +175,7 @@
 		if *d.v < 0 {
 			return bad(d.option, "%s is negative", *d.v)
 		}
-		*d.v = or(*d.v, d.none)
+		*d.v = cmp.Or(*d.v, d.none)
 	}
 	for _, n := range []struct {
 		option string
@@ -191,7 +185,7 @@
 		if *n.v < 0 {
 			return bad(n.option, "%d is negative", *n.v)
 		}
-		*n.v = or(*n.v, n.none)
+		*n.v = cmp.Or(*n.v, n.none)
 	}
 	if c := o.Cold; c != (ColdStart{}) {
 		switch {
@@ -231,7 +225,7 @@
 	out := members.List{Complete: complete}
 	seen := map[string]bool{}
 	for i, m := range in {
-		one := members.Member{ID: or(m.ID, m.Address), Address: m.Address, Locality: m.Zone}
+		one := members.Member{ID: cmp.Or(m.ID, m.Address), Address: m.Address, Locality: m.Zone}
 		if !m.StartedAt.IsZero() {
 			one.UpSince = float64(m.StartedAt.UnixMicro()) / 1e3
 		}
