--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -106,6 +107,25 @@
 	})
 }
 
+// When Run has ended, Cancel still tells what was never sent from what may have run; what it does not know may have.
+func TestCancelAfterTheEnd(t *testing.T) {
+	s := host(t)
+	ctx, end := context.WithCancel(t.Context())
+	end()
+	for i, h := range []*held{{}, {call: 1}, {mayRun: true}, nil} {
+		inv := &invocation.Invocation{ID: fmt.Sprint(i)}
+		if id := logic.RequestID(i + 1); h != nil {
+			s.held[id], s.byInv[inv] = h, id
+		}
+		if i == 0 {
+			s.Run(ctx)
+		}
+		if mayRun := s.Cancel(inv); mayRun != (i > 0) {
+			t.Errorf("%+v: may have run: %t", h, mayRun)
+		}
+	}
+}
+
 // A probe's answer whose report can't be read, or lacks the load, says nothing: a zero made up for it would look like a
 // provider with nothing to do.
 func TestUnreadableReportsAreLeftOut(t *testing.T) {
