Conformance: faults that end alike share their three scenarios

Thirty scenarios, each with its own comment and outcome, differed in nothing but what the server does and how that is told. One that stands for many can fail (tried with a wrong outcome), -update leaves it alone, and a malformed line is an error.

--- a/conformance/conformance_test.go
+++ b/conformance/conformance_test.go
@@ -61,7 +61,9 @@
 		}
 		network := peers.Loopback()
 		for _, f := range scripts {
-			for _, s := range f.scenarios {
+			plays, err := f.plays()
+			must(t, err)
+			for _, s := range plays {
 				row := table.add(strings.TrimSuffix(filepath.Base(f.path), ".txt")+"/"+s.name, s)
 				t.Run(row.name, func(t *testing.T) {
 					if !s.has("alone") { // those run before all others
@@ -107,7 +109,7 @@
 	if r.verdict != "same" {
 		return
 	}
-	if *update && len(r.scenario.known) == 0 { // what is right of a defect is written by hand
+	if *update && len(r.scenario.known) == 0 && !r.scenario.made { // what is right of these is written by hand
 		r.scenario.want = merge(r.got["daemon"], r.got["library"])
 	}
 	for _, side := range sides {
--- a/conformance/script_test.go
+++ b/conformance/script_test.go
@@ -13,6 +13,7 @@
 	path      string
 	head      string // what stands before the first scenario
 	scenarios []*scenario
+	faults    [][]string // words of the lines in front that begin with it: name, deed, and what the provider then says it did
 }
 
 // scenario is one of them. Its text is kept, so that -update replaces the outcome alone.
@@ -25,6 +26,8 @@
 	steps []step
 	want  []string
 	known map[string]string // by side, the defect because of which it is not as the file says
+	line  int
+	made  bool // of one that stands for many
 }
 
 // step is one line.
@@ -67,11 +70,16 @@
 		}
 		switch {
 		case len(words) > 0 && words[0] == "scenario":
-			now = &scenario{name: strings.Join(words[1:], " "), text: line, known: map[string]string{}}
+			now = &scenario{name: strings.Join(words[1:], " "), text: line, known: map[string]string{}, line: i}
 			f.scenarios, inOutcome = append(f.scenarios, now), false
 			continue
 		case now == nil:
 			f.head += line
+			if len(words) == 4 && words[0] == "fault" {
+				f.faults = append(f.faults, words[1:])
+			} else if len(words) > 0 {
+				return fmt.Errorf("line %d: want \"fault NAME DEED SAW\" or a scenario", i+1)
+			}
 			continue
 		case inOutcome && len(words) > 0 && strings.HasPrefix(line, " "):
 			now.want = append(now.want, strings.TrimSpace(line))
@@ -105,6 +113,33 @@
 	return nil
 }
 
+// plays returns the scenarios that are to be played: one with $fault in its name once for each fault.
+func (f *script) plays() (all []*scenario, err error) {
+	for _, s := range f.scenarios {
+		if !strings.Contains(s.name, "$fault") {
+			all = append(all, s)
+			continue
+		}
+		text := s.text + "  " + strings.Join(s.want, "\n  ") + "\n"
+		if len(f.faults) == 0 {
+			return nil, fmt.Errorf("%s: scenario %q: there is no line \"fault NAME DEED SAW\"", f.path, s.name)
+		}
+		for _, w := range f.faults {
+			var one script
+			if err := one.parse(strings.NewReplacer("$fault", w[0], "$deed", w[1], "$saw", w[2]).Replace(text)); err != nil {
+				return nil, fmt.Errorf("%s: %s: %w", f.path, w[0], err)
+			}
+			made := one.scenarios[0]
+			made.made = true
+			for i := range made.steps {
+				made.steps[i].line += s.line
+			}
+			all = append(all, made)
+		}
+	}
+	return all, nil
+}
+
 // write replaces the outcomes.
 func (f *script) write() error {
 	var b strings.Builder
