--- a/internal/snapshot/check.go
+++ b/internal/snapshot/check.go
@@ -84,7 +84,7 @@
 		}
 	}
 	for i, c := range l.Fit.Classes {
-		if err := figures("N Sum Prior", c.N, c.Sum, c.Prior); err != nil {
+		if err := figures("N Sum", c.N, c.Sum); err != nil {
 			return err.in("Fit.Classes[%d].", i)
 		}
 	}
--- a/internal/snapshot/encoding_test.go
+++ b/internal/snapshot/encoding_test.go
@@ -24,7 +24,7 @@
 	s := &Snapshot{TakenAt: taken, Program: "n1", Deployment: "d", Directory: "127.0.0.1:8500", Revision: 41,
 		Learned: Learned{Now: now, FleetLatency: 31.5, MedianMiss: 0.01, FracOwn: 3.25, FracAll: 90,
 			Arrivals: Rate{V: 17.5, At: at()}, Sends: Rate{V: 17, At: at()},
-			Fit: Fit{71.25, 11.5, at(), []ClassFit{{N: 3, Sum: 2.5, Prior: 0.5}, {N: 1, Sum: 1.5, Prior: 1.5}}}},
+			Fit: Fit{71.25, 11.5, at(), []ClassFit{{N: 3, Sum: 2.5}, {N: 1, Sum: 1.5}}}},
 		Reuse: make([]byte, 640)}
 	for range tenants {
 		s.Learned.Tenants = append(s.Learned.Tenants, Bucket{Tokens: 5 * rng.Float64(), At: at()})
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -99,8 +99,8 @@
 
 // ClassFit is the mean of one class's samples.
 type ClassFit struct {
-	_             struct{} `cbor:",toarray"`
-	N, Sum, Prior float64
+	_      struct{} `cbor:",toarray"`
+	N, Sum float64
 }
 
 // Bucket is what a tenant had left of its share at At.
