Test the directory's watch against each fault of the scripted directory

The package had no test of its own, and seven faults of the directory in the peers kit were met by the kit's tests alone. Nine troubles in simulated time: news is known within a pause and a call of their end, and nothing is taken from wrong answers.

--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,175 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"plankrouter/internal/freshness"
+	"plankrouter/internal/lab/peers"
+	"plankrouter/internal/members"
+	"plankrouter/internal/sockets"
+)
+
+// rig is a watch of a directory that knows a and b, in simulated time.
+type rig struct {
+	t       *testing.T
+	network *peers.Memory
+	at      *peers.Directory
+	watch   *Watch
+	phases  map[string]string // as told
+	lines   []string
+}
+
+func (r *rig) directory(address string) *peers.Directory {
+	d, err := peers.NewDirectory(r.network, address, peers.Member{ID: "a", Address: "a:1", Phase: peers.Serving},
+		peers.Member{ID: "b", Address: "b:1", Phase: peers.Serving})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return d
+}
+
+// play runs f in a bubble, with a watch that has not begun. It knows the list, as of a revision.
+func play(t *testing.T, revision uint64, f func(*rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{t: t, network: peers.NewMemory(), phases: map[string]string{}}
+		r.at = r.directory("d:1")
+		defer r.at.Close()
+		dial := func(ctx context.Context, address string) (net.Conn, error) { return r.network.Dial(ctx, address) }
+		w, err := New(Options{Address: "d:1", Watch: freshness.Default(), Seed: 1, Known: members.List{Revision: revision},
+			Budget: sockets.NewBudget(8, dial), Told: r.told, Logf: func(format string, args ...any) {
+				r.lines = append(r.lines, fmt.Sprintf(format, args...))
+			}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.watch = w
+		f(r)
+	})
+}
+
+func (r *rig) told(l members.List) {
+	if l.Complete {
+		clear(r.phases)
+	}
+	for _, m := range l.Members {
+		r.phases[m.ID] = m.Phase
+	}
+}
+
+// wait lets time pass, and all that is due by then be done.
+func (r *rig) wait(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// run starts the watch and returns a function that ends it.
+func (r *rig) run() (end func()) {
+	ctx, cancel := context.WithCancel(r.t.Context())
+	done := make(chan error, 1)
+	go func() { done <- r.watch.Run(ctx) }()
+	return func() {
+		cancel()
+		if err := <-done; err != nil {
+			r.t.Error(err)
+		}
+	}
+}
+
+// Whatever the directory does with its answers, it is asked again, and what it says once it is well is known soon: after
+// the longest pause between tries, and a call. Nothing is taken from answers that are wrong.
+func TestNewsAfterTrouble(t *testing.T) {
+	const within = 2*time.Second + 3*time.Second
+	for name, c := range map[string]struct {
+		on  func(*peers.Directory) error
+		off func(*peers.Directory) error // nil = it is over at once
+		say string                       // in the log, if anything
+	}{
+		"lost answers": {func(d *peers.Directory) error { d.LoseAnswers(true); return nil },
+			func(d *peers.Directory) error { d.LoseAnswers(false); return nil }, "timeout"},
+		"mute": {func(d *peers.Directory) error { d.Mute(true); return nil },
+			func(d *peers.Directory) error { d.Mute(false); return nil }, "timeout"},
+		"late beyond patience": {func(d *peers.Directory) error { d.Delay(4 * time.Second); return nil },
+			func(d *peers.Directory) error { d.Delay(0); return nil }, "timeout"},
+		"a part for the whole": {func(d *peers.Directory) error { // after a failure the whole list is asked for
+			d.PartForWhole(true)
+			d.Down(true)
+			return d.Down(false)
+		}, func(d *peers.Directory) error { d.PartForWhole(false); return nil }, "got a part"},
+		"spoilt": {func(d *peers.Directory) error {
+			d.Spoil([]byte("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnews"))
+			return nil
+		},
+			func(d *peers.Directory) error { d.Spoil(nil); return nil }, "state=failed"},
+		"cut off": {func(d *peers.Directory) error { return d.Vanish(true) },
+			func(d *peers.Directory) error { return d.Vanish(false) }, "timeout"},
+		"whole":     {func(d *peers.Directory) error { d.WholeForWatch(true); return nil }, nil, ""},
+		"anew at 1": {func(d *peers.Directory) error { return d.RestartAt(1) }, nil, "state=failed"},
+		"anew at 9": {func(d *peers.Directory) error { return d.RestartAt(9) }, nil, "state=failed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 0, func(r *rig) {
+				defer r.run()()
+				<-r.watch.First()
+				for range 3 { // so that it counts from a revision above 1
+					r.at.Change(peers.Member{ID: "b", Address: "b:1", Phase: peers.Serving})
+					time.Sleep(time.Second)
+				}
+				if err := c.on(r.at); err != nil {
+					t.Fatal(err)
+				}
+				r.at.Change(peers.Member{ID: "a", Address: "a:1", Phase: peers.Draining})
+				if c.off != nil {
+					r.wait(10 * time.Second)
+					if got := r.phases["a"]; got != peers.Serving {
+						t.Errorf("in the trouble a is %q", got)
+					}
+					if err := c.off(r.at); err != nil {
+						t.Fatal(err)
+					}
+				}
+				r.wait(within)
+				if r.phases["a"] != peers.Draining || r.phases["b"] != peers.Serving {
+					t.Errorf("afterwards: %v", r.phases)
+				}
+				if said := strings.Join(r.lines, "\n"); c.say == "" && said != "" || !strings.Contains(said, c.say) {
+					t.Errorf("it logs %q, want %q", said, c.say)
+				}
+			})
+		})
+	}
+}
+
+// Wherever a watch is moved, also before it has begun, it asks for the whole list first, and tells its source.
+func TestMove(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		t.Run(fmt.Sprintf("before the first call %t", before), func(t *testing.T) {
+			play(t, 50, func(r *rig) {
+				other := r.directory("e:1")
+				defer other.Close()
+				if before {
+					r.watch.Move("e:1")
+				}
+				defer r.run()()
+				if !before {
+					<-r.watch.First()
+					r.watch.Move("e:1")
+				}
+				r.wait(500 * time.Millisecond)
+				calls := other.Calls()
+				if len(calls) == 0 || !calls[0].Whole || slices.ContainsFunc(calls[1:], func(c peers.DirectoryCall) bool { return c.Whole }) {
+					t.Errorf("the new directory is asked %+v", calls)
+				}
+				if r.watch.Source() != "e:1" || len(r.phases) != 2 {
+					t.Errorf("source %s, told %v", r.watch.Source(), r.phases)
+				}
+			})
+		})
+	}
+}
