A front for operators, figures, bans over the list, the platform's listener

internal/admin answers operators, internal/figures counts where a thing happens, internal/bans keeps operators' word in one file for all processes of a sidecar, and the core lays it over every source's lines, on the path of drains. GW_LISTEN_FD is the listener where it is set.

--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -19,11 +19,14 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"plankrouter/internal/admin"
+	"plankrouter/internal/bans"
 	"plankrouter/internal/config"
 	"plankrouter/internal/consumer"
 	"plankrouter/internal/core"
 	"plankrouter/internal/directory"
 	"plankrouter/internal/ending"
+	"plankrouter/internal/figures"
 	"plankrouter/internal/handover"
 	"plankrouter/internal/members"
 	"plankrouter/internal/provider"
@@ -68,13 +71,16 @@
 	return serve(cfg, os.Getenv, l, sockets.TCP, signals, from)
 }
 
-// listen returns the predecessor's listener, the one that the service manager holds for this process, or a new one.
+// listen returns the predecessor's listener, the one that the platform or the service manager holds for this process, or a
+// new one.
 func listen(cfg *config.Config, from *handover.Successor) (net.Listener, error) {
 	if from != nil {
 		return from.Listener(), from.Check(cfg.Listen)
 	}
-	l, err := handover.Listener(os.Getenv)
-	if err != nil || l != nil {
+	if l, err := handover.Held(os.Getenv, cfg.Listen); err != nil || l != nil {
+		return l, err
+	}
+	if l, err := handover.Listener(os.Getenv); err != nil || l != nil {
 		return l, err
 	}
 	plain, err := net.Listen("tcp", cfg.Listen)
@@ -93,12 +99,15 @@
 	caller   *provider.Caller
 	core     *core.Pool
 	watch    *directory.Watch
+	book     figures.Book
+	bans     *bans.Store
 	front    *consumer.Server
 	writer   *snapshot.Writer  // nil = snapshots are not kept
 	line     handover.Handover // of processes that take over from one another
 	moved    atomic.Bool       // a reload has named another directory than the environment
 	stop     context.CancelFunc
 
+	ordering     sync.Mutex // of bans
 	mu           sync.Mutex
 	endSnapshots func() // writes the last one; nil = none is kept, or it is written
 }
@@ -106,14 +115,21 @@
 // serve runs the sidecar until a signal ends it and all that it has taken is answered, or until a successor has it all.
 func serve(cfg *config.Config, getenv func(string) string, l net.Listener, dial sockets.Dialer,
 	signals <-chan os.Signal, from *handover.Successor) error {
+	operators, err := listenForOperators(cfg)
+	if err != nil {
+		return err
+	}
 	outer, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(outer)
 	p := program{cfg: cfg, getenv: getenv, listener: l, stop: stop, line: handover.Handover{From: from},
-		budget: sockets.NewBudget(cfg.Limits.Sockets-socketReserve, dial)}
+		budget: sockets.NewBudget(places(cfg), dial), bans: bansFor(cfg, getenv)}
 	trace := tracing(ctx, group, getenv)
 	before := p.before(from, time.Now())
-	var err error
+	out, _, err := p.bans.Read()
+	if err != nil {
+		log.Printf("name=%s state=bans_not_used err=%q", cfg.Name, err)
+	}
 	known := cfg.Known
 	if before != nil {
 		known = before.List.Config()
@@ -124,20 +140,25 @@
 		return err
 	}
 	if p.caller, err = provider.New(ctx, p.budget, provider.Settings{Connect: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle,
-		Stakes: provider.Stakes(cfg.Logic.Classes), Trace: trace}); err != nil {
+		Stakes: provider.Stakes(cfg.Logic.Classes), Trace: trace, Written: p.book.Dispatched}); err != nil {
 		return err
 	}
 	if p.core, err = core.New(core.Options{Name: cfg.Name, Deployment: snapshot.Fingerprint(&cfg.Settings),
 		Logic: cfg.Logic, Seed: cfg.Seed, Zones: cfg.Settings.Dcs, DrainGrace: cfg.DrainGrace, Known: cfg.Known,
-		Before: before, Caller: p.caller, Whole: cfg.Settings.Whole, Logf: log.Printf, Trace: trace, Saw: p.watch.Saw}); err != nil {
+		Before: before, Caller: p.caller, Whole: cfg.Settings.Whole, Logf: log.Printf, Trace: trace, Saw: p.watch.Saw,
+		Targets: p.book.Targets, Bans: out}); err != nil {
 		return err
 	}
-	p.front = consumer.New(cfg, p.core, p.budget)
+	p.front = consumer.New(cfg, p.core, p.budget, &p.book)
 	group.Go(func() error {
 		defer p.caller.Wait() // once nothing starts a call any more
 		return p.core.Run(ctx)
 	})
 	group.Go(func() error { return p.watch.Run(ctx) })
+	if operators != nil {
+		group.Go(func() error { return admin.New(&p).Serve(ctx, operators) })
+		group.Go(func() error { p.followBans(ctx); return nil })
+	}
 	group.Go(func() error {
 		defer stop() // the core's life ends when the front has answered all that it took
 		if err := p.inherit(ctx, group, from); err != nil {
@@ -198,6 +219,7 @@
 func (p *program) reload() {
 	cfg, err := config.Reload(p.getenv)
 	if err != nil {
+		p.book.Reloaded(false)
 		log.Printf("name=%s state=reload_failed err=%q", p.cfg.Name, err)
 		return
 	}
@@ -207,13 +229,15 @@
 	log.Printf("name=%s state=reloaded discovery=%s", p.cfg.Name, cfg.Discovery)
 	p.watch.Move(cfg.Discovery)
 	p.moved.Store(true)
+	p.book.Reloaded(true)
 }
 
 // report prints the counters.
 func (p *program) report() {
-	c, f, w := p.core.Counts(), p.front, p.watch
+	c, f, w, now := p.core.Counts(), p.front, p.watch, p.book.Read()
 	log.Printf("name=%s counters=core taken=%d conflicts=%d consumer_gone=%d sent=%d probes=%d lists=%d served=%d "+
-		"refused=%d failed=%d", p.cfg.Name, c.Taken, c.Conflicts, c.Gone, c.Sent, c.Probes, c.Lists, c.Served, c.Refused, c.Failed)
+		"refused=%d failed=%d", p.cfg.Name, c.Taken, c.Conflicts, c.Gone, now.Dispatches, c.Probes, c.Lists,
+		figures.Sum(now.Success), figures.Sum(now.Overload), figures.Sum(now.Error))
 	log.Printf("name=%s counters=front connections=%d adopted=%d not_taken=%d sockets=%d",
 		p.cfg.Name, f.Connections.Load(), f.Adopted.Load(), f.NotTaken.Load(), p.budget.Used())
 	log.Printf("name=%s counters=directory answers=%d failures=%d doubts=%d", p.cfg.Name, w.Answers.Load(), w.Failures.Load(),
--- /dev/null
+++ b/cmd/plankrouter/operators.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"net"
+	"path/filepath"
+	"time"
+
+	"plankrouter/internal/admin"
+	"plankrouter/internal/bans"
+	"plankrouter/internal/config"
+	"plankrouter/internal/figures"
+)
+
+// listenForOperators returns the listener for operators, nil where they have no address.
+func listenForOperators(cfg *config.Config) (net.Listener, error) {
+	if cfg.AdminAddr == "" {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", cfg.AdminAddr)
+	if err != nil {
+		return nil, fmt.Errorf("admin_addr: %w", err)
+	}
+	return l, nil
+}
+
+// places are the descriptors for consumers, providers and the directory: what operators need is set aside.
+func places(cfg *config.Config) int {
+	most := cfg.Limits.Sockets - socketReserve
+	if cfg.AdminAddr != "" {
+		most -= min(admin.MostConns+1, most/2)
+	}
+	return most
+}
+
+// bansFor returns where operators' bans are kept: in the folder that the platform gives the sidecar's processes, where there
+// is one.
+func bansFor(cfg *config.Config, getenv func(string) string) *bans.Store {
+	if folder := getenv("TMPDIR"); folder != "" && cfg.AdminAddr != "" {
+		return &bans.Store{Path: filepath.Join(folder, "plankrouter-bans.json")}
+	}
+	return &bans.Store{}
+}
+
+// followBans obeys what another process of this sidecar has been told, until ctx ends.
+func (p *program) followBans(ctx context.Context) {
+	p.bans.Watch(ctx, p.obeyBans, func(err error) { log.Printf("name=%s state=bans_not_used err=%q", p.cfg.Name, err) })
+}
+
+// obeyBans puts the present set in force. Only one at a time may: the later set must not be followed by the earlier one.
+func (p *program) obeyBans() {
+	p.ordering.Lock()
+	defer p.ordering.Unlock()
+	if set, _, err := p.bans.Read(); err == nil {
+		p.core.Ban(set)
+	}
+}
+
+// Ready, Figures, Disable and Enable make the program admin.Operations.
+func (p *program) Ready() bool { return p.core.Ready() && p.front.Taking() }
+
+// Figures are those of this process.
+func (p *program) Figures() figures.Figures { return p.book.Read() }
+
+// Disable takes a provider out, for all processes of this sidecar.
+func (p *program) Disable(ctx context.Context, id string) error {
+	return p.order(ctx, "disable", id, (*bans.Set).Disable)
+}
+
+// Enable puts it back.
+func (p *program) Enable(ctx context.Context, id string) error {
+	return p.order(ctx, "enable", id, (*bans.Set).Enable)
+}
+
+// order changes the bans, and returns once the change is in force here.
+func (p *program) order(_ context.Context, what, id string, how func(*bans.Set, string, float64, bool) error) error {
+	listed, now := p.core.Listed(id), config.Millis(time.Duration(time.Now().UnixNano()))
+	set, err := p.bans.Change(func(s *bans.Set) error { return how(s, id, now, listed) })
+	if err != nil {
+		log.Printf("name=%s operators=%s target=%q state=refused err=%q", p.cfg.Name, what, id, err)
+		return err
+	}
+	p.obeyBans()
+	log.Printf("name=%s operators=%s target=%q state=done out=%d", p.cfg.Name, what, id, len(set.Out))
+	return nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,6 +34,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	AdminAddr string `json:"admin_addr"` // where operators call; "" = nowhere
 	SeedText  string `json:"seed"`
 	Limits    struct {
 		MemoryMB int `json:"memory_mb"`
@@ -54,7 +55,7 @@
 	DrainGrace     time.Duration      `json:"-"`
 }
 
-// Load reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY go before what it says.
+// Load reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_ADMIN_ADDR go before what it says.
 func Load(getenv func(string) string) (*Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
@@ -68,7 +69,8 @@
 	if err := json.Unmarshal(raw, c); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	for key, field := range map[string]*string{"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery} {
+	for key, field := range map[string]*string{"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery,
+		"GW_ADMIN_ADDR": &c.AdminAddr} {
 		if v := getenv(key); v != "" {
 			*field = v
 		}
@@ -95,6 +97,7 @@
 	}{
 		{"name", c.Name == next.Name},
 		{"listen", c.Listen == next.Listen},
+		{"admin_addr", c.AdminAddr == next.AdminAddr},
 		{"seed", c.Seed == next.Seed},
 		{"limits", c.Limits == next.Limits},
 		{"plankrouter", c.Own == next.Own},
@@ -109,8 +112,8 @@
 
 // check fills in defaults and rejects what the program can't work with.
 func (c *Config) check() error {
-	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
-		if _, port, err := net.SplitHostPort(a.addr); err != nil || port == "" {
+	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"admin_addr", c.AdminAddr}} {
+		if _, port, err := net.SplitHostPort(a.addr); (err != nil || port == "") && (a.addr != "" || a.key != "admin_addr") {
 			return fmt.Errorf("%s: %q is not host:port", a.key, a.addr)
 		}
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -63,6 +63,14 @@
 	return s, nil
 }
 
+// ClassNames are the names of the classes, by position.
+func (s *Settings) ClassNames() (names []string) {
+	for _, c := range s.Classes {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
 // Logic converts the settings to those of the decision module.
 func (s *Settings) Logic() (logic.Config, error) {
 	cfg := logic.Config{
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -18,6 +18,7 @@
 
 	"plankrouter/internal/config"
 	"plankrouter/internal/ending"
+	"plankrouter/internal/figures"
 	"plankrouter/internal/http1"
 	"plankrouter/internal/invocation"
 	"plankrouter/internal/sockets"
@@ -48,6 +49,7 @@
 type Server struct {
 	core    invocation.Core
 	budget  *sockets.Budget
+	book    *figures.Book
 	dialect dialect
 
 	Connections, Adopted, NotTaken atomic.Int64
@@ -61,19 +63,24 @@
 	paused  bool                         // none comes in meanwhile
 	closed  chan struct{}                // by Drain
 	running errgroup.Group               // the connections' goroutines
+	serving bool                         // Serve has been called
 	closing bool
 	endings ending.Counts
 }
 
-// New returns a front for core.
-func New(cfg *config.Config, core invocation.Core, budget *sockets.Budget) *Server {
-	return &Server{core: core, budget: budget, dialect: newDialect(&cfg.Settings), conns: map[*conn]bool{}, closed: make(chan struct{})}
+// New returns a front for core that counts in book what becomes of the requests it takes.
+func New(cfg *config.Config, core invocation.Core, budget *sockets.Budget, book *figures.Book) *Server {
+	book.Classes(cfg.Settings.ClassNames()...)
+	return &Server{core: core, budget: budget, book: book, dialect: newDialect(&cfg.Settings), conns: map[*conn]bool{}, closed: make(chan struct{})}
 }
 
 // Serve accepts connections until Drain or the end of ctx, and returns when the last one has ended.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	defer context.AfterFunc(ctx, func() { s.hangUp(l) })()
 	defer s.running.Wait()
+	s.mu.Lock()
+	s.serving = true
+	s.mu.Unlock()
 	for {
 		for !s.budget.Reserve(sockets.Inward) { // the kernel's backlog holds the consumer until there is room
 			select {
@@ -250,6 +257,13 @@
 	return s.endings
 }
 
+// Taking reports whether connections are still accepted here.
+func (s *Server) Taking() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serving && !s.closing && s.pass == nil
+}
+
 func (s *Server) isClosing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -265,6 +279,8 @@
 	began   time.Time
 	brought bool                 // a whole message has come
 	known   bool                 // an invocation has come: it is no stranger
+	class   string               // of the present invocation,
+	request *figures.Request     // and its count
 	idleAt  time.Time            // since when no message is under way; guarded by server.mu
 	answers chan *http1.Response // at most one is under way; nil = no writer yet
 	written chan ending.Ending   // how writing it ended; Open = the connection goes on
@@ -309,22 +325,8 @@
 		case turned != nil:
 			e = c.writeOne(turned)
 		default:
-			c.serve()
-			if !c.server.core.Take(inv) {
-				return ending.Stopped
-			}
-			err := c.next() // the next message, or the consumer's end
-			if err == errHandedOver {
-				return ending.HandedOver
-			}
-			select {
-			case e = <-c.written:
-			default:
-				if err != nil {
-					c.server.core.Abandon(inv)
-					return ending.ConsumerGone
-				}
-				e = <-c.written
+			if e = c.invoke(inv); e == ending.ConsumerGone || e == ending.Stopped || e == ending.HandedOver {
+				return e
 			}
 		}
 		if e != ending.Open {
@@ -334,6 +336,30 @@
 	}
 }
 
+// invoke has the core answer the invocation, and returns how writing that has ended; or how the connection has.
+func (c *conn) invoke(inv *invocation.Invocation) ending.Ending {
+	c.serve()
+	c.request = c.server.book.Taken(c.class)
+	defer c.request.End(figures.Left) // unless it was answered
+	if !c.server.core.Take(inv) {
+		return ending.Stopped
+	}
+	err := c.next() // the next message, or the consumer's end
+	if err == errHandedOver {
+		return ending.HandedOver
+	}
+	select {
+	case e := <-c.written:
+		return e
+	default:
+	}
+	if err != nil {
+		c.server.core.Abandon(inv)
+		return ending.ConsumerGone
+	}
+	return <-c.written
+}
+
 // next waits for the first byte of a message. Its deadline passes when the connection is to end while idle, or when it
 // is time to see whether it is: what has come in just before that is still taken, and its answer is the last.
 func (c *conn) next() error {
@@ -445,7 +471,7 @@
 	if status != 0 {
 		return nil, c.turn(status, req.Close || status == 400), ending.Open
 	}
-	c.known = true
+	c.known, c.class = true, c.server.dialect.names[inv.Class]
 	inv.Answer = func(a invocation.Answer) { // never blocks: there is room for the one answer that is owed
 		r := response(a)
 		r.Close = req.Close
@@ -454,6 +480,9 @@
 	return inv, nil, ending.Open
 }
 
+// outcomes are what the statuses of the core's answers count as. One of a request that was never taken is no outcome.
+var outcomes = map[int]figures.Outcome{200: figures.Success, 503: figures.Overload, 502: figures.Error, 409: figures.Left}
+
 // turn words an answer that turns a message away before it is taken.
 func (c *conn) turn(status int, last bool) *http1.Response {
 	c.server.NotTaken.Add(1)
@@ -470,7 +499,11 @@
 		for {
 			select {
 			case r := <-c.answers:
-				c.written <- c.writeOne(r)
+				e := c.writeOne(r)
+				if e != ending.WriteFailed {
+					c.request.End(outcomes[r.Status])
+				}
+				c.written <- e
 			case <-c.done:
 				return nil
 			}
--- a/internal/consumer/dialect.go
+++ b/internal/consumer/dialect.go
@@ -14,6 +14,7 @@
 // dialect translates between the platform's HTTP and invocations.
 type dialect struct {
 	classes map[string]int
+	names   []string        // by class
 	limits  []time.Duration // the longest that a consumer waits, by class
 	verbs   []string        // the one that a class goes with
 	tenants map[string]int
@@ -23,6 +24,7 @@
 	d := dialect{classes: map[string]int{}, tenants: map[string]int{}}
 	for i, c := range s.Classes {
 		d.classes[c.Name] = i
+		d.names = append(d.names, c.Name)
 		d.limits = append(d.limits, config.Duration(c.HardLimitMs))
 		d.verbs = append(d.verbs, map[bool]string{true: "GET", false: "POST"}[c.Repeat == config.Pure])
 	}
--- a/internal/consumer/handover_test.go
+++ b/internal/consumer/handover_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"plankrouter/internal/config"
+	"plankrouter/internal/figures"
 	"plankrouter/internal/invocation"
 	"plankrouter/internal/sockets"
 )
@@ -101,7 +102,7 @@
 	cfg := &config.Config{}
 	cfg.Settings.Classes = []config.Class{{Name: "tile", HardLimitMs: 2500, Repeat: config.Pure}}
 	h := &house{core: new(holding), l: newPipes(), done: make(chan error, 1)}
-	h.Server = New(cfg, h.core, sockets.NewBudget(16, nil))
+	h.Server = New(cfg, h.core, sockets.NewBudget(16, nil), new(figures.Book))
 	go func() { h.done <- h.Serve(ctx, h.l) }()
 	return h
 }
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -72,7 +72,10 @@
 	return number
 }
 
-func (e told) apply(s *Pool) { s.list(members.List(e)) }
+func (e told) apply(s *Pool) {
+	s.counts.Lists++
+	s.list(members.List(e))
+}
 
 // health reads a phase. One that is unknown gets no new work: it is not the one that asks for it.
 func health(phase string) logic.Health {
@@ -85,9 +88,8 @@
 	return logic.Draining
 }
 
-// list takes the directory's word: the table first, then the module.
+// list takes the directory's word, with the operators' laid over it: the table first, then the module.
 func (s *Pool) list(l members.List) {
-	s.counts.Lists++
 	s.revision = l.Revision
 	told := time.Now()
 	named := map[logic.ServerID]bool{}
@@ -98,8 +100,6 @@
 			zone = z
 		}
 		named[id] = true
-		lines = append(lines, logic.ServerInfo{ID: id, Zone: zone, Cell: m.Cell, Health: health(m.Phase),
-			StartedAt: m.UpSince})
 		k := s.providers[id]
 		if k == nil {
 			k = &known{name: m.ID, health: logic.Ready, at: s.set.Caller.Endpoint(m.ID, m.Address), toldAt: told}
@@ -110,7 +110,10 @@
 			k.at = s.set.Caller.Endpoint(m.ID, cmp.Or(m.Address, k.at.Address()))
 		}
 		k.line = m
-		s.setHealth(id, k, health(m.Phase), told)
+		health, since, startedAt := s.effective(m, told)
+		lines = append(lines, logic.ServerInfo{ID: id, Zone: zone, Cell: m.Cell, Health: health, StartedAt: startedAt,
+			Returned: health == logic.Ready && k.health == logic.Draining && startedAt > m.UpSince})
+		s.setHealth(id, k, health, since)
 	}
 	for id, k := range s.providers {
 		if l.Complete && !named[id] {
@@ -130,6 +133,7 @@
 	}
 	s.ready.Store(ready)
 	s.step(logic.Event{Kind: logic.List, Full: l.Complete, Servers: lines})
+	s.countedAt = time.Time{}
 }
 
 // setHealth notes a provider's state and, when it leaves, the end of the grace for calls that still connect.
--- /dev/null
+++ b/internal/core/bans.go
@@ -0,0 +1,98 @@
+package core
+
+import (
+	"time"
+
+	"plankrouter/internal/bans"
+	"plankrouter/internal/members"
+	"plankrouter/logic"
+)
+
+const countEvery = 100 * time.Millisecond // providers that are left out
+
+// Ban lays operators' word over the list from now on, in place of the earlier one, and returns once it is in force, or once
+// the pool has stopped.
+func (s *Pool) Ban(set bans.Set) {
+	done := make(chan struct{})
+	if s.send(banning{set, done}) {
+		select {
+		case <-done:
+		case <-s.stopped:
+		}
+	}
+}
+
+// Listed reports whether the list has a provider of that id, in whatever phase.
+func (s *Pool) Listed(provider string) bool {
+	to := make(chan bool, 1)
+	if !s.send(finding{provider, to}) {
+		return false
+	}
+	select {
+	case is := <-to:
+		return is
+	case <-s.stopped:
+		return false
+	}
+}
+
+func (e finding) apply(s *Pool) {
+	id, have := s.serverIDs[e.provider]
+	e.to <- have && s.listed(s.providers[id])
+}
+
+// listed: a provider that has gone stays in the table while a call to it is out.
+func (s *Pool) listed(k *known) bool { return k != nil && k.health != logic.Gone }
+
+func (e banning) apply(s *Pool) {
+	defer close(e.done)
+	changed := s.bans.Changed(e.set)
+	s.bans = e.set
+	l := members.List{Revision: s.revision}
+	for _, provider := range changed {
+		k := s.providers[s.serverIDs[provider]]
+		if !s.listed(k) || k.name != provider {
+			continue
+		}
+		l.Members = append(l.Members, k.line)
+		if _, out := s.bans.Out[provider]; !out {
+			s.set.Caller.Forget(provider)
+		}
+	}
+	if len(l.Members) > 0 { // the directory's own lines again, as changes, under the new word
+		s.list(l)
+	}
+}
+
+// effective is what a line of the list amounts to under the operators' word: the provider's health, since when, and when its
+// process counts as started. One that is out counts as draining; one that was put back may have been restarted
+// meanwhile, so it counts as started then until the list tells a later start.
+func (s *Pool) effective(m members.Member, told time.Time) (h logic.Health, since time.Time, startedAt logic.Ms) {
+	h = health(m.Phase)
+	if at, out := s.bans.Out[m.ID]; out && h == logic.Ready {
+		h = logic.Draining
+		if since := time.UnixMilli(int64(at)); since.Before(told) {
+			told = since
+		}
+	}
+	return h, told, max(m.UpSince, s.bans.Back[m.ID])
+}
+
+// countTargets tells now and then how many providers are listed, and how many of them operators or the module leave out.
+func (s *Pool) countTargets(now time.Time) {
+	if now.Sub(s.countedAt) < countEvery {
+		return
+	}
+	s.countedAt = now
+	listed, out := 0, 0
+	for id, k := range s.providers {
+		if !s.listed(k) {
+			continue
+		}
+		listed++
+		if _, banned := s.bans.Out[k.name]; banned || s.bal.LeftOut(id) {
+			out++
+		}
+	}
+	s.set.Targets(listed, out)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"plankrouter/internal/bans"
 	"plankrouter/internal/caller"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/freshness"
@@ -51,6 +52,10 @@
 	Trace func(format string, args ...any)
 	// Saw is told what is seen of providers that bears on the list. It must not block; nil = nobody is.
 	Saw func(provider string, sign freshness.Sign)
+	// Targets is told now and then how many providers are listed, and how many of those are left out. It must not block; nil = nobody is.
+	Targets func(listed, leftOut int)
+	// Bans are the operators' word at the start.
+	Bans bans.Set
 }
 
 // Pool is the host of one Balancer. Its exported methods are safe for concurrent use.
@@ -78,6 +83,8 @@
 	stepping  bool
 	now       time.Time         // of the event that the module has last seen; what it asks for counts from here
 	revision  uint64            // of the list
+	bans      bans.Set          // lies over the list
+	countedAt time.Time         // when Targets was told
 	gone      []snapshot.Member // deleted lately: an older list must not bring them back to the next process
 	stopAt    time.Time         // when it was told to stop; zero = it was not
 	stopPlan  stopping.Plan
@@ -142,6 +149,14 @@
 	taking  struct{ to chan<- *snapshot.Snapshot }
 	stopNow struct{ plan stopping.Plan }
 	reading struct{ to chan<- Counts }
+	banning struct {
+		set  bans.Set
+		done chan<- struct{}
+	}
+	finding struct {
+		provider string
+		to       chan<- bool
+	}
 )
 
 // New returns a Pool that does nothing until Run is called; what is sent to it waits.
@@ -153,10 +168,13 @@
 	if o.Logf == nil {
 		o.Logf = func(string, ...any) {}
 	}
+	if o.Targets == nil {
+		o.Targets = func(int, int) {}
+	}
 	if o.Saw == nil {
 		o.Saw = func(string, freshness.Sign) {}
 	}
-	s := &Pool{set: o, bal: bal, clock: newClock(), zones: map[string]int{}, stopped: make(chan struct{}),
+	s := &Pool{set: o, bans: o.Bans, bal: bal, clock: newClock(), zones: map[string]int{}, stopped: make(chan struct{}),
 		events: make(chan event, eventsAhead), held: map[logic.RequestID]*held{},
 		byInv: map[*invocation.Invocation]logic.RequestID{}, open: map[string]bool{}, calls: map[uint64]*attempt{},
 		providers: map[logic.ServerID]*known{}, serverIDs: map[string]logic.ServerID{},
@@ -198,6 +216,7 @@
 			alarm.Reset(farAhead)
 		}
 		s.due()
+		s.countTargets(time.Now())
 	}
 }
 
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -11,6 +11,8 @@
 	MostProbes  = 2.0  // a request; the paper's r_probe, "above 1 is quite safe"
 	ProbeFresh  = 40.0 // ms between two probes of a server by one instance, at least, on average: more tell nothing new
 	probeWorth  = 0.02 // of a request's worth, lost for want of news at one probe a request; at r probes the r-th part
+	poolGrowth  = 1.0  // the paper's testbed delta: net growth of the pool a request
+	usesMost    = 3.0  // uses of an entry where the paper's formula has no positive divisor
 	LeastReach  = 4    // servers among which an instance chooses, at least
 	connections = 128  // instances that may normally connect to one server; few hundred connections slow one
 )
@@ -26,6 +28,16 @@
 		float64(servers)/(ProbeFresh*requestsPerMs))
 }
 
+// Uses is how many requests may go by one entry of a pool of that size before it leaves, on average: the paper's b_reuse. One
+// part in so many of what perRequest probes bring is removed besides.
+func Uses(pool float64, servers int, perRequest, removed float64) float64 {
+	v := max(usesMost, poolGrowth/perRequest) // an entry must do for all requests until the next one comes
+	if d := (1 - pool/float64(max(1, servers)) - removed) * perRequest; d > 0 {
+		v = min(v, max(1, (1+poolGrowth)/d))
+	}
+	return v
+}
+
 // Dear reports whether the price alone keeps probes below what the design would send: then none is sent out of turn.
 func Dear(price float64) bool { return price*MostProbes*MostProbes > probeWorth }
 
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -216,6 +216,9 @@
 		return false
 	}
 	c.stage = waiting
+	if told := c.at.of.set.Written; told != nil && !c.probe {
+		told()
+	}
 	return true
 }
 
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -29,6 +29,7 @@
 	ConnIdle time.Duration                    // after which a provider closes an idle one
 	Stakes   []reuse.Stakes                   // by class of invocations
 	Trace    func(format string, args ...any) // logs a line for every connection, as it comes up or not and as it ends; nil = none
+	Written  func()                           // told of each attempt at an invocation whose last byte is written; nil = nobody is
 	Answers  func(status int) bool            // which statuses are a served request's; nil = 200 alone
 }
 
--- a/logic/admission_test.go
+++ b/logic/admission_test.go
@@ -139,8 +139,8 @@
 // probe's answer, or most of them would find the pool empty and wait for probes of their own.
 func TestUsesFollowTheRateOfProbes(t *testing.T) {
 	g := newRig(t, testConfig(), 40)
-	if n := g.b.reuse(); n < 1 || n > 4 {
-		t.Errorf("%d uses before any request", n)
+	if n := limit.Uses(poolSize, g.b.ready, g.b.perRequest, removePart); n < 1 || n > 4 {
+		t.Errorf("%.1f uses before any request", n)
 	}
 	waited := 0
 	for id := range RequestID(10000) { // half a second of 20,000 a second, and a probe of each server in 40 ms
--- a/logic/api.go
+++ b/logic/api.go
@@ -121,7 +121,8 @@
 	ID         ServerID
 	Zone, Cell int
 	Health     Health
-	StartedAt  Ms // 0 = long ago
+	StartedAt  Ms   // 0 = long ago
+	Returned   bool // operators have just put it back: nobody else sends to it for that
 }
 
 // Report is a server's load report; a field is meaningful only if its Has flag is set.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,8 +21,6 @@
 	poolAge     = 1000.0 // ms; the paper's testbed limit on an entry's age
 	staleTimes  = 2.0    // service times that also limit it: by then most of what was in flight has left
 	removePart  = 0.25   // of the rate of probes, at which entries are removed: the pool must not run dry
-	poolDelta   = 1.0    // the paper's testbed delta: net growth of the pool a request
-	reuseCap    = 3.0    // uses of an entry where the paper's formula has no positive divisor (m >= n)
 	hotQuantile = 0.6    // the low end of the paper's advised Q_RIF: reported latency lags, RIF leads
 	rifSamples  = 64     // recent answers behind that quantile; one second at 30 requests a second
 	tickEvery   = 50.0   // ms between looks at what moves without traffic
@@ -195,7 +193,9 @@
 				cold: limit.Bucket{V: b.rng.Float64(), At: b.now}} // a random part: not all send at once
 			b.unpool(s)
 		}
-		s.info = in
+		if s.info = in; in.Returned && b.cfg.Probes {
+			b.ask(s) // else it would be found again by chance
+		}
 	}
 	b.ready, b.local = 0, 0
 	slices.SortStableFunc(b.servers, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
@@ -394,7 +394,8 @@
 	if len(b.pool) >= poolSize {
 		b.pool = slices.Delete(b.pool, 0, 1) // the oldest: entries are appended in order of receipt
 	}
-	b.pool = append(b.pool, entry{s, b.now, b.reuse()})
+	uses := limit.Uses(poolSize, b.ready, b.perRequest, removePart) // randomly rounded
+	b.pool = append(b.pool, entry{s, b.now, int(uses + b.rng.Float64())})
 	for _, r := range slices.Clone(b.waiting) {
 		if r.need--; r.need <= 0 {
 			b.proceed(r)
@@ -434,15 +435,6 @@
 	}
 }
 
-// reuse is the paper's b_reuse, randomly rounded; a small cap where its divisor is not positive.
-func (b *Balancer) reuse() int {
-	v := max(reuseCap, poolDelta/b.perRequest) // an entry must do for all requests until the next one comes
-	if d := (1 - poolSize/float64(max(1, b.ready)) - removePart) * b.perRequest; d > 0 {
-		v = min(v, max(1, (1+poolDelta)/d))
-	}
-	return int(v + b.rng.Float64())
-}
-
 // reach is the number of servers to choose among: connections of many sidecars to each would fill its table.
 func (b *Balancer) reach() int { return limit.Reach(b.ready, b.cfg.Balancers) }
 
@@ -933,6 +925,12 @@
 	}
 }
 
+// LeftOut: the server is listed as ready, and neither its evidence nor its last connection or probe let it be chosen.
+func (b *Balancer) LeftOut(id ServerID) bool {
+	s := b.byID[id]
+	return s != nil && s.info.Health == Ready && (s.ejected || b.isShut(s))
+}
+
 func (b *Balancer) logf(format string, args ...any) {
 	b.out = append(b.out, Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
 }
