Settings change at SIGHUP by numbers that carry a class's rules

internal/renumber gives a class a new number where its rules differ, and core, module, caller and front change in that order after the file has been checked whole; a file that lacks a key it had is turned down with the key's name.

--- a/balancer.go
+++ b/balancer.go
@@ -70,8 +70,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	b.stop = stop
 	b.log = newLogger(ctx, o.Logger, o.Name)
-	if b.caller, err = provider.New(ctx, o.Sockets.budget, provider.Settings{Connect: o.Connect, ConnIdle: o.ConnIdle,
-		Stakes: provider.Stakes(cfg.Classes), Answers: func(status int) bool { return status < 500 }}); err != nil {
+	if b.caller, err = provider.New(ctx, o.Sockets.budget, provider.Settings{Figures: provider.Figures{Connect: o.Connect,
+		ConnIdle: o.ConnIdle, Stakes: provider.Stakes(cfg.Classes)}, Answers: func(status int) bool { return status < 500 }}); err != nil {
 		stop()
 		return nil, err
 	}
--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -92,7 +92,9 @@
 
 // program is the running parts.
 type program struct {
-	cfg      *config.Config
+	cfg      *config.Config // as at the start
+	inForce  *config.Config // since the last reload; of obey alone
+	numbers  config.Numbering
 	getenv   func(string) string
 	listener net.Listener
 	budget   *sockets.Budget
@@ -122,9 +124,13 @@
 	outer, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(outer)
-	p := program{cfg: cfg, getenv: getenv, listener: l, stop: stop, line: handover.Handover{From: from},
+	p := program{cfg: cfg, inForce: cfg, getenv: getenv, listener: l, stop: stop, line: handover.Handover{From: from},
 		budget: sockets.NewBudget(places(cfg), dial), bans: bansFor(cfg, getenv)}
 	trace := tracing(ctx, group, getenv)
+	deployment := snapshot.Fingerprint(&cfg.Settings)
+	if _, err := p.numbers.Apply(time.Now(), cfg); err != nil {
+		return err
+	}
 	before := p.before(from, time.Now())
 	out, _, err := p.bans.Read()
 	if err != nil {
@@ -139,11 +145,10 @@
 		Budget: p.budget, Told: func(l members.List) { p.core.Told(l) }, Logf: log.Printf, Trace: trace}); err != nil {
 		return err
 	}
-	if p.caller, err = provider.New(ctx, p.budget, provider.Settings{Connect: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle,
-		Stakes: provider.Stakes(cfg.Logic.Classes), Trace: trace, Written: p.book.Dispatched}); err != nil {
+	if p.caller, err = provider.New(ctx, p.budget, provider.Settings{Figures: figuresOf(cfg), Trace: trace, Written: p.book.Dispatched}); err != nil {
 		return err
 	}
-	if p.core, err = core.New(core.Options{Name: cfg.Name, Deployment: snapshot.Fingerprint(&cfg.Settings),
+	if p.core, err = core.New(core.Options{Name: cfg.Name, Deployment: deployment,
 		Logic: cfg.Logic, Seed: cfg.Seed, Zones: cfg.Settings.Dcs, DrainGrace: cfg.DrainGrace, Known: cfg.Known,
 		Before: before, Caller: p.caller, Whole: cfg.Settings.Whole, Logf: log.Printf, Trace: trace, Saw: p.watch.Saw,
 		Targets: p.book.Targets, Bans: out}); err != nil {
@@ -190,13 +195,13 @@
 			case s == syscall.SIGUSR1:
 				p.report()
 			case s == syscall.SIGHUP:
-				p.reload()
+				p.reload(time.Now())
 			case s == syscall.SIGUSR2 && leave == nil:
 				group.Go(func() error { p.handOver(live); return nil })
 			case s == syscall.SIGUSR2:
 				log.Printf("name=%s handover=refused err=%q", p.cfg.Name, "this process has been told to stop")
 			case leave == nil:
-				plan := p.cfg.StopPlan
+				plan := p.inForce.StopPlan
 				log.Printf("name=%s state=stopping signal=%q last_request_after=%s", p.cfg.Name, s, plan.Last)
 				cancel()
 				notify("STOPPING=1")
@@ -204,7 +209,7 @@
 				p.front.Stay()
 				stopAt, leave = time.Now(), time.After(plan.Last)
 			default: // told twice: as soon as the first word's new connections have come in
-				leave = time.After(max(0, min(hasten, p.cfg.StopPlan.Last)-time.Since(stopAt)))
+				leave = time.After(max(0, min(hasten, p.inForce.StopPlan.Last)-time.Since(stopAt)))
 			}
 		case <-leave:
 			log.Printf("name=%s state=leaving sockets=%d", p.cfg.Name, p.budget.Used())
@@ -214,24 +219,6 @@
 	}
 }
 
-// reload reads the configuration anew and moves to the directory that it now names. All else holds from start to end:
-// what differs is said, and what is bad changes nothing.
-func (p *program) reload() {
-	cfg, err := config.Reload(p.getenv)
-	if err != nil {
-		p.book.Reloaded(false)
-		log.Printf("name=%s state=reload_failed err=%q", p.cfg.Name, err)
-		return
-	}
-	for _, key := range p.cfg.Fixed(cfg) {
-		log.Printf("name=%s state=reload key=%s err=%q", p.cfg.Name, key, "takes effect at the next start")
-	}
-	log.Printf("name=%s state=reloaded discovery=%s", p.cfg.Name, cfg.Discovery)
-	p.watch.Move(cfg.Discovery)
-	p.moved.Store(true)
-	p.book.Reloaded(true)
-}
-
 // report prints the counters.
 func (p *program) report() {
 	c, f, w, now := p.core.Counts(), p.front, p.watch, p.book.Read()
--- /dev/null
+++ b/cmd/plankrouter/reload.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"log"
+	"time"
+
+	"plankrouter/internal/config"
+	"plankrouter/internal/core"
+	"plankrouter/internal/provider"
+	"plankrouter/internal/snapshot"
+)
+
+// reload reads the configuration anew and goes by it, or says why not and changes nothing.
+func (p *program) reload(now time.Time) {
+	fixed, err := p.change(now)
+	p.book.Reloaded(err == nil)
+	if err != nil {
+		log.Printf("name=%s state=reload_failed err=%q", p.cfg.Name, err)
+		return
+	}
+	for _, key := range fixed {
+		log.Printf("name=%s state=reload key=%s err=%q", p.cfg.Name, key, "takes effect at the next start")
+	}
+	log.Printf("name=%s state=reloaded discovery=%s classes=%v", p.cfg.Name, p.inForce.Discovery, p.inForce.Settings.ClassNames())
+}
+
+// change applies a file that has been checked whole: first what decides and calls, then the front, so that no request comes
+// in under a number that is not known yet.
+func (p *program) change(now time.Time) (fixed []string, err error) {
+	next, fixed, err := p.inForce.Reload(p.getenv)
+	if err != nil {
+		return nil, err
+	}
+	deployment := snapshot.Fingerprint(&next.Settings)
+	numbers, err := p.numbers.Apply(now, next)
+	if err != nil {
+		return nil, err
+	}
+	if err := p.core.Change(core.Change{Logic: next.Logic, Classes: numbers.Classes, Tenants: numbers.Tenants,
+		Deployment: deployment, DrainGrace: next.DrainGrace}); err != nil {
+		return nil, err
+	}
+	p.caller.Reconfigure(figuresOf(next))
+	p.front.Reconfigure(&next.Settings)
+	p.watch.Move(next.Discovery)
+	p.moved.Store(true)
+	p.inForce = next
+	return fixed, nil
+}
+
+// figuresOf are the caller's.
+func figuresOf(cfg *config.Config) provider.Figures {
+	return provider.Figures{Connect: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle, Stakes: provider.Stakes(cfg.Logic.Classes)}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,10 +6,12 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
-	"reflect"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"plankrouter/internal/freshness"
@@ -53,6 +55,8 @@
 	ConnIdle       time.Duration      `json:"-"` // a provider closes a connection left idle this long
 	ConnectTimeout time.Duration      `json:"-"`
 	DrainGrace     time.Duration      `json:"-"`
+
+	shape map[string]any // of the file
 }
 
 // Load reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_ADMIN_ADDR go before what it says.
@@ -69,6 +73,9 @@
 	if err := json.Unmarshal(raw, c); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
+	if err := json.Unmarshal(raw, &c.shape); err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
 	for key, field := range map[string]*string{"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery,
 		"GW_ADMIN_ADDR": &c.AdminAddr} {
 		if v := getenv(key); v != "" {
@@ -78,38 +85,83 @@
 	return c, c.check()
 }
 
-// Reload reads the file anew. What it says of the directory goes before GW_DISCOVERY: the environment is that of the
-// start, and the file is newer.
-func Reload(getenv func(string) string) (*Config, error) {
-	return Load(func(key string) string {
+// Reload reads the file anew and checks it whole. What it says of the directory goes before GW_DISCOVERY: the environment is
+// that of the start, and the file is newer. A key that the file had before must still be there: a file that is incomplete says
+// nothing. fixed names the keys that differ and can't change while the program runs: next has the values of c there.
+func (c *Config) Reload(getenv func(string) string) (next *Config, fixed []string, err error) {
+	next, err = Load(func(key string) string {
 		if key == "GW_DISCOVERY" {
 			return ""
 		}
 		return getenv(key)
 	})
-}
-
-// Fixed names the keys that differ in next but can't change while the program runs.
-func (c *Config) Fixed(next *Config) (keys []string) {
+	if err == nil && next.Settings.Limits.MaxAttempts < 1 {
+		err = fmt.Errorf("settings.Limits.MaxAttempts: %d is not a positive number", next.Settings.Limits.MaxAttempts)
+	}
+	if err == nil {
+		err = lacks("", c.shape, next.shape)
+	}
+	if err != nil {
+		return nil, nil, err
+	}
 	for _, k := range []struct {
 		key  string
 		same bool
+		keep func()
 	}{
-		{"name", c.Name == next.Name},
-		{"listen", c.Listen == next.Listen},
-		{"admin_addr", c.AdminAddr == next.AdminAddr},
-		{"seed", c.Seed == next.Seed},
-		{"limits", c.Limits == next.Limits},
-		{"plankrouter", c.Own == next.Own},
-		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
+		{"name", c.Name == next.Name, func() { next.Name = c.Name }},
+		{"listen", c.Listen == next.Listen, func() { next.Listen = c.Listen }},
+		{"admin_addr", c.AdminAddr == next.AdminAddr, func() { next.AdminAddr = c.AdminAddr }},
+		{"seed", c.Seed == next.Seed, func() { next.Seed = c.Seed }},
+		{"limits", c.Limits == next.Limits, func() { next.Limits = c.Limits }},
+		{"plankrouter", c.Own == next.Own, func() { next.Own = c.Own }},
+		{"settings.Dcs", slices.Equal(c.Settings.Dcs, next.Settings.Dcs), func() { next.Settings.Dcs = c.Settings.Dcs }},
+		{"settings.Locality", c.Settings.Locality == next.Settings.Locality,
+			func() { next.Settings.Locality = c.Settings.Locality }},
+		{"settings.Discovery", c.Settings.Discovery == next.Settings.Discovery,
+			func() { next.Settings.Discovery = c.Settings.Discovery }},
+		{"settings.Report", slices.Equal(c.Settings.Report.Names, next.Settings.Report.Names),
+			func() { next.Settings.Report = c.Settings.Report }},
 	} {
 		if !k.same {
-			keys = append(keys, k.key)
+			fixed = append(fixed, k.key)
+			k.keep()
 		}
 	}
-	return keys
+	return next, fixed, next.check()
 }
 
+// lacks returns an error that names a key which one has and the other has not. Of lists, each entry of the other must
+// have the keys that the first entry of the one has.
+func lacks(path string, one, other any) error {
+	switch was := one.(type) {
+	case map[string]any:
+		is, _ := other.(map[string]any)
+		for _, key := range slices.Sorted(maps.Keys(was)) {
+			if path == "" && mayGo[key] {
+				continue
+			}
+			if _, have := is[key]; !have {
+				return fmt.Errorf("%s%s: missing, and it was there before: write the whole file", path, key)
+			}
+			if err := lacks(path+key+".", was[key], is[key]); err != nil {
+				return err
+			}
+		}
+	case []any:
+		is, _ := other.([]any)
+		for i := 0; len(was) > 0 && path != "known.members." && i < len(is); i++ {
+			if err := lacks(fmt.Sprintf("%s[%d].", strings.TrimSuffix(path, "."), i), was[0], is[i]); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// mayGo are the keys that a file may leave out though it had them.
+var mayGo = map[string]bool{"plankrouter": true, "admin_addr": true}
+
 // check fills in defaults and rejects what the program can't work with.
 func (c *Config) check() error {
 	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"admin_addr", c.AdminAddr}} {
@@ -139,12 +191,26 @@
 	); err != nil {
 		return err
 	}
+	if s.Limits.MaxAttempts < 0 {
+		return fmt.Errorf("settings.Limits.MaxAttempts: %d is not a positive number", s.Limits.MaxAttempts)
+	}
+	if len(s.Classes) == 0 {
+		return errors.New("settings.RequestClasses: missing or empty")
+	}
 	seen, longest := map[string]bool{}, time.Duration(0)
 	for i, k := range s.Classes {
 		if k.Name == "" || seen[k.Name] {
 			return fmt.Errorf("settings.RequestClasses[%d].Name: %q is empty or given twice", i, k.Name)
 		}
 		seen[k.Name] = true
+		for _, f := range []struct {
+			key string
+			ms  float64
+		}{{"AimMs", k.AimMs}, {"HardLimitMs", k.HardLimitMs}} {
+			if !(f.ms > 0) {
+				return fmt.Errorf("settings.RequestClasses[%d].%s: %g is not a positive number", i, f.key, f.ms)
+			}
+		}
 		longest = max(longest, Duration(k.HardLimitMs))
 	}
 	if err := c.checkOwn(longest); err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -16,7 +16,7 @@
 const good = `{"name":"n1","listen":"127.0.0.1:3000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":100,"sockets":512},"unknown":[{"x":1}],
 "known":{"revision":41,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:1","phase":"SERVING"}]},
-"settings":{"Discovery":"pushed","RoundMs":5,"Limits":{"ConnIdleMs":60000,"ConnectTimeoutMs":150,"MaxRetryAfterMs":1200},
+"settings":{"Discovery":"pushed","RoundMs":5,"Limits":{"ConnIdleMs":60000,"ConnectTimeoutMs":150,"MaxRetryAfterMs":1200,"MaxAttempts":3},
 "Safety":{"DrainGraceMs":700},"RequestClasses":[{"Name":"tile","AimMs":750,"HardLimitMs":2500,"Repeat":"pure"}]}}`
 
 func load(t *testing.T, text string, env map[string]string) (*Config, error) {
@@ -73,23 +73,23 @@
 
 func TestFaultyKeyIsNamed(t *testing.T) {
 	for want, swap := range map[string][2]string{
-		"GW_CONFIG":                           {`{"name"`, `["name"`},
-		"listen:":                             {"127.0.0.1:3000", "127.0.0.1"},
-		"discovery:":                          {"127.0.0.1:8500", ""},
-		"seed:":                               {"8c1f30d27a5be964", "xyz"},
-		"limits.sockets:":                     {`"sockets":512`, `"sockets":3`},
-		"limits.memory_mb:":                   {`"memory_mb":100`, `"memory_mb":-1`},
-		"known.members[0].host_port:":         {"127.0.0.1:1\"", "nowhere\""},
-		"known.members[0].id:":                {"s-1", ""},
-		"settings.Discovery:":                 {"pushed", "guessed"},
-		"settings.Limits.ConnIdleMs:":         {"60000", "-1"},
-		"settings.Limits.ConnectTimeoutMs:":   {"150", "0.5"},
-		"settings.Safety.DrainGraceMs:":       {"700", "-700"},
-		"settings.RequestClasses[0].Name:":    {`"Name":"tile"`, `"Name":""`},
-		"settings.RequestClasses[0].Repeat:":  {"pure", "perhaps"},
-		"settings: logic: class 0":            {`"AimMs":750`, `"AimMs":0`},
-		"settings: logic: no request classes": {`"RequestClasses"`, `"Others"`},
-		"settings: logic: negative":           {`"RoundMs":5`, `"RoundMs":-5`},
+		"GW_CONFIG":                          {`{"name"`, `["name"`},
+		"listen:":                            {"127.0.0.1:3000", "127.0.0.1"},
+		"discovery:":                         {"127.0.0.1:8500", ""},
+		"seed:":                              {"8c1f30d27a5be964", "xyz"},
+		"limits.sockets:":                    {`"sockets":512`, `"sockets":3`},
+		"limits.memory_mb:":                  {`"memory_mb":100`, `"memory_mb":-1`},
+		"known.members[0].host_port:":        {"127.0.0.1:1\"", "nowhere\""},
+		"known.members[0].id:":               {"s-1", ""},
+		"settings.Discovery:":                {"pushed", "guessed"},
+		"settings.Limits.ConnIdleMs:":        {"60000", "-1"},
+		"settings.Limits.ConnectTimeoutMs:":  {"150", "0.5"},
+		"settings.Safety.DrainGraceMs:":      {"700", "-700"},
+		"settings.RequestClasses[0].Name:":   {`"Name":"tile"`, `"Name":""`},
+		"settings.RequestClasses[0].Repeat:": {"pure", "perhaps"},
+		"settings.RequestClasses[0].AimMs:":  {`"AimMs":750`, `"AimMs":0`},
+		"settings.RequestClasses: missing":   {`"RequestClasses"`, `"Others"`},
+		"settings: logic: negative":          {`"RoundMs":5`, `"RoundMs":-5`},
 
 		"plankrouter.watch.wait_ms:":           own(`"watch":{"wait_ms":70000}`),
 		"plankrouter.watch.patience_ms:":       own(`"watch":{"patience_ms":-1}`),
@@ -115,24 +115,61 @@
 func TestReload(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	env := map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": "127.0.0.9:1", "GW_NAME": "n7"}
-	read := func(text string, how func(func(string) string) (*Config, error)) *Config {
+	getenv := func(key string) string { return env[key] }
+	write := func(text string) {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		c, err := how(func(key string) string { return env[key] })
-		if err != nil {
-			t.Fatal(err)
-		}
-		return c
 	}
-	old := read(good, Load)
-	next := read(strings.Replace(good, `"sockets":512`, `"sockets":600`, 1), Reload)
+	write(good)
+	old, err := Load(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(strings.Replace(good, `"sockets":512`, `"sockets":600`, 1))
+	next, fixed, err := old.Reload(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
 	if diff := cmp.Diff([]string{"127.0.0.9:1", "127.0.0.1:8500", "n7"}, []string{old.Discovery, next.Discovery, next.Name}); diff != "" {
 		t.Error(diff)
 	}
-	if diff := cmp.Diff([]string{"limits"}, old.Fixed(next)); diff != "" {
+	if diff := cmp.Diff([]string{"limits"}, fixed); diff != "" || next.Limits != old.Limits {
 		t.Error(diff)
 	}
+
+	// A file that is cut anywhere, or has lost any one of its keys, is turned down with the key's name.
+	whole := strings.TrimRight(good, " \n")
+	for at := range len(whole) {
+		write(whole[:at])
+		if _, _, err := old.Reload(getenv); err == nil {
+			t.Fatalf("cut at byte %d of %d, it was taken", at, len(whole))
+		}
+	}
+	for key := range map[string]bool{"discovery": true, "seed": true, "limits": true, "memory_mb": true, "settings": true,
+		"RequestClasses": true, "Name": true, "AimMs": true, "HardLimitMs": true, "Repeat": true, "MaxAttempts": true,
+		"DrainGraceMs": true, "known": true} {
+		if text := strings.ReplaceAll(good, `"`+key+`"`, `"was`+key+`"`); text == good {
+			t.Errorf("%s is not in the file of this test", key)
+		} else if write(text); true {
+			if _, _, err := old.Reload(getenv); err == nil || !strings.Contains(err.Error(), key) {
+				t.Errorf("without %s: %v", key, err)
+			}
+		}
+	}
+	for _, bad := range []string{"0", "-1", "1e999", `"many"`, "null", "2.5"} {
+		write(strings.Replace(good, `"MaxAttempts":3`, `"MaxAttempts":`+bad, 1))
+		if _, _, err := old.Reload(getenv); err == nil || !strings.Contains(err.Error(), "MaxAttempts") {
+			t.Errorf("attempts %s: %v", bad, err)
+		}
+		if bad == "2.5" {
+			continue
+		}
+		write(strings.Replace(good, `"HardLimitMs":2500`, `"HardLimitMs":`+bad, 1))
+		if _, _, err := old.Reload(getenv); err == nil || !strings.Contains(err.Error(), "HardLimitMs") {
+			t.Errorf("deadline %s: %v", bad, err)
+		}
+	}
 }
 
 // The examples of installations can be used as they are.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -38,6 +38,7 @@
 type Realm struct {
 	Name      string
 	QuotaPerS float64
+	Dropped   bool `json:"-"` // as of a class
 }
 
 // Class is one class of invocations.
@@ -45,6 +46,8 @@
 	Name                                                string
 	AimMs, HardLimitMs, Credit, LateWorth, MemorySpanMs float64
 	KeyScope, Repeat                                    string
+	Attempts                                            int  `json:"-"` // Limits.MaxAttempts, as it was when the class got its number
+	Dropped                                             bool `json:"-"` // no further request is of it; see Numbering
 }
 
 // Pure is what Repeat says of a class that is safe to repeat.
@@ -63,10 +66,12 @@
 	return s, nil
 }
 
-// ClassNames are the names of the classes, by position.
+// ClassNames are the names of the classes in force.
 func (s *Settings) ClassNames() (names []string) {
 	for _, c := range s.Classes {
-		names = append(names, c.Name)
+		if !c.Dropped {
+			names = append(names, c.Name)
+		}
 	}
 	return names
 }
@@ -91,7 +96,7 @@
 	}
 	for i, c := range s.Classes {
 		k := logic.Class{Aim: c.AimMs, Deadline: c.HardLimitMs, Worth: c.Credit, LateWorth: c.LateWorth,
-			Window: c.MemorySpanMs}
+			Window: c.MemorySpanMs, Attempts: c.Attempts, Dropped: c.Dropped}
 		var known bool
 		if k.Repeat, known = repeats[c.Repeat]; !known {
 			return cfg, fmt.Errorf("RequestClasses[%d].Repeat: unknown word %q", i, c.Repeat)
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -50,7 +50,7 @@
 	core    invocation.Core
 	budget  *sockets.Budget
 	book    *figures.Book
-	dialect dialect
+	dialect atomic.Pointer[dialect]
 
 	Connections, Adopted, NotTaken atomic.Int64
 
@@ -70,8 +70,15 @@
 
 // New returns a front for core that counts in book what becomes of the requests it takes.
 func New(cfg *config.Config, core invocation.Core, budget *sockets.Budget, book *figures.Book) *Server {
-	book.Classes(cfg.Settings.ClassNames()...)
-	return &Server{core: core, budget: budget, book: book, dialect: newDialect(&cfg.Settings), conns: map[*conn]bool{}, closed: make(chan struct{})}
+	s := &Server{core: core, budget: budget, book: book, conns: map[*conn]bool{}, closed: make(chan struct{})}
+	s.Reconfigure(&cfg.Settings)
+	return s
+}
+
+// Reconfigure goes by other classes and tenants from the next request on.
+func (s *Server) Reconfigure(set *config.Settings) {
+	s.book.Classes(set.ClassNames()...)
+	s.dialect.Store(newDialect(set))
 }
 
 // Serve accepts connections until Drain or the end of ctx, and returns when the last one has ended.
@@ -467,11 +474,12 @@
 		}
 		return nil, &http1.Response{Status: status, Close: req.Close}, ending.Open
 	}
-	inv, status := c.server.dialect.invocation(req, began)
+	words := c.server.dialect.Load()
+	inv, status := words.invocation(req, began)
 	if status != 0 {
 		return nil, c.turn(status, req.Close || status == 400), ending.Open
 	}
-	c.known, c.class = true, c.server.dialect.names[inv.Class]
+	c.known, c.class = true, words.names[inv.Class]
 	inv.Answer = func(a invocation.Answer) { // never blocks: there is room for the one answer that is owed
 		r := response(a)
 		r.Close = req.Close
--- a/internal/consumer/dialect.go
+++ b/internal/consumer/dialect.go
@@ -20,16 +20,20 @@
 	tenants map[string]int
 }
 
-func newDialect(s *config.Settings) dialect {
-	d := dialect{classes: map[string]int{}, tenants: map[string]int{}}
+func newDialect(s *config.Settings) *dialect {
+	d := &dialect{classes: map[string]int{}, tenants: map[string]int{}}
 	for i, c := range s.Classes {
-		d.classes[c.Name] = i
+		if !c.Dropped {
+			d.classes[c.Name] = i
+		}
 		d.names = append(d.names, c.Name)
 		d.limits = append(d.limits, config.Duration(c.HardLimitMs))
 		d.verbs = append(d.verbs, map[bool]string{true: "GET", false: "POST"}[c.Repeat == config.Pure])
 	}
 	for i, r := range s.Realms {
-		d.tenants[r.Name] = i
+		if !r.Dropped {
+			d.tenants[r.Name] = i
+		}
 	}
 	return d
 }
--- /dev/null
+++ b/internal/core/change.go
@@ -0,0 +1,50 @@
+package core
+
+import (
+	"errors"
+	"time"
+
+	"plankrouter/internal/renumber"
+	"plankrouter/logic"
+)
+
+// Change is what a reload may change of a pool. Classes and tenants go by numbers that keep their meaning for what is open.
+type Change struct {
+	Logic            logic.Config
+	Classes, Tenants renumber.Plan
+	Deployment       string
+	DrainGrace       time.Duration
+}
+
+var errStopped = errors.New("the pool has stopped")
+
+// Change takes other settings, or none of them, and returns once they are in force.
+func (s *Pool) Change(c Change) error {
+	done := make(chan error, 1)
+	if s.send(changing{c, done}) {
+		select {
+		case err := <-done:
+			return err
+		case <-s.stopped:
+		}
+	}
+	return errStopped
+}
+
+func (e changing) apply(s *Pool) {
+	err := s.bal.Reconfigure(e.Logic, e.Classes.From, e.Tenants.From)
+	if err == nil {
+		s.set.Logic, s.set.Deployment, s.set.DrainGrace = e.Logic, e.Deployment, e.DrainGrace
+		s.classes, s.tenants = e.Classes.Order, e.Tenants.Order
+	}
+	e.done <- err
+}
+
+// upTo returns the first n numbers.
+func upTo(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -81,10 +81,12 @@
 	actions   []logic.Action
 	pending   []logic.Event // for the module, in order
 	stepping  bool
-	now       time.Time         // of the event that the module has last seen; what it asks for counts from here
-	revision  uint64            // of the list
-	bans      bans.Set          // lies over the list
-	countedAt time.Time         // when Targets was told
+	now       time.Time // of the event that the module has last seen; what it asks for counts from here
+	revision  uint64    // of the list
+	bans      bans.Set  // lies over the list
+	countedAt time.Time // when Targets was told
+	classes   []int     // of the module, in the order of the settings
+	tenants   []int
 	gone      []snapshot.Member // deleted lately: an older list must not bring them back to the next process
 	stopAt    time.Time         // when it was told to stop; zero = it was not
 	stopPlan  stopping.Plan
@@ -145,9 +147,13 @@
 		number uint64
 		caller.Result
 	}
-	told    members.List
-	taking  struct{ to chan<- *snapshot.Snapshot }
-	stopNow struct{ plan stopping.Plan }
+	told     members.List
+	taking   struct{ to chan<- *snapshot.Snapshot }
+	stopNow  struct{ plan stopping.Plan }
+	changing struct {
+		Change
+		done chan<- error
+	}
 	reading struct{ to chan<- Counts }
 	banning struct {
 		set  bans.Set
@@ -179,6 +185,7 @@
 		byInv: map[*invocation.Invocation]logic.RequestID{}, open: map[string]bool{}, calls: map[uint64]*attempt{},
 		providers: map[logic.ServerID]*known{}, serverIDs: map[string]logic.ServerID{},
 		numbers: map[logic.ServerID]bool{}}
+	s.classes, s.tenants = upTo(len(o.Logic.Classes)), upTo(len(o.Logic.Tenants))
 	for i, name := range o.Zones {
 		s.zones[name] = i
 	}
--- a/internal/core/learned.go
+++ b/internal/core/learned.go
@@ -51,16 +51,20 @@
 	*l = snapshot.Learned{Now: s.clock.at(now), FleetLatency: st.FleetLatency, FracOwn: st.FracOwn, FracAll: st.FracAll,
 		Fit:      snapshot.Fit{XX: st.XX, XY: st.XY, At: st.FitAt},
 		Arrivals: snapshot.Rate{V: st.Arrivals.V, At: st.Arrivals.At}, Sends: snapshot.Rate{V: st.Sends.V, At: st.Sends.At}}
-	for _, c := range st.Classes {
-		l.Fit.Classes = append(l.Fit.Classes, snapshot.ClassFit{N: c.N, Sum: c.Sum})
+	for _, n := range s.classes { // the next process numbers them in the order of the settings
+		l.Fit.Classes = append(l.Fit.Classes, snapshot.ClassFit{N: st.Classes[n].N, Sum: st.Classes[n].Sum})
 	}
-	for _, t := range st.Tenants {
-		l.Tenants = append(l.Tenants, snapshot.Bucket{Tokens: t.V, At: once(t.At)})
+	for _, n := range s.tenants {
+		l.Tenants = append(l.Tenants, snapshot.Bucket{Tokens: st.Tenants[n].V, At: once(st.Tenants[n].At)})
 	}
 	for _, in := range st.Servers {
 		one := snapshot.LearnedServer{Name: names[in.ID], StartedAt: in.StartedAt, Latency: in.Latency, Reported: in.Reported,
 			ReportAt: once(in.ReportAt), Network: in.Network, Failing: in.Failing}
-		for who, t := range in.Outcomes {
+		for who := range 1 + len(s.tenants) { // of all, then by tenant
+			t := in.Outcomes[0]
+			if who > 0 {
+				t = in.Outcomes[1+s.tenants[who-1]]
+			}
 			if t.Oks+t.Misses > 0 {
 				one.By = append(one.By, snapshot.Tally{Who: uint32(who), Oks: t.Oks, Misses: t.Misses, At: t.At})
 			}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -49,20 +49,48 @@
 
 // What a request must find at a server.
 const (
+	roomIdle    = 0.5  // expected responses that must find room at an idle server, in all: work in vain takes nothing there,
+	roomFull    = 2.0  // and what is added to that when all its places are taken
 	roomWaste   = 8.5  // parts of the expected response to be left beyond it, for each unit of the price of waste,
 	roomSparse  = 15.0 // and where news is sparse: the server that looks best is seldom as good as it looks
 	CrowdMost   = 4.5  // response over an unhindered one: past it a queue only adds waiting,
 	crowdSparse = 2.5  // and where news is sparse
+	crowdPower  = 0.4  // how that falls with a request's worth
+
+	coldBlind    = 0.375 // of what tips a cold server, sent unseen: it bears more than it must
+	coldTold     = 0.5   // and where it has said that it has room
+	allColdShare = 0.5   // of what is asked, taken for what an all-cold fleet bears when warm
 )
 
-// Room is what must be left at a server that is to get a request: parts of the expected response beyond it for each unit
-// of the price of waste, and the most that a response may be stretched. Many instances whose news is sparse send to the
-// same servers before any learns of it, and nobody sees the queue that they make together.
-func Room(sparse bool) (waste, crowd float64) {
+// Room is how many times the expected response must find room at a server that is to get a request, at that price of waste;
+// load is the part of its places that are taken. Many instances whose news is sparse send to the same servers before any
+// learns of it, and nobody sees the queue that they make together.
+func Room(sparse bool, price, load float64) float64 {
+	waste := roomWaste
+	if sparse {
+		waste = roomSparse
+	}
+	return min(1+waste*price, roomIdle+roomFull*load)
+}
+
+// Crowd is the most that the response to a request of that worth may be stretched.
+func Crowd(sparse bool, worth float64) float64 {
+	most := CrowdMost
 	if sparse {
-		return roomSparse, crowdSparse
+		most = crowdSparse
+	}
+	return 1 + (most-1)*math.Pow(worth, crowdPower)
+}
+
+// ColdRate is what of a fleet's requests a millisecond may go to a cold server, over the number of servers: a warm one's
+// part, times what it must bear by now at that warmth, where tip times that fells it. All instances together send that to it.
+// One that has just said that it has room gets more: half of what tips it is safe, and no more reaches it than it can do.
+func ColdRate(warmth, tip float64, room bool, sent, asked float64) float64 {
+	tips, rate := coldBlind, max(sent, allColdShare*asked) // an all-cold fleet gets some
+	if room {
+		tips, rate = coldTold, max(rate, asked)
 	}
-	return roomWaste, CrowdMost
+	return max(warmth, min(1, warmth*tip*tips)) * rate
 }
 
 // FarEvery is in how many requests' probes one goes to any server in reach, the others to those of the preferred zone. Half
--- a/internal/provider/caller_test.go
+++ b/internal/provider/caller_test.go
@@ -19,8 +19,8 @@
 func TestCaller(t *testing.T) {
 	callertest.Test(t, callertest.Harness{
 		New: func(ctx context.Context, dial func(context.Context, string) (net.Conn, error)) (caller.Caller, func()) {
-			v, err := New(ctx, sockets.NewBudget(8, dial), Settings{Connect: time.Second, ConnIdle: time.Hour,
-				Stakes: []reuse.Stakes{{Once: true, Worth: 1}}})
+			v, err := New(ctx, sockets.NewBudget(8, dial), Settings{Figures: Figures{Connect: time.Second, ConnIdle: time.Hour,
+				Stakes: []reuse.Stakes{{Once: true, Worth: 1}}}})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/provider/dead_test.go
+++ b/internal/provider/dead_test.go
@@ -63,7 +63,7 @@
 					opened <- theirs
 					return mine, nil
 				})
-				v, err := New(ctx, budget, Settings{Connect: time.Second, ConnIdle: time.Hour})
+				v, err := New(ctx, budget, Settings{Figures: Figures{Connect: time.Second, ConnIdle: time.Hour}})
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -6,6 +6,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"plankrouter/internal/caller"
@@ -23,14 +24,19 @@
 // probeStakes are those of a probe: it may run again, and it is not worth much.
 var probeStakes = reuse.Stakes{Worth: 0.05}
 
-// Settings are what a Caller is told of its deployment.
+// Figures are those of the deployment that may change while a Caller works.
+type Figures struct {
+	Connect  time.Duration  // within which a connection has to come up
+	ConnIdle time.Duration  // after which a provider closes an idle one
+	Stakes   []reuse.Stakes // by class of invocations
+}
+
+// Settings are what a Caller is told.
 type Settings struct {
-	Connect  time.Duration                    // within which a connection has to come up
-	ConnIdle time.Duration                    // after which a provider closes an idle one
-	Stakes   []reuse.Stakes                   // by class of invocations
-	Trace    func(format string, args ...any) // logs a line for every connection, as it comes up or not and as it ends; nil = none
-	Written  func()                           // told of each attempt at an invocation whose last byte is written; nil = nobody is
-	Answers  func(status int) bool            // which statuses are a served request's; nil = 200 alone
+	Figures
+	Trace   func(format string, args ...any) // logs a line for every connection, as it comes up or not and as it ends; nil = none
+	Written func()                           // told of each attempt at an invocation whose last byte is written; nil = nobody is
+	Answers func(status int) bool            // which statuses are a served request's; nil = 200 alone
 }
 
 // Stakes are what the requests of the module's classes put at risk.
@@ -47,6 +53,7 @@
 	ctx    context.Context
 	budget *sockets.Budget
 	set    Settings
+	now    atomic.Pointer[Figures]
 	wg     sync.WaitGroup
 
 	mu   sync.Mutex    // of all that follows, and of what endpoints keep
@@ -64,9 +71,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Caller{ctx: ctx, budget: budget, set: set, book: book}, nil
+	v := &Caller{ctx: ctx, budget: budget, set: set, book: book}
+	v.Reconfigure(set.Figures)
+	return v, nil
 }
 
+// Reconfigure goes by other figures from the next call on.
+func (v *Caller) Reconfigure(f Figures) { v.now.Store(&f) }
+
 // Wait returns when the last goroutine has ended, which it does soon after the context's end.
 func (v *Caller) Wait() { v.wg.Wait() }
 
@@ -118,7 +130,7 @@
 func (e *endpoint) Start(t caller.Task) caller.Call {
 	stakes := probeStakes
 	if t.Invocation != nil {
-		stakes = e.of.set.Stakes[t.Invocation.Class]
+		stakes = e.of.now.Load().Stakes[t.Invocation.Class]
 	}
 	c := e.word(t)
 	e.of.start(c, chooser{e.of.book, time.Now(), e.name, stakes})
@@ -168,7 +180,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
-	retire := v.book.Limit(now, c.at.name, probeStakes, time.Duration(retirePart*float64(v.set.ConnIdle)))
+	retire := v.book.Limit(now, c.at.name, probeStakes, time.Duration(retirePart*float64(v.now.Load().ConnIdle)))
 	if c.at.closed || c.socket.SetReadDeadline(now.Add(retire)) != nil {
 		c.close()
 		return
--- a/logic/api.go
+++ b/logic/api.go
@@ -4,6 +4,8 @@
 // This file is the whole interface; logic.go holds every decision.
 package logic
 
+import "plankrouter/internal/evidence"
+
 // Ms is a time or a duration in milliseconds; times count from any fixed origin.
 type Ms = float64
 
@@ -42,6 +44,8 @@
 	Repeat        Repeat
 	Scope         Scope // for Keyed
 	Window        Ms    // for Keyed: how long repeats are dropped
+	Attempts      int   // per request; 0 = Config.MaxAttempts
+	Dropped       bool  // no further request is of it: only those that are open keep its rules
 }
 
 // Tenant is one sharer of the fleet.
@@ -206,7 +210,7 @@
 }
 
 // Tally is fading evidence for and against a server.
-type Tally struct{ Oks, Misses, At float64 }
+type Tally = evidence.Tally
 
 // Mean is the sum of N fading samples.
 type Mean struct{ N, Sum float64 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -12,6 +12,7 @@
 	"slices"
 
 	"plankrouter/internal/backoff"
+	"plankrouter/internal/evidence"
 	"plankrouter/internal/limit"
 )
 
@@ -42,26 +43,18 @@
 	fitWeight    = 2.0  // samples that a prior weighs
 	fitMemory    = 5e3  // ms in which samples of response times fade by e
 
-	evidenceHalf = 4e3  // ms in which outcomes lose half their weight; then a bad server is tried again
-	missPrior    = 2.0  // weight of a server's innocence: one failure alone takes no server out
-	probeWeight  = 0.5  // of a failed probe, in failures
-	okShrink     = 0.85 // what one success leaves of the weight of failures
-	ejectAt      = 0.5  // probability of failure, beyond the fleet's median, that takes a server out
-	silentTimes  = 6.0  // expected answers of a server that are missing before it counts as silent
-	silentPart   = 0.25 // of the tightest aim: no shorter answer is expected there
-
-	slowMost     = 1.5    // times the median service time, at most, that a usual request is taken to need
-	roomIdle     = 0.5    // likewise at an idle server, in all: work in vain takes nothing from others there,
-	roomFull     = 2.0    // and what is added to that when all its places are taken
-	crowdPower   = 0.4    // how that falls with a request's worth: 1 + (crowdMost-1) x worth^this
-	peerWorth    = 1.5    // times a request's worth: classes worth more keep their room against it
-	quotaLeast   = 5.0    // requests of a tenant that may come at once; else a second's quota
-	fracPrior    = 20.0   // requests, spread evenly over sidecars, that stand for an unknown load
-	fracMemory   = 0.99   // weight of older samples in this sidecar's part of the fleet's traffic
-	coldBlind    = 0.375  // of what tips a cold server, sent unseen: it bears more than it must
-	coldFresh    = 1000.0 // ms for which a cold server's report of room counts
-	coldIdle     = 0.5    // of what it can run side by side by now: with less in flight it has room
-	allColdShare = 0.5    // of what is asked, taken for what an all-cold fleet bears when warm
+	probeWeight = 0.5  // of a failed probe, in failures
+	ejectAt     = 0.5  // probability of failure, beyond the fleet's median, that takes a server out
+	silentTimes = 6.0  // expected answers of a server that are missing before it counts as silent
+	silentPart  = 0.25 // of the tightest aim: no shorter answer is expected there
+
+	slowMost   = 1.5    // times the median service time, at most, that a usual request is taken to need
+	peerWorth  = 1.5    // times a request's worth: classes worth more keep their room against it
+	quotaLeast = 5.0    // requests of a tenant that may come at once; else a second's quota
+	fracPrior  = 20.0   // requests, spread evenly over sidecars, that stand for an unknown load
+	fracMemory = 0.99   // weight of older samples in this sidecar's part of the fleet's traffic
+	coldFresh  = 1000.0 // ms for which a cold server's report of room counts
+	coldIdle   = 0.5    // of what it can run side by side by now: with less in flight it has room
 
 	retryPart    = 0.1   // further attempts a request, at most: keeps retries from becoming the load
 	retryBurst   = 10.0  // further attempts that may be saved up
@@ -130,19 +123,21 @@
 		if !(c.Aim > 0) || !(c.Deadline > 0) || c.Repeat > Unsafe || c.Scope > ScopeCell || c.Window < 0 {
 			return nil, fmt.Errorf("logic: class %d is malformed: %+v", i, c)
 		}
-		b.minAim = min(b.minAim, c.Aim)
-		aims += c.Aim / float64(len(cfg.Classes))
+		if aims += c.Aim / float64(len(cfg.Classes)); !c.Dropped {
+			b.minAim = min(b.minAim, c.Aim)
+		}
 	}
 	for _, v := range []float64{cfg.Round, cfg.WarmWithin, cfg.TipWindow, cfg.ColdShare, cfg.TipMultiple} {
 		if !(v >= 0) {
 			return nil, fmt.Errorf("logic: negative or missing figure in %+v", cfg)
 		}
 	}
-	b.cfg.MaxAttempts, b.cfg.Balancers = max(1, cfg.MaxAttempts), max(1, cfg.Balancers)
+	b.cfg.Balancers, b.cfg.Classes = max(1, cfg.Balancers), slices.Clone(cfg.Classes)
 	b.margin, b.perRequest = 2*cfg.Round+1, limit.MostProbes
 	b.fit.class = make([]classFit, len(cfg.Classes))
 	for i, c := range cfg.Classes { // who is to be answered sooner takes less time
 		b.fit.class[i] = classFit{prior: c.Aim / aims}
+		b.cfg.Classes[i].Attempts = max(1, cmp.Or(c.Attempts, cfg.MaxAttempts))
 	}
 	b.buckets = slices.Repeat([]limit.Bucket{{At: math.Inf(-1)}}, len(cfg.Tenants))
 	return b, nil
@@ -224,25 +219,10 @@
 
 // ---- Evidence: own outcomes and missing answers, whatever the reports and the list say of a server.
 
-// missed is the probability that the server fails a request, by one of its tallies.
-func (s *server) missed(i int, now Ms) float64 {
-	t := &s.by[i]
-	if t.Oks+t.Misses == 0 { // as of most: fading them would take most of the time
-		return 0
-	}
-	k := math.Exp2((t.At - now) / evidenceHalf)
-	*t = Tally{t.Oks * k, t.Misses * k, now}
-	return t.Misses / (t.Oks + t.Misses + missPrior)
-}
-
 // learn adds a failure of that weight, or a success if it is 0, to the evidence at all and to the tenant's.
 func (b *Balancer) learn(s *server, who int, weight float64) {
 	for _, i := range slices.Compact([]int{0, who}) {
-		s.missed(i, b.now)
-		t := &s.by[i]
-		if t.Misses, t.At = t.Misses+weight, b.now; weight == 0 {
-			t.Oks, t.Misses = t.Oks+1, t.Misses*okShrink
-		}
+		s.by[i].Add(b.now, weight)
 	}
 }
 
@@ -268,7 +248,7 @@
 	if b.silent(s) {
 		return 1
 	}
-	return max(s.missed(0, b.now), s.failing*math.Exp2((s.reportAt-b.now)/evidenceHalf))
+	return max(s.by[0].Missed(b.now), s.failing*evidence.Faded(b.now-s.reportAt))
 }
 
 // excess is how much likelier than the median a server fails: trouble that most share excludes none.
@@ -530,7 +510,7 @@
 
 // suits: not even for its tenant alone does the evidence exclude the server.
 func (b *Balancer) suits(s *server, r *request) bool {
-	return b.trusted(s) && s.missed(r.who, b.now) < b.medianMiss+ejectAt
+	return b.trusted(s) && s.by[r.who].Missed(b.now) < b.medianMiss+ejectAt
 }
 
 // trusted: the evidence does not exclude the server. One that is idle gets a trial once that has faded.
@@ -616,28 +596,29 @@
 	if s.rif < 1 && !r.over {
 		return true // an idle server is worth a try: only a sample can correct a wrong estimate
 	}
-	waste, crowd := limit.Room(b.sparse)
-	margin := min(1+waste*b.cfg.WastePrice, roomIdle+roomFull*s.rif/b.fit.sideBySide())
+	margin := limit.Room(b.sparse, b.cfg.WastePrice, s.rif/b.fit.sideBySide())
 	margin *= min(1, max(slowMost*b.fleetLatency, serverPrior)/s.service()) // a few costly ones raise a mean
 	for i, c := range b.cfg.Classes {
 		room := c.Aim
 		if i == r.class {
 			room = min(r.aimAt, r.endAt) - b.now
-		} else if b.density(i) < peerWorth*worth {
+		} else if c.Dropped || b.density(i) < peerWorth*worth {
 			continue // only where no worthier or equal request would find room is this one out of place
 		}
 		if b.expect(s, i, s.rif)*margin > room {
 			return false
 		}
 	}
-	return b.fit.stretch(s.rif+1) <= 1+(crowd-1)*math.Pow(worth, crowdPower)
+	return b.fit.stretch(s.rif+1) <= limit.Crowd(b.sparse, worth)
 }
 
 // density is the worth of a class for the time its requests hold a server, over that of the best class.
 func (b *Balancer) density(class int) float64 {
 	most := math.SmallestNonzeroFloat64
 	for i, c := range b.cfg.Classes {
-		most = max(most, c.Worth/b.fit.of(i))
+		if !c.Dropped {
+			most = max(most, c.Worth/b.fit.of(i))
+		}
 	}
 	return b.cfg.Classes[class].Worth / b.fit.of(class) / most
 }
@@ -653,14 +634,9 @@
 	if w >= 1 {
 		return true
 	}
-	asked := b.arrivals.PerMs(b.now)
-	tips, rate := coldBlind, max(b.sendRate.PerMs(b.now), allColdShare*asked) // an all-cold fleet gets some
-	if b.now-s.reportAt <= coldFresh && s.rif < coldIdle*w*b.fit.sideBySide() {
-		// It has just said that it has room: no more reaches it than it can do. Half of what tips it is safe.
-		tips, rate = 0.5, max(rate, asked)
-	}
-	part := max(w, min(1, w*b.cfg.TipMultiple*tips))
-	return s.cold.Fill(b.now, part*rate/float64(max(1, b.ready)), 1)
+	room := b.now-s.reportAt <= coldFresh && s.rif < coldIdle*w*b.fit.sideBySide() // as it has just said
+	rate := limit.ColdRate(w, b.cfg.TipMultiple, room, b.sendRate.PerMs(b.now), b.arrivals.PerMs(b.now))
+	return s.cold.Fill(b.now, rate/float64(max(1, b.ready)), 1)
 }
 
 type request struct {
@@ -768,7 +744,7 @@
 	}
 	r.expected = b.expect(s, r.class, s.rif)
 	s.expected = r.expected
-	again := b.cfg.Classes[r.class].Repeat != Unsafe && r.attempts+1 < b.cfg.MaxAttempts && b.retries >= 1
+	again := b.cfg.Classes[r.class].Repeat != Unsafe && r.attempts+1 < b.cfg.Classes[r.class].Attempts && b.retries >= 1
 	if w := max(timeoutTimes*r.expected, b.minAim/2); again && w < end/2 {
 		end = w
 	}
@@ -830,7 +806,7 @@
 		return
 	}
 	r.avoid = s
-	if e.Status != NotSent && r.attempts < b.cfg.MaxAttempts && b.retries >= 1 && r.endAt-b.now > b.margin {
+	if e.Status != NotSent && r.attempts < b.cfg.Classes[r.class].Attempts && b.retries >= 1 && r.endAt-b.now > b.margin {
 		b.retries--
 		r.waits = 0
 		b.choose(r)
--- a/logic/recovery_test.go
+++ b/logic/recovery_test.go
@@ -95,7 +95,7 @@
 		g.b.learn(g.b.byID[2], 1, 1)
 	}
 	st := g.b.State()
-	miss := g.b.byID[2].missed(0, g.now)
+	miss := g.b.byID[2].by[0].Missed(g.now)
 	if miss < ejectAt {
 		t.Fatalf("the failing server misses %.2f", miss)
 	}
@@ -114,7 +114,7 @@
 	if one.latency != 80 || !one.reported || one.network != 1 {
 		t.Errorf("what was known of a server is lost: %+v", one)
 	}
-	if got := two.missed(0, h.now); got >= miss || got < miss/2 {
+	if got := two.by[0].Missed(h.now); got >= miss || got < miss/2 {
 		t.Errorf("evidence of %.2f is %.2f a second later", miss, got)
 	}
 	if three.latency != 0 || len(three.by) != 2 || three.by[0].Misses != 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -54,3 +54,30 @@
 	b.updateMedians()
 	return nil
 }
+
+// Reconfigure takes other settings, or none of them. A number among classes and tenants is the old one whose past is the
+// new one's, -1 that it has none; what is open keeps the number and so the rules it came with.
+func (b *Balancer) Reconfigure(cfg Config, classes, tenants []int) error {
+	next, err := New(cfg, 0)
+	if err != nil {
+		return err
+	}
+	follow(classes, b.fit.class, next.fit.class)
+	follow(tenants, b.buckets, next.buckets)
+	for _, s := range b.servers {
+		by := make([]Tally, 1+len(next.buckets))
+		by[0] = s.by[0]
+		follow(tenants, s.by[1:], by[1:])
+		s.by = by
+	}
+	b.cfg, b.minAim, b.margin, b.buckets, b.fit.class = next.cfg, next.minAim, next.margin, next.buckets, next.fit.class
+	return nil
+}
+
+func follow[T any](from []int, was, is []T) {
+	for i, n := range from {
+		if n >= 0 {
+			is[i] = was[n]
+		}
+	}
+}
