--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -27,6 +27,7 @@
 	"plankrouter/internal/directory"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/figures"
+	"plankrouter/internal/flow"
 	"plankrouter/internal/handover"
 	"plankrouter/internal/members"
 	"plankrouter/internal/provider"
@@ -132,6 +133,7 @@
 		return err
 	}
 	before := p.before(from, time.Now())
+	bounds := flow.New(cfg.Limits.MemoryMB<<20, cfg.Limits.Sockets)
 	out, _, err := p.bans.Read()
 	if err != nil {
 		log.Printf("name=%s state=bans_not_used err=%q", cfg.Name, err)
@@ -145,7 +147,7 @@
 		Budget: p.budget, Told: func(l members.List) { p.core.Told(l) }, Logf: log.Printf, Trace: trace}); err != nil {
 		return err
 	}
-	if p.caller, err = provider.New(ctx, p.budget, provider.Settings{Figures: figuresOf(cfg), Trace: trace, Written: p.book.Dispatched}); err != nil {
+	if p.caller, err = provider.New(ctx, p.budget, provider.Settings{Figures: figuresOf(cfg), Trace: trace, Written: p.book.Dispatched, Bounds: bounds}); err != nil {
 		return err
 	}
 	if p.core, err = core.New(core.Options{Name: cfg.Name, Deployment: deployment,
@@ -154,7 +156,7 @@
 		Targets: p.book.Targets, Bans: out}); err != nil {
 		return err
 	}
-	p.front = consumer.New(cfg, p.core, p.budget, &p.book)
+	p.front = consumer.New(cfg, p.core, p.budget, &p.book, bounds)
 	group.Go(func() error {
 		defer p.caller.Wait() // once nothing starts a call any more
 		return p.core.Run(ctx)
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -154,7 +154,7 @@
 	}
 	resp.Close = true
 	c.SetDeadline(time.Now().Add(answerWithin))
-	if _, err := c.Write(http1.AppendResponse(nil, &resp)); err != nil {
+	if _, err := c.Write(http1.AppendResponse(nil, &resp, false)); err != nil {
 		return
 	}
 	if half, ok := c.(interface{ CloseWrite() error }); ok { // a plain close may overtake the answer as a reset
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -19,22 +19,26 @@
 	"plankrouter/internal/config"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/figures"
+	"plankrouter/internal/flow"
 	"plankrouter/internal/http1"
 	"plankrouter/internal/invocation"
 	"plankrouter/internal/sockets"
 )
 
 const (
-	lookEvery     = 2 * time.Second         // whether an idle connection may stay; one that has brought nothing yet may not
-	messageWithin = 2 * time.Second         // for a request, from its first byte
-	firstWithin   = 2700 * time.Millisecond // for the first one, from its connection's begin
-	idleMost      = time.Minute
-	writeWithin   = 5 * time.Second // for an answer
-	lingerMost    = 128 << 10
-	lingerFor     = 500 * time.Millisecond
-	floodFor      = 100 * time.Millisecond
-	closingFor    = 50 * time.Millisecond // instead of lingerFor, once the front is being closed: the process may be killed soon
-	acceptPause   = 5 * time.Millisecond
+	lookEvery   = 2 * time.Second         // whether an idle connection may stay; one that has brought nothing yet may not
+	headWithin  = 2700 * time.Millisecond // for a request's head, from its first byte
+	firstWithin = 2700 * time.Millisecond // for the first one's, from its connection's begin
+	pauseMost   = 1200 * time.Millisecond // within a body,
+	paceLeast   = 24 << 10                // bytes a second of it, at least,
+	paceAfter   = 2 * time.Second         // after this
+	idleMost    = time.Minute
+	writeWithin = 10 * time.Second // for an answer, or for each piece of a long one
+	lingerMost  = 128 << 10
+	lingerFor   = 500 * time.Millisecond
+	floodFor    = 100 * time.Millisecond
+	closingFor  = 50 * time.Millisecond // instead of lingerFor, once the front is being closed: the process may be killed soon
+	acceptPause = 5 * time.Millisecond
 
 	// A consumer opens a connection when all it has are busy. One that has just been answered is thus about to carry a
 	// request, which would be lost if the connection were closed to make room. But a new one waits to carry one now:
@@ -50,6 +54,7 @@
 	core    invocation.Core
 	budget  *sockets.Budget
 	book    *figures.Book
+	bounds  *flow.Bounds
 	dialect atomic.Pointer[dialect]
 
 	Connections, Adopted, NotTaken atomic.Int64
@@ -69,8 +74,8 @@
 }
 
 // New returns a front for core that counts in book what becomes of the requests it takes.
-func New(cfg *config.Config, core invocation.Core, budget *sockets.Budget, book *figures.Book) *Server {
-	s := &Server{core: core, budget: budget, book: book, conns: map[*conn]bool{}, closed: make(chan struct{})}
+func New(cfg *config.Config, core invocation.Core, budget *sockets.Budget, book *figures.Book, bounds *flow.Bounds) *Server {
+	s := &Server{core: core, budget: budget, book: book, bounds: bounds, conns: map[*conn]bool{}, closed: make(chan struct{})}
 	s.Reconfigure(&cfg.Settings)
 	return s
 }
@@ -284,22 +289,30 @@
 	socket  *sockets.Socket
 	br      *bufio.Reader
 	began   time.Time
-	brought bool                 // a whole message has come
-	known   bool                 // an invocation has come: it is no stranger
-	class   string               // of the present invocation,
-	request *figures.Request     // and its count
-	idleAt  time.Time            // since when no message is under way; guarded by server.mu
-	answers chan *http1.Response // at most one is under way; nil = no writer yet
-	written chan ending.Ending   // how writing it ended; Open = the connection goes on
+	brought bool               // a whole message has come
+	known   bool               // an invocation has come: it is no stranger
+	class   string             // of the present invocation,
+	request *figures.Request   // its count,
+	kept    int                // and the bytes that it holds of the bounds
+	upload  *upload            // the rest of its body; nil = it is there
+	paced   *pace              // of the body that is being read; nil = none is
+	idleAt  time.Time          // since when no message is under way; guarded by server.mu
+	answers chan answer        // at most one is under way; nil = no writer yet
+	written chan ending.Ending // how writing it ended; Open = the connection goes on
 	done    chan struct{}
 	writer  errgroup.Group
+
+	mu   sync.Mutex
+	gone bool            // nobody writes answers any more
+	long invocation.Flow // the rest of the present answer; nil = there is none
 }
 
 func (c *conn) run() {
-	c.br, c.done = http1.NewReader(c.socket), make(chan struct{})
+	c.br, c.done = http1.NewReader(c), make(chan struct{})
 	e := c.read()
 	close(c.done) // not answers: the core may just be giving one to a consumer that is gone
 	c.socket.Close()
+	c.leave()
 	c.writer.Wait()
 	http1.Free(c.br)
 	c.server.ended(c, e)
@@ -348,9 +361,18 @@
 	c.serve()
 	c.request = c.server.book.Taken(c.class)
 	defer c.request.End(figures.Left) // unless it was answered
+	defer c.letGo()
 	if !c.server.core.Take(inv) {
 		return ending.Stopped
 	}
+	if c.upload != nil {
+		if e := c.uploaded(inv); e != ending.Open {
+			return e
+		}
+		if c.upload == nil { // it was answered before its body was there
+			return ending.Open
+		}
+	}
 	err := c.next() // the next message, or the consumer's end
 	if err == errHandedOver {
 		return ending.HandedOver
@@ -437,7 +459,7 @@
 // message reads one message: an invocation, or what turns it away. Another ending than Open says that there is neither.
 func (c *conn) message() (*invocation.Invocation, *http1.Response, ending.Ending) {
 	began := time.Now()
-	until := began.Add(messageWithin)
+	until := began.Add(headWithin)
 	if !c.known {
 		c.socket.Stranger(partAfter)
 	}
@@ -449,12 +471,16 @@
 	if !c.socket.Extend(until) {
 		c.socket.SetReadDeadline(began.Add(lingerFor))
 	}
+	c.upload, c.paced = nil, nil
 	req, err := http1.ReadRequest(c.br)
 	if err == nil && req.WantsContinue() {
 		_, err = c.socket.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
+	if err == nil && !c.keep(req) {
+		return nil, c.turn(503, true), ending.Open
+	}
 	if err == nil {
-		err = req.ReadBody(c.br)
+		err = c.readBody(req)
 	}
 	switch {
 	case errors.Is(err, http1.ErrTooLarge):
@@ -475,15 +501,21 @@
 		return nil, &http1.Response{Status: status, Close: req.Close}, ending.Open
 	}
 	words := c.server.dialect.Load()
-	inv, status := words.invocation(req, began)
+	inv, status := words.invocation(req, time.Now())
 	if status != 0 {
 		return nil, c.turn(status, req.Close || status == 400), ending.Open
 	}
 	c.known, c.class = true, words.names[inv.Class]
+	if c.upload = nil; req.Rest != nil {
+		c.upload = &upload{conn: c, body: req.Rest, pace: c.paced, done: make(chan struct{})}
+		inv.Rest = c.upload
+	}
+	c.paced = nil
 	inv.Answer = func(a invocation.Answer) { // never blocks: there is room for the one answer that is owed
 		r := response(a)
-		r.Close = req.Close
-		c.answers <- r
+		r.Bodiless = a.Kind == invocation.Served && req.Method == "HEAD"
+		r.Close = req.Close || a.Rest != nil && a.Rest.Length() < 0 && req.Old
+		c.deliver(r, a.Rest, req.Old)
 	}
 	return inv, nil, ending.Open
 }
@@ -502,14 +534,18 @@
 	if c.answers != nil {
 		return
 	}
-	c.answers, c.written = make(chan *http1.Response, 1), make(chan ending.Ending, 1)
+	c.answers, c.written = make(chan answer, 1), make(chan ending.Ending, 1)
 	c.writer.Go(func() error {
 		for {
 			select {
-			case r := <-c.answers:
-				e := c.writeOne(r)
-				if e != ending.WriteFailed {
-					c.request.End(outcomes[r.Status])
+			case a := <-c.answers:
+				e := c.writeAnswer(a)
+				switch e {
+				case ending.WriteFailed:
+				case ending.Broken:
+					c.request.End(figures.Error)
+				default:
+					c.request.End(outcomes[a.Status])
 				}
 				c.written <- e
 			case <-c.done:
@@ -520,11 +556,23 @@
 }
 
 func (c *conn) writeOne(r *http1.Response) ending.Ending {
+	return c.writeAnswer(answer{Response: r})
+}
+
+// writeAnswer writes an answer, with the rest of a long one as it comes.
+func (c *conn) writeAnswer(a answer) ending.Ending {
+	r := a.Response
 	r.Close = r.Close || c.server.isClosing() || c.socket.Leaving()
-	c.socket.SetWriteDeadline(time.Now().Add(writeWithin))
-	if _, err := c.socket.Write(http1.AppendResponse(nil, r)); err != nil {
+	e := c.write(http1.AppendResponse(nil, r, a.old))
+	if a.flow != nil {
+		if e == ending.Open {
+			e = c.pass(a)
+		}
+		a.flow.Close(e == ending.Open)
+	}
+	if e != ending.Open {
 		c.socket.Close()
-		return ending.WriteFailed
+		return e
 	}
 	if r.Close {
 		c.socket.CloseWrite()
@@ -536,13 +584,20 @@
 		}
 		return ending.LastAnswer
 	}
+	if c.upload == nil || c.upload.answered() { // else its body is still to be read
+		c.rest()
+	}
+	return ending.Open
+}
+
+// rest marks the connection as one between two messages.
+func (c *conn) rest() {
 	if c.known {
 		c.socket.Idle(spareAfter)
 	} else {
 		c.socket.Stranger(strangerAfter)
 	}
 	c.setBusy(false)
-	return ending.Open
 }
 
 // linger waits a little for the consumer's close, and makes room before any other meanwhile. What it has sent beyond its
--- a/internal/consumer/dialect.go
+++ b/internal/consumer/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -40,15 +41,19 @@
 
 // invocation words the request for the core, or returns the status that turns it away.
 func (d *dialect) invocation(r *http1.Request, sentAt time.Time) (*invocation.Invocation, int) {
-	path, _, _ := strings.Cut(r.Target, "?")
+	target := r.Target
+	if u, err := url.Parse(target); err == nil && u.Scheme == "http" && u.Host != "" { // the absolute form
+		target = u.RequestURI()
+	}
+	path, _, _ := strings.Cut(target, "?")
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	class, known := d.classes[first]
 	switch {
-	case !known || path[0] != '/':
+	case !known || path == "" || path[0] != '/':
 		return nil, 404
-	case r.Method != d.verbs[class]:
+	case r.Method != d.verbs[class] && (r.Method != "HEAD" || d.verbs[class] != "GET"):
 		return nil, 405
-	case r.Method == "GET" && len(r.Body) > 0:
+	case r.Method != "POST" && (len(r.Body) > 0 || r.Rest != nil):
 		return nil, 400
 	}
 	id, _, err := r.Header.Only(http1.HeaderID)
@@ -69,14 +74,18 @@
 	}
 	return &invocation.Invocation{ID: id, Class: class, Tenant: tenant,
 		Again: r.Header.Get(http1.HeaderRetry) == "1", SentAt: sentAt, Patience: patience,
-		Verb: r.Method, Target: r.Target, Fields: r.Header.EndToEnd(http1.Reworded), Body: r.Body}, 0
+		Verb: r.Method, Target: target, Fields: r.Header.EndToEnd(http1.Reworded), Body: r.Body}, 0
 }
 
 // response words the core's answer.
 func response(a invocation.Answer) *http1.Response {
 	switch a.Kind {
 	case invocation.Served:
-		return &http1.Response{Status: 200, Header: a.Fields, Body: a.Body}
+		r := &http1.Response{Status: 200, Header: a.Fields, Body: a.Body}
+		if a.Rest != nil {
+			r.Rest = a.Rest
+		}
+		return r
 	case invocation.Refused:
 		r := &http1.Response{Status: 503}
 		if a.RetryAfter > 0 {
--- /dev/null
+++ b/internal/consumer/long.go
@@ -0,0 +1,261 @@
+package consumer
+
+import (
+	"errors"
+	"io"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"plankrouter/internal/ending"
+	"plankrouter/internal/http1"
+	"plankrouter/internal/invocation"
+)
+
+// answer is what the writer is to write.
+type answer struct {
+	*http1.Response
+	flow invocation.Flow // its rest; nil = there is none
+	old  bool            // the consumer can't read chunks
+}
+
+// deliver hands the core's answer to the writer, unless the consumer is gone.
+func (c *conn) deliver(r *http1.Response, rest invocation.Flow, old bool) {
+	c.mu.Lock()
+	gone := c.gone
+	c.long = rest
+	c.mu.Unlock()
+	if gone && rest != nil {
+		rest.Close(false)
+	}
+	c.answers <- answer{r, rest, old}
+}
+
+// leave ends an answer that is being passed on: its consumer is gone.
+func (c *conn) leave() {
+	c.mu.Lock()
+	c.gone = true
+	long := c.long
+	c.mu.Unlock()
+	if long != nil {
+		long.Close(false)
+	}
+}
+
+// write writes a piece of an answer.
+func (c *conn) write(p []byte) ending.Ending {
+	c.socket.SetWriteDeadline(time.Now().Add(writeWithin))
+	if _, err := c.socket.Write(p); err != nil {
+		return ending.WriteFailed
+	}
+	return ending.Open
+}
+
+// pass writes what follows the beginning of a long answer, as it comes. One that breaks off is not ended as its framing says, so
+// that the consumer can tell.
+func (c *conn) pass(a answer) ending.Ending {
+	buf, free := c.server.bounds.Buffer()
+	defer free()
+	chunked := a.flow.Length() < 0 && !a.old
+	for {
+		n, err := a.flow.Read(buf)
+		if n > 0 {
+			piece := buf[:n]
+			if chunked {
+				piece = http1.AppendChunk(nil, piece)
+			}
+			if e := c.write(piece); e != ending.Open {
+				return e
+			}
+		}
+		switch {
+		case err == io.EOF && chunked:
+			return c.write([]byte(http1.LastChunk))
+		case err == io.EOF:
+			return ending.Open
+		case err != nil:
+			return ending.Broken
+		}
+	}
+}
+
+// pace says until when more of a body must have come.
+type pace struct {
+	began time.Time
+	got   int64
+}
+
+func (p *pace) until(now time.Time) time.Time {
+	least := p.began.Add(paceAfter + time.Duration(p.got)*time.Second/paceLeast)
+	if pause := now.Add(pauseMost); pause.Before(least) {
+		return pause
+	}
+	return least
+}
+
+// Read reads from the socket, and gives a body that goes on its time.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.socket.Read(p)
+	if c.paced != nil && n > 0 {
+		c.paced.got += int64(n)
+		c.socket.Extend(c.paced.until(time.Now()))
+	}
+	return n, err
+}
+
+// keep reserves the memory for the part of the body that is kept, unless that is here already, and reports whether there is
+// any left.
+func (c *conn) keep(req *http1.Request) bool {
+	n := req.Length()
+	if n < 0 || n > http1.MaxBody {
+		n = http1.MaxBody
+	}
+	if req.Length() >= 0 && int(n) <= c.br.Buffered() {
+		return true
+	}
+	c.letGo()
+	if !c.server.bounds.Take(int(n)) {
+		return false
+	}
+	c.kept = int(n)
+	return true
+}
+
+func (c *conn) letGo() {
+	c.server.bounds.Give(c.kept)
+	c.kept = 0
+}
+
+// readBody reads the body, or the beginning of a long one.
+func (c *conn) readBody(req *http1.Request) error {
+	if req.Length() < 0 || req.Length() > int64(c.br.Buffered()) {
+		now := time.Now()
+		c.paced = &pace{began: now}
+		c.socket.Extend(c.paced.until(now))
+	}
+	return req.ReadFirst(c.br)
+}
+
+var errSeized = errors.New("answered before the body was there")
+
+// upload is the rest of a long request. The attempt that is out reads it straight from the consumer's connection, whose reader
+// waits meanwhile.
+type upload struct {
+	conn *conn
+	body *http1.Body
+	pace *pace
+
+	spent  atomic.Bool
+	seized atomic.Bool
+	mu     sync.Mutex // held by who reads
+	err    error      // why nothing more comes; io.EOF = that was all
+	done   chan struct{}
+
+	state   sync.Mutex
+	whole   bool // the body was read to its end
+	replied bool // the answer was written
+	late    bool // before the body was read to its end
+}
+
+func (u *upload) Length() int64 { return u.body.Length() }
+func (u *upload) Spent() bool   { return u.spent.Load() }
+
+// Read makes it an invocation.Source.
+func (u *upload) Read(p []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.err == nil && u.seized.Load() {
+		return 0, errSeized
+	}
+	if u.err != nil {
+		return 0, u.err
+	}
+	u.spent.Store(true)
+	u.conn.paced = u.pace
+	u.conn.socket.Extend(u.pace.until(time.Now()))
+	n, err := u.body.Read(p)
+	if err == nil && u.body.Length() == 0 {
+		err = io.EOF
+	}
+	if u.seized.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, errSeized
+	}
+	if err != nil {
+		u.conn.paced = nil
+		u.end(err)
+	}
+	return n, err
+}
+
+// end notes why nothing more comes. It is called with mu held.
+func (u *upload) end(err error) {
+	if u.err == nil {
+		u.err = err
+		u.state.Lock()
+		u.whole = err == io.EOF
+		u.late = u.replied
+		u.state.Unlock()
+		u.conn.socket.SetReadDeadline(time.Time{})
+		close(u.done)
+	}
+}
+
+// answered notes that the answer is written, and reports whether the body had been read to its end.
+func (u *upload) answered() bool {
+	u.state.Lock()
+	defer u.state.Unlock()
+	u.replied = true
+	return u.whole
+}
+
+// seize takes the body from whoever reads it.
+func (u *upload) seize() {
+	u.seized.Store(true)
+	u.conn.socket.SetReadDeadline(time.Unix(1, 0))
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.conn.paced = nil
+	u.end(errSeized)
+}
+
+// uploaded waits until the rest of the body has been read. Another ending than Open says that the connection is at its end. If the
+// answer came first, what is left of the body is read and dropped, and c.upload is nil then.
+func (c *conn) uploaded(inv *invocation.Invocation) ending.Ending {
+	u := c.upload
+	select {
+	case <-u.done:
+		switch {
+		case u.err == io.EOF && !u.late:
+			return ending.Open
+		case u.err == io.EOF:
+			if e := <-c.written; e != ending.Open {
+				return e
+			}
+			c.upload = nil
+			c.rest()
+			return ending.Open
+		}
+		c.server.core.Abandon(inv)
+		if errors.Is(u.err, os.ErrDeadlineExceeded) || errors.Is(u.err, http1.ErrMalformed) {
+			return ending.BadInput
+		}
+		return ending.ConsumerGone
+	case e := <-c.written:
+		if e != ending.Open {
+			return e
+		}
+	}
+	u.seize()
+	if u.err == errSeized {
+		c.paced = u.pace
+		c.socket.Extend(u.pace.until(time.Now()))
+		_, err := io.Copy(io.Discard, u.body)
+		if c.paced = nil; err != nil || !c.socket.Busy() || c.socket.SetReadDeadline(time.Time{}) != nil {
+			return ending.BadInput
+		}
+	}
+	c.upload = nil
+	c.rest()
+	return ending.Open
+}
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -61,14 +61,23 @@
 	// The module often gives an attempt until its request's own deadline, for which it has set a timer too. The
 	// time-out must win that race: called off by the deadline instead, the attempt would teach the module nothing,
 	// and it would judge the providers by the answers that came in time alone.
-	a.end = &timer{at: s.now.Add(wait - timeoutLead), call: number}
-	heap.Push(&s.timers, a.end)
+	a.end = &timer{at: s.now.Add(wait - timeoutLead), call: number, index: -1}
+	if inv == nil || inv.Rest == nil {
+		heap.Push(&s.timers, a.end)
+	} else { // its time begins when its last byte is written
+		wait = s.patience(inv)
+	}
 	s.calls[number] = a
 	k.calls++
 	a.began = time.Now()
 	s.traceStart(a, k)
 	a.call = k.at.Start(caller.Task{Invocation: inv, Wait: wait, NotAfter: k.notAfter,
-		Ended: func(r caller.Result) { s.send(callEnded{number, r}) }})
+		Flowed: func(whole bool) { s.send(flowed{number, whole}) },
+		Ended: func(r caller.Result) {
+			if !s.send(callEnded{number, r}) {
+				closeFlow(r.Rest)
+			}
+		}})
 	return number
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,6 +29,8 @@
 	probeTimeout = 200 * time.Millisecond // an answer that took longer says nothing of the present
 	timeoutLead  = 100 * time.Microsecond // of a call's time-out over a timer of the module for the same moment
 	goneMost     = 64                     // deleted providers that the next process is told of
+	flowMost     = 10 * time.Minute       // for a request whose body is still being sent
+	flowMargin   = 15 * time.Millisecond  // before its consumer stops waiting, once it was sent
 	graceMargin  = 100 * time.Millisecond // before the end of a drain's grace: a first byte may take its time
 )
 
@@ -147,6 +149,10 @@
 		number uint64
 		caller.Result
 	}
+	flowed struct {
+		number uint64
+		whole  bool
+	}
 	told     members.List
 	taking   struct{ to chan<- *snapshot.Snapshot }
 	stopNow  struct{ plan stopping.Plan }
@@ -317,12 +323,40 @@
 	s.counts.Taken++
 	s.next++
 	s.held[s.next], s.byInv[inv] = &held{inv: inv}, s.next
-	patience := inv.Patience
-	if !s.stopAt.IsZero() {
-		patience = s.stopPlan.Patience(max(0, inv.SentAt.Sub(s.stopAt)), patience)
-	}
 	s.step(logic.Event{Kind: logic.Arrival, Request: s.next, Class: inv.Class, Tenant: inv.Tenant,
-		Left: millis(patience - time.Since(inv.SentAt)), Again: inv.Again})
+		Left: millis(s.left(inv)), Again: inv.Again})
+}
+
+// left is how long the invocation's consumer still waits. What it still sends it does not wait for yet: see flowed.
+func (s *Pool) left(inv *invocation.Invocation) time.Duration {
+	if inv.Rest != nil {
+		return flowMost
+	}
+	return s.patience(inv) - time.Since(inv.SentAt)
+}
+
+// patience is how long it waits in all, as long as this process lives.
+func (s *Pool) patience(inv *invocation.Invocation) time.Duration {
+	if s.stopAt.IsZero() {
+		return inv.Patience
+	}
+	return s.stopPlan.Patience(max(0, inv.SentAt.Sub(s.stopAt)), inv.Patience)
+}
+
+func (e flowed) apply(s *Pool) {
+	a := s.calls[e.number]
+	if a == nil {
+		return
+	}
+	s.step(logic.Event{Kind: logic.Flowing, Server: a.server})
+	h := s.held[a.request]
+	if !e.whole || h == nil || h.answered {
+		return
+	}
+	now := time.Now() // the consumer waits from now on, and so the attempt counts
+	a.began, h.inv.SentAt = now, now
+	a.end = &timer{at: now.Add(s.patience(h.inv) - flowMargin), call: e.number}
+	heap.Push(&s.timers, a.end)
 }
 
 func (e abandoned) apply(s *Pool) {
@@ -377,6 +411,7 @@
 	a := s.calls[number]
 	if a == nil { // reported twice, or after a Stop that ended it
 		s.set.Logf("state=unknown_call number=%d ending=%s", number, r.Ending)
+		closeFlow(r.Rest)
 		return
 	}
 	delete(s.calls, number)
@@ -405,15 +440,25 @@
 	h := s.held[a.request]
 	h.call = 0
 	h.mayRun = h.mayRun || !r.Ending.Status().NeverRan()
-	if r.Ending == ending.Served {
+	if r.Ending == ending.Served && !h.answered {
 		s.answer(a.request, invocation.Answer{Kind: invocation.Served, Code: r.Code, Fields: r.Fields,
-			Body: r.Body})
+			Body: r.Body, Rest: r.Rest})
+	} else {
+		closeFlow(r.Rest)
 	}
 	if h.answered {
 		delete(s.held, a.request)
 	}
 	s.step(logic.Event{Kind: logic.AttemptDone, Request: a.request, Attempt: a.number,
-		Server: a.server, Status: r.Ending.Status(), Took: took, Final: h.answered, Report: r.Report})
+		Server: a.server, Status: r.Ending.Status(), Took: took, Final: h.answered, Report: r.Report,
+		Spent: h.inv.Rest != nil && h.inv.Rest.Spent()})
+}
+
+// closeFlow ends an answer that nobody waits for.
+func closeFlow(f invocation.Flow) {
+	if f != nil {
+		f.Close(false)
+	}
 }
 
 // signOf reads an ending for what it says of the provider's place in the list. A request that is turned away may have
--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -25,6 +25,7 @@
 	Stopped      // the sidecar is being stopped
 	ConsumerGone // the consumer left while its invocation was held
 	BadInput     // what the consumer sent is malformed
+	Broken       // the provider broke off in the middle of an answer that was being passed on
 	WriteFailed  // the answer could not be written to the consumer
 	HandedOver   // a successor has it now
 
@@ -64,6 +65,7 @@
 	Stopped:        {"stopped", logic.NotSent},
 	ConsumerGone:   {"consumer_gone", logic.Cancelled},
 	BadInput:       {"bad_input", logic.NotSent},
+	Broken:         {"broken", logic.Reset},
 	WriteFailed:    {"write_failed", logic.Cancelled},
 	HandedOver:     {"handed_over", logic.NotSent},
 	Served:         {"served", logic.OK},
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,7 +18,8 @@
 
 // The bounds. A line must also fit the reader's buffer, so readers come from NewReader.
 const (
-	MaxBody    = 64 << 10
+	MaxBody    = 64 << 10 // of a body that is read whole
+	MaxLong    = 48 << 20 // of one that flows: what is longer is taken for endless
 	maxLine    = 8 << 10
 	maxHeaders = 100
 	maxHead    = 32 << 10
@@ -90,7 +92,7 @@
 // other error comes from the connection.
 var ErrMalformed = errors.New("malformed message")
 
-// ErrTooLarge is a breach of the bound on bodies.
+// ErrTooLarge is a breach of a bound on bodies.
 var ErrTooLarge = fmt.Errorf("%w: body too large", ErrMalformed)
 
 // Request is a consumer's message.
@@ -98,16 +100,20 @@
 	Method, Target string
 	Header         Header
 	Body           []byte
-	Close          bool // the connection ends with the answer
+	Rest           *Body // what follows Body, if that is not all; nil = it is
+	Close          bool  // the connection ends with the answer
+	Old            bool  // HTTP/1.0: it can't read chunks
 	framing
 }
 
 // Response is an answer.
 type Response struct {
-	Status int
-	Header Header
-	Body   []byte
-	Close  bool
+	Status   int
+	Header   Header
+	Body     []byte
+	Rest     Stream // what follows Body, if that is not all; nil = it is
+	Close    bool
+	Bodiless bool // it answers HEAD: Header says what a body would have had
 }
 
 // readers are those that nobody uses: connections come and go by the hundred, and the buffer is most of what one costs.
@@ -151,7 +157,7 @@
 	if hosts := count(r.Header, "Host"); hosts > 1 || hosts == 0 && minor > 0 {
 		return nil, fmt.Errorf("%w: %d Host lines", ErrMalformed, hosts)
 	}
-	r.Close = closes(r.Header, minor)
+	r.Close, r.Old = closes(r.Header, minor), minor == 0
 	r.framing, err = frame(r.Header)
 	if r.chunked && minor == 0 {
 		return nil, fmt.Errorf("%w: chunked in HTTP/1.0", ErrMalformed)
@@ -164,21 +170,50 @@
 	return r.Header.lists("Expect", "100-continue") && (r.chunked || r.length > 0)
 }
 
-// ReadBody reads the body that the header announced.
+// ReadBody reads the body that the header announced, which must not be longer than MaxBody.
 func (r *Request) ReadBody(br *bufio.Reader) (err error) {
-	r.Body, err = r.read(br, false)
+	if r.length > MaxBody {
+		return ErrTooLarge
+	}
+	if err = r.ReadFirst(br); err == nil && r.Rest != nil {
+		err = ErrTooLarge
+	}
 	return err
 }
 
-// ReadResponse reads a whole answer, passing over interim ones. One to HEAD is bodiless, whatever its header says. Before
-// each it waits for the first byte and then calls begun, with false once it is whole.
+// ReadFirst reads the first MaxBody bytes of the body that the header announced; Rest has what follows, if anything does.
+func (r *Request) ReadFirst(br *bufio.Reader) (err error) {
+	r.Body, r.Rest, err = r.body(br, false).first(MaxBody)
+	return err
+}
+
+// Length is the body's length by the header; -1 = it does not say.
+func (r *Request) Length() int64 {
+	if r.chunked {
+		return -1
+	}
+	return r.length
+}
+
+// ReadResponse reads a whole answer, of up to MaxBody, as ReadLong does.
 func ReadResponse(br *bufio.Reader, bodiless bool, begun func(bool)) (*Response, error) {
+	r, err := ReadLong(br, bodiless, begun, func(int) bool { return true })
+	if err == nil && r.Rest != nil {
+		return nil, ErrTooLarge
+	}
+	return r, err
+}
+
+// ReadLong reads an answer, passing over interim ones. One to HEAD is bodiless, whatever its header says. Before each it waits
+// for the first byte and then calls begun, with false once it is whole. Of one that is longer than MaxBody, or that mayKeep
+// leaves no room for, it reads a beginning only; Rest has what follows.
+func ReadLong(br *bufio.Reader, bodiless bool, begun func(bool), mayKeep func(int) bool) (*Response, error) {
 	for range maxInterim {
 		if _, err := br.Peek(1); err != nil {
 			return nil, err
 		}
 		begun(true)
-		r, err := readResponse(br, bodiless)
+		r, err := readResponse(br, bodiless, mayKeep)
 		if err != nil {
 			return nil, err
 		}
@@ -189,7 +224,7 @@
 	return nil, fmt.Errorf("%w: interim answers without end", ErrMalformed)
 }
 
-func readResponse(br *bufio.Reader, bodiless bool) (*Response, error) {
+func readResponse(br *bufio.Reader, bodiless bool, mayKeep func(int) bool) (*Response, error) {
 	line, err := readLine(br)
 	if err != nil {
 		return nil, err
@@ -218,14 +253,30 @@
 	if !f.chunked && !f.sized { // then the end of the connection ends the body
 		r.Close = true
 	}
-	r.Body, err = f.read(br, true)
+	b, most := f.body(br, true), MaxBody
+	switch {
+	case f.sized && f.length > MaxBody:
+		most = 0 // it flows anyway: the sooner the better
+	case f.sized && !mayKeep(int(f.length)), !f.sized && !mayKeep(MaxBody):
+		most = 0
+	}
+	var more *Body
+	if r.Body, more, err = b.first(most); more != nil {
+		r.Rest = more
+	}
 	return r, err
 }
 
+// Stream is a body that flows.
+type Stream interface {
+	io.Reader      // io.EOF = it was whole
+	Length() int64 // of what is left; -1 = that is not known
+}
+
 // framing says how long a body is.
 type framing struct {
 	chunked, sized bool
-	length         int
+	length         int64
 }
 
 // frame decides on the framing. What two readers could take differently is malformed: that is how one
@@ -247,75 +298,152 @@
 		f.chunked = true
 	case sized:
 		f.sized = true
-		if f.length, err = number(length, 10); err != nil {
+		if f.length, err = number(length, 10, MaxLong); err != nil {
 			return f, err
 		}
 	}
 	return f, nil
 }
 
-// number reads an unsigned figure of at most MaxBody, digits only.
-func number(s string, base int) (int, error) {
+// number reads an unsigned figure of at most most, digits only.
+func number(s string, base int, most int64) (int64, error) {
 	if s == "" || s[0] == '+' {
 		return 0, fmt.Errorf("%w: length", ErrMalformed)
 	}
 	n, err := strconv.ParseUint(s, base, 63)
 	switch {
-	case errors.Is(err, strconv.ErrRange) || err == nil && n > MaxBody:
+	case errors.Is(err, strconv.ErrRange) || err == nil && n > uint64(most):
 		return 0, ErrTooLarge
 	case err != nil:
 		return 0, fmt.Errorf("%w: length", ErrMalformed)
 	}
-	return int(n), nil
+	return int64(n), nil
 }
 
-func (f framing) read(br *bufio.Reader, toEOF bool) ([]byte, error) {
-	switch {
-	case f.chunked:
-		return readChunks(br)
-	case f.sized:
-		return readN(br, nil, f.length)
-	case !toEOF:
-		return nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(br, MaxBody+1))
-	if err == nil && len(body) > MaxBody {
+func (f framing) body(br *bufio.Reader, toEOF bool) *Body {
+	return &Body{br: br, framing: f, left: f.length, toEOF: toEOF && !f.chunked && !f.sized}
+}
+
+// Body reads a message's body as it comes, without its framing. It ends with io.EOF once it was whole; any other error says
+// that it will never be.
+type Body struct {
+	br *bufio.Reader
+	framing
+	toEOF bool
+	left  int64 // of the body, or of the present chunk
+	inner bool  // in a chunk, whose end is still to come
+	total int64
+	err   error
+}
+
+// Length is what is left of the body; -1 = that is not known.
+func (b *Body) Length() int64 {
+	if b.chunked || b.toEOF {
+		return -1
+	}
+	return b.left
+}
+
+// Read reads what is there, and waits where nothing is.
+func (b *Body) Read(p []byte) (int, error) {
+	if b.err == nil && b.left == 0 && !b.toEOF {
+		b.err = io.EOF
+		if b.chunked {
+			b.err = b.nextChunk()
+		}
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	if !b.toEOF && int64(len(p)) > b.left {
+		p = p[:b.left]
+	}
+	n, err := b.br.Read(p)
+	if b.total += int64(n); b.total > MaxLong {
 		err = ErrTooLarge
 	}
-	return body, err
+	if !b.toEOF {
+		b.left -= int64(n)
+		err = cutShort(err)
+	}
+	if b.chunked || !errors.Is(err, os.ErrDeadlineExceeded) { // else who reads on goes on where it was
+		b.err = err
+	}
+	return n, err
 }
 
-func readN(br *bufio.Reader, body []byte, n int) ([]byte, error) {
-	at := len(body)
-	body = append(body, make([]byte, n)...)
-	_, err := io.ReadFull(br, body[at:])
-	return body, cutShort(err)
+// nextChunk reads up to the next chunk's first byte, or up to the body's end, which is io.EOF.
+func (b *Body) nextChunk() error {
+	if b.inner {
+		if line, err := readLine(b.br); err != nil || line != "" {
+			return cmpErr(err, "chunk end")
+		}
+		b.inner = false
+	}
+	line, err := readLine(b.br)
+	if err != nil {
+		return cutShort(err)
+	}
+	size, _, _ := strings.Cut(line, ";")
+	if b.left, err = number(strings.TrimRight(size, " \t"), 16, MaxLong); err != nil {
+		return err
+	}
+	if b.inner = b.left > 0; b.inner {
+		return nil
+	}
+	if _, err = readHeader(b.br); err != nil { // trailers are not passed on
+		return err
+	}
+	return io.EOF
 }
 
-func readChunks(br *bufio.Reader) (body []byte, err error) {
+// first reads the first most bytes; rest is nil if they are all.
+func (b *Body) first(most int) (body []byte, rest *Body, err error) {
+	if n := b.Length(); n > 0 {
+		body = make([]byte, 0, min(n, int64(most)))
+	}
 	for {
-		line, err := readLine(br)
-		if err != nil {
-			return nil, cutShort(err)
+		if b.Length() == 0 {
+			return body, nil, nil
 		}
-		size, _, _ := strings.Cut(line, ";")
-		n, err := number(strings.TrimRight(size, " \t"), 16)
-		switch {
-		case err != nil:
-			return nil, err
-		case n == 0:
-			_, err = readHeader(br) // trailers are not passed on
-			return body, err
-		case len(body)+n > MaxBody:
-			return nil, ErrTooLarge
+		if len(body) >= most {
+			if most > 0 && b.Length() < 0 { // it may have ended just here
+				if err := b.peek(); err == io.EOF {
+					return body, nil, nil
+				} else if err != nil {
+					return body, nil, err
+				}
+			}
+			return body, b, nil
 		}
-		if body, err = readN(br, body, n); err != nil {
-			return nil, err
+		if len(body) == cap(body) {
+			grown := make([]byte, len(body), min(max(most, 1), max(512, 2*cap(body))))
+			copy(grown, body)
+			body = grown
 		}
-		if line, err = readLine(br); err != nil || line != "" {
-			return nil, cmpErr(err, "chunk end")
+		n, err := b.Read(body[len(body):min(cap(body), max(most, 1))])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil, nil
+		}
+		if err != nil {
+			return body, nil, err
+		}
+	}
+}
+
+// peek waits for the next byte of the body, or for its end.
+func (b *Body) peek() error {
+	if b.err == nil && b.chunked && b.left == 0 {
+		b.err = b.nextChunk()
+	}
+	if b.err == nil {
+		_, b.err = b.br.Peek(1)
+		if !b.toEOF {
+			b.err = cutShort(b.err)
 		}
 	}
+	return b.err
 }
 
 func cmpErr(err error, what string) error {
@@ -430,29 +558,60 @@
 
 // AppendRequest appends a whole request. A body is announced where there is one or the method suggests it.
 func AppendRequest(b []byte, method, target, host string, fields []Field, body []byte) []byte {
+	return AppendLongRequest(b, method, target, host, fields, body, int64(len(body)))
+}
+
+// AppendLongRequest appends a request whose body has that length in all and begins with this; -1 = in chunks, of which this is the
+// first.
+func AppendLongRequest(b []byte, method, target, host string, fields []Field, body []byte, length int64) []byte {
 	b = append(append(append(append(b, method...), ' '), target...), " HTTP/1.1\r\nHost: "...)
 	b = append(append(b, host...), "\r\n"...)
 	b = appendFields(b, fields)
-	if len(body) > 0 || method == "POST" || method == "PUT" || method == "PATCH" {
-		b = appendLength(b, len(body))
+	if length < 0 {
+		return AppendChunk(append(b, "Transfer-Encoding: chunked\r\n\r\n"...), body)
+	}
+	if length > 0 || method == "POST" || method == "PUT" || method == "PATCH" {
+		b = appendLength(b, length)
 	}
 	return append(append(b, "\r\n"...), body...)
 }
 
-// AppendResponse appends a whole answer.
-func AppendResponse(b []byte, r *Response) []byte {
+// AppendResponse appends an answer: the whole, or, where more of it follows, its head and beginning. A length that is not known
+// is told by chunks, of which this is the first, or, to an old client, by the end of the connection.
+func AppendResponse(b []byte, r *Response, old bool) []byte {
 	b = strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(r.Status), 10)
 	b = append(append(append(b, ' '), reasons[r.Status]...), "\r\n"...)
 	b = appendFields(b, r.Header)
 	if r.Close {
 		b = append(b, "Connection: close\r\n"...)
 	}
-	b = appendLength(b, len(r.Body))
+	switch {
+	case r.Bodiless:
+	case r.Rest == nil:
+		b = appendLength(b, int64(len(r.Body)))
+	case r.Rest.Length() >= 0:
+		b = appendLength(b, int64(len(r.Body))+r.Rest.Length())
+	case !old:
+		b = append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
+		return AppendChunk(b, r.Body)
+	}
 	return append(append(b, "\r\n"...), r.Body...)
 }
 
-func appendLength(b []byte, n int) []byte {
-	return append(strconv.AppendInt(append(b, "Content-Length: "...), int64(n), 10), "\r\n"...)
+// LastChunk ends a body in chunks.
+const LastChunk = "0\r\n\r\n"
+
+// AppendChunk appends a chunk with p, if there is anything in it: an empty one would end the body.
+func AppendChunk(b, p []byte) []byte {
+	if len(p) == 0 {
+		return b
+	}
+	b = append(strconv.AppendInt(b, int64(len(p)), 16), "\r\n"...)
+	return append(append(b, p...), "\r\n"...)
+}
+
+func appendLength(b []byte, n int64) []byte {
+	return append(strconv.AppendInt(append(b, "Content-Length: "...), n, 10), "\r\n"...)
 }
 
 func appendFields(b []byte, fields []Field) []byte {
--- a/internal/invocation/invocation.go
+++ b/internal/invocation/invocation.go
@@ -21,11 +21,27 @@
 	Target string // to what
 	Fields []Field
 	Body   []byte
+	Rest   Source // of the body, beyond Body; nil = that is all
 
 	// Answer takes the one final answer. It must not block.
 	Answer func(Answer)
 }
 
+// Source is a body that the consumer still sends. One attempt at a time reads it.
+type Source interface {
+	Read(p []byte) (int, error) // io.EOF = it was whole
+	Length() int64              // of what is left; -1 = that is not known
+	Spent() bool                // something of it was read: it can't be sent again
+}
+
+// Flow is an answer's body that the provider still sends.
+type Flow interface {
+	Read(p []byte) (int, error) // io.EOF = it was whole
+	Length() int64              // of what is left; -1 = that is not known
+	// Close ends it, whole or not; only the first call counts. Any goroutine may call it, and a Read under way ends soon.
+	Close(whole bool)
+}
+
 // Kind says what a final answer means to the consumer.
 type Kind uint8
 
@@ -45,6 +61,7 @@
 	Code       int           // with Served: the protocol's own word for the answer, which the core passes on unread
 	Fields     []Field       // with Served: the provider's
 	Body       []byte        // with Served: the provider's, unchanged
+	Rest       Flow          // with Served: what follows Body; nil = that is all
 	MayHaveRun bool          // an attempt may have run, or may yet
 }
 
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -39,6 +39,8 @@
 	probe    bool
 	bodiless bool // its answer has no body, whatever it says
 	done     func(caller.Result)
+	upload   invocation.Source // what follows message; nil = nothing
+	flowed   func(whole bool)
 	hold     time.Duration   // of the last byte, on the present connection
 	fresh    time.Duration   // likewise, on a new one
 	ctx      context.Context // ends with the call
@@ -58,6 +60,7 @@
 // result is how a carried call ended.
 type result struct {
 	caller.Result
+	flow  *download     // the rest of its answer; nil = there is none
 	early bool          // with Unwritten: the connection broke before the call's last byte was written
 	took  time.Duration // with early, from the first byte until it broke; with ResetByPeer, from the last
 }
@@ -69,7 +72,13 @@
 		fields := append([]invocation.Field{{Name: http1.HeaderID, Value: inv.ID},
 			{Name: http1.HeaderDeadline, Value: strconv.FormatFloat(t.Wait.Seconds(), 'f', 3, 64)}}, inv.Fields...)
 		c.bodiless = inv.Verb == "HEAD"
-		c.message = http1.AppendRequest(nil, inv.Verb, inv.Target, cmp.Or(inv.Host, e.address), fields, inv.Body)
+		length := int64(len(inv.Body))
+		if c.upload, c.flowed = inv.Rest, t.Flowed; c.upload != nil {
+			if length += c.upload.Length(); c.upload.Length() < 0 {
+				length = -1
+			}
+		}
+		c.message = http1.AppendLongRequest(nil, inv.Verb, inv.Target, cmp.Or(inv.Host, e.address), fields, inv.Body, length)
 	} else {
 		c.probe, c.message = true, http1.AppendRequest(nil, "GET", http1.PathLoad, e.address, nil, nil)
 	}
@@ -124,7 +133,11 @@
 			}
 			conn.use.carried++
 			// The call ends before its connection is kept for another: once it has ended, Stop can't close that.
-			if !v.end(c, r) || !again {
+			ended := v.end(c, r)
+			if r.flow != nil && ended {
+				again = r.flow.wait(v.ctx) && again
+			}
+			if !ended || !again {
 				conn.close()
 				return nil
 			}
@@ -183,7 +196,7 @@
 }
 
 // inParts reports whether the last byte is written by itself, so that what comes in before it is seen to.
-func (c *call) inParts() bool { return len(c.message) > lump || c.hold > 0 }
+func (c *call) inParts() bool { return len(c.message) > lump || c.hold > 0 || c.upload != nil }
 
 // release reports whether the last byte may be written.
 func (c *call) release() bool {
@@ -201,7 +214,7 @@
 func (c *call) rewind(d dead) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stage == ended || c.dead != nil {
+	if c.stage == ended || c.dead != nil || c.upload != nil && c.upload.Spent() {
 		return false
 	}
 	c.stage, c.conn, c.dead = connecting, nil, &d
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"errors"
+	"io"
 	"os"
 	"sync"
 	"time"
@@ -17,9 +20,15 @@
 // its end.
 const lump = 8 << 10
 
-// restWithin is how long an answer that has begun may take to end. Its work is done by then and it is at most 64 KiB: what
-// is still missing, as behind a head that does not end or a length that is too large, will not come.
-const restWithin = 150 * time.Millisecond
+const (
+	// pauseMost is how long an answer that has begun may pause while it is judged. Its work is done by then: what is still
+	// missing after that, as behind a head that does not end or a length that is too large, will not come.
+	pauseMost = 400 * time.Millisecond
+	// stallMost is the same for a body that flows, either way.
+	stallMost = 5 * time.Second
+	// flowedEvery is how often it is told that a request is still being sent.
+	flowedEvery = 500 * time.Millisecond
+)
 
 // conn is one connection to a provider. One goroutine carries its calls, one after another, and watches it between
 // them: whatever comes while there is no call on it belongs to nobody, and so does what comes before a call's last
@@ -35,10 +44,23 @@
 	mu   sync.Mutex
 	next *call // to carry, once the goroutine has seen that nothing had come in
 	over bool  // no further call may use it
+
+	answering bool // an answer is being judged; of the goroutine that reads
 }
 
 func newConn(s *sockets.Socket, at *endpoint) *conn {
-	return &conn{at: at, socket: s, br: http1.NewReader(s)}
+	c := &conn{at: at, socket: s}
+	c.br = http1.NewReader(c)
+	return c
+}
+
+// Read reads from the socket, and gives an answer that goes on its time.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.socket.Read(p)
+	if n > 0 && c.answering {
+		c.socket.SetReadDeadline(time.Now().Add(pauseMost))
+	}
+	return n, err
 }
 
 // offer gives the idle connection its next call, unless it has ended.
@@ -87,7 +109,18 @@
 		return result{Result: caller.Result{Ending: ending.Unwritten}, early: true, took: time.Since(sent)}, false
 	}
 	rest := call.message
-	if call.inParts() {
+	if call.upload != nil {
+		var consumer error
+		if rest, consumer = c.pump(call); rest == nil && consumer != nil { // who sends it has ended: so has the attempt, unsent
+			return result{Result: caller.Result{Ending: ending.Withdrawn}}, false
+		}
+		if rest == nil {
+			return early()
+		}
+		if !call.release() {
+			return result{}, false
+		}
+	} else if call.inParts() {
 		if _, err := c.socket.Write(rest[:len(rest)-1]); err != nil || !c.quietFor(call.hold) {
 			return early()
 		}
@@ -101,15 +134,118 @@
 	if !call.written() {
 		return result{}, false
 	}
+	if call.upload != nil {
+		call.flowed(true)
+	}
 	sent = time.Now()
-	resp, err := http1.ReadResponse(c.br, call.bodiless, c.begun)
+	resp, err := c.answer(call)
 	switch {
 	case errors.Is(err, http1.ErrMalformed), errors.Is(err, os.ErrDeadlineExceeded):
 		return result{Result: caller.Result{Ending: ending.Malformed}}, false
 	case err != nil: // the kernel has taken the last byte, and nobody knows
 		return result{Result: caller.Result{Ending: ending.ResetByPeer}, took: time.Since(sent)}, false
 	}
-	return result{Result: call.resultOf(resp)}, !resp.Close && c.br.Buffered() == 0
+	out := result{Result: call.resultOf(resp)}
+	if resp.Rest == nil {
+		return out, !resp.Close && c.br.Buffered() == 0
+	}
+	if out.Ending != ending.Served { // nobody reads the rest
+		return out, false
+	}
+	out.flow = &download{Stream: resp.Rest, conn: c, done: make(chan struct{})}
+	out.Rest = out.flow
+	return out, !resp.Close
+}
+
+// answer reads the call's answer, or the beginning of a long one.
+func (c *conn) answer(call *call) (*http1.Response, error) {
+	bounds := call.at.of.set.Bounds
+	if bounds == nil || call.probe {
+		return http1.ReadResponse(c.br, call.bodiless, c.begun)
+	}
+	kept := 0
+	defer func() { bounds.Give(kept) }()
+	return http1.ReadLong(c.br, call.bodiless, c.begun, func(n int) bool {
+		if bounds.Take(n) {
+			kept = n
+		}
+		return kept == n
+	})
+}
+
+// pump writes the request up to its last piece, which it returns: that may not be written before the call is released.
+// Without a piece the connection has failed, or the consumer has, with an error.
+func (c *conn) pump(call *call) (last []byte, consumer error) {
+	buf, free := call.at.of.set.Bounds.Buffer()
+	defer free()
+	write := func(p []byte) bool {
+		c.socket.SetWriteDeadline(time.Now().Add(stallMost))
+		_, err := c.socket.Write(p)
+		return err == nil && c.socket.Quiet()
+	}
+	defer c.socket.SetWriteDeadline(time.Time{})
+	if !write(call.message) {
+		return nil, nil
+	}
+	chunked := call.upload.Length() < 0
+	for told := time.Now(); ; {
+		n, err := call.upload.Read(buf)
+		piece := buf[:n]
+		switch {
+		case chunked:
+			piece = http1.AppendChunk(nil, piece)
+			if err == io.EOF {
+				return append(piece, http1.LastChunk...), nil
+			}
+		case call.upload.Length() == 0 && (err == nil || err == io.EOF):
+			return bytes.Clone(piece), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if n > 0 && !write(piece) {
+			return nil, nil
+		}
+		if now := time.Now(); now.Sub(told) >= flowedEvery {
+			told = now
+			call.flowed(false)
+		}
+	}
+}
+
+// download is the rest of a long answer. Who has it reads it straight from the connection, whose goroutine waits meanwhile.
+type download struct {
+	http1.Stream
+	conn  *conn
+	once  sync.Once
+	whole bool
+	done  chan struct{}
+}
+
+// Read reads what is there, and waits for it for a while.
+func (d *download) Read(p []byte) (int, error) {
+	d.conn.socket.SetReadDeadline(time.Now().Add(stallMost))
+	return d.Stream.Read(p)
+}
+
+// Close makes it an invocation.Flow.
+func (d *download) Close(whole bool) {
+	d.once.Do(func() {
+		if d.whole = whole; !whole {
+			d.conn.close() // wakes a Read
+		}
+		close(d.done)
+	})
+}
+
+// wait returns once nobody reads the connection any more, and whether it may be used again.
+func (d *download) wait(ctx context.Context) bool {
+	select {
+	case <-d.done:
+		return d.whole && d.conn.br.Buffered() == 0 && d.conn.socket.SetReadDeadline(time.Time{}) == nil
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // quietFor waits, with the last byte still to be written, and reports whether nothing has come in, an end included.
@@ -130,8 +266,8 @@
 
 // begun starts the time of an answer, or ends it.
 func (c *conn) begun(begun bool) {
-	if begun {
-		c.socket.SetReadDeadline(time.Now().Add(restWithin))
+	if c.answering = begun; begun {
+		c.socket.SetReadDeadline(time.Now().Add(pauseMost))
 	} else {
 		c.socket.SetReadDeadline(time.Time{})
 	}
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -11,6 +11,7 @@
 
 	"plankrouter/internal/caller"
 	"plankrouter/internal/ending"
+	"plankrouter/internal/flow"
 	"plankrouter/internal/reuse"
 	"plankrouter/internal/sockets"
 	"plankrouter/logic"
@@ -36,6 +37,7 @@
 	Figures
 	Trace   func(format string, args ...any) // logs a line for every connection, as it comes up or not and as it ends; nil = none
 	Written func()                           // told of each attempt at an invocation whose last byte is written; nil = nobody is
+	Bounds  *flow.Bounds                     // of bodies that flow; nil = none does: those beyond 64 KiB are malformed
 	Answers func(status int) bool            // which statuses are a served request's; nil = 200 alone
 }
 
--- a/logic/api.go
+++ b/logic/api.go
@@ -86,10 +86,11 @@
 	List                         // Servers, Full: the list of servers, or changes to it
 	ListFailed                   // a subscription or its request has failed
 	Arrival                      // Request, Class, Tenant, Left, Again
-	AttemptDone                  // Request, Attempt, Server, Status, Took, Final, Report
+	AttemptDone                  // Request, Attempt, Server, Status, Took, Final, Spent, Report
 	ClientGone                   // Request
 	TimerDue                     // Timer
 	ProbeDone                    // Server, Status, Took, Report
+	Flowing                      // Server, which is known: a long request is still on its way there, so no answer is missing
 )
 
 // Status is how an attempt or a probe ended.
@@ -145,6 +146,7 @@
 	Final   bool // the request is answered: nothing more is owed
 	Full    bool // Servers is the whole list
 	Again   bool // the client marked the request as a repetition
+	Spent   bool // with AttemptDone: the request\'s body is gone, so that it can\'t be sent again
 	Attempt int
 	Request RequestID
 	Server  ServerID
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -785,7 +785,7 @@
 			if !b.silent(s) {
 				b.sample(s, r, e.Took, 0) // the survivors alone would look too fast
 			}
-			if b.silent(s) || r != nil && b.now-r.sentAt > timeoutTimes*r.expected {
+			if b.silent(s) || r != nil && e.Took > timeoutTimes*r.expected {
 				b.learn(s, who, 1)
 			}
 		}
@@ -806,7 +806,7 @@
 		return
 	}
 	r.avoid = s
-	if e.Status != NotSent && r.attempts < b.cfg.Classes[r.class].Attempts && b.retries >= 1 && r.endAt-b.now > b.margin {
+	if e.Status != NotSent && !e.Spent && r.attempts < b.cfg.Classes[r.class].Attempts && b.retries >= 1 && r.endAt-b.now > b.margin {
 		b.retries--
 		r.waits = 0
 		b.choose(r)
@@ -942,6 +942,8 @@
 		b.onTimer(e)
 	case ProbeDone:
 		b.onProbe(e)
+	case Flowing:
+		b.byID[e.Server].quietAt = b.now
 	}
 	return b.out
 }
