Two processes meet in TMPDIR and hand over as one sidecar

Seen before: the new process began without what was learned, with allowances of its own at cold servers, and each had the whole limit on sockets (230 and 221 descriptors of 384 at most, both counted).

--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -55,6 +55,12 @@
 		return err
 	}
 	cfg, err := config.Load(os.Getenv)
+	if folder := os.Getenv("TMPDIR"); err == nil && from == nil && folder != "" && os.Getenv(handover.ListenVariable) != "" {
+		var alone error
+		if from, alone = handover.Find(folder); alone != nil {
+			log.Printf("name=%s handover=alone err=%q", cfg.Name, alone)
+		}
+	}
 	if err != nil {
 		if from != nil {
 			from.Refuse(err.Error())
@@ -75,7 +81,7 @@
 // listen returns the predecessor's listener, the one that the platform or the service manager holds for this process, or a
 // new one.
 func listen(cfg *config.Config, from *handover.Successor) (net.Listener, error) {
-	if from != nil {
+	if from != nil && !from.Met() {
 		return from.Listener(), from.Check(cfg.Listen)
 	}
 	if l, err := handover.Held(os.Getenv, cfg.Listen); err != nil || l != nil {
@@ -99,6 +105,8 @@
 	getenv   func(string) string
 	listener net.Listener
 	budget   *sockets.Budget
+	places   int             // the sockets that it may have while no other process shares them
+	told     context.Context // ends with the word to stop
 	caller   *provider.Caller
 	core     *core.Pool
 	watch    *directory.Watch
@@ -126,7 +134,13 @@
 	defer stop()
 	group, ctx := errgroup.WithContext(outer)
 	p := program{cfg: cfg, inForce: cfg, getenv: getenv, listener: l, stop: stop, line: handover.Handover{From: from},
-		budget: sockets.NewBudget(places(cfg), dial), bans: bansFor(cfg, getenv)}
+		budget: sockets.NewBudget(places(cfg), dial), places: places(cfg), bans: bansFor(cfg, getenv)}
+	var leaving context.CancelFunc
+	p.told, leaving = context.WithCancel(ctx)
+	defer leaving()
+	if from != nil && from.Met() {
+		p.budget.Limit(p.places / shareIdle)
+	}
 	trace := tracing(ctx, group, getenv)
 	deployment := snapshot.Fingerprint(&cfg.Settings)
 	if _, err := p.numbers.Apply(time.Now(), cfg); err != nil {
@@ -175,7 +189,7 @@
 		defer p.lastSnapshot() // which the core still has to give
 		return p.front.Serve(ctx, l)
 	})
-	group.Go(func() error { p.obey(ctx, group, signals); return nil })
+	group.Go(func() error { p.obey(ctx, leaving, group, signals); return nil })
 	log.Printf("name=%s state=started listen=%s providers=%d", cfg.Name, l.Addr(), len(known.Members))
 	err = group.Wait()
 	p.report()
@@ -183,11 +197,10 @@
 }
 
 // obey acts on signals until ctx ends.
-func (p *program) obey(ctx context.Context, group *errgroup.Group, signals <-chan os.Signal) {
+func (p *program) obey(ctx context.Context, leaving context.CancelFunc, group *errgroup.Group, signals <-chan os.Signal) {
 	var leave <-chan time.Time
 	var stopAt time.Time
-	live, cancel := context.WithCancel(ctx) // until the word to stop, which calls off a handover that is not ready
-	defer cancel()
+	defer leaving()
 	for {
 		select {
 		case <-ctx.Done():
@@ -199,13 +212,13 @@
 			case s == syscall.SIGHUP:
 				p.reload(time.Now())
 			case s == syscall.SIGUSR2 && leave == nil:
-				group.Go(func() error { p.handOver(live); return nil })
+				group.Go(func() error { p.handOver(p.told); return nil })
 			case s == syscall.SIGUSR2:
 				log.Printf("name=%s handover=refused err=%q", p.cfg.Name, "this process has been told to stop")
 			case leave == nil:
 				plan := p.inForce.StopPlan
 				log.Printf("name=%s state=stopping signal=%q last_request_after=%s", p.cfg.Name, s, plan.Last)
-				cancel()
+				leaving()
 				notify("STOPPING=1")
 				p.core.Stopping(plan)
 				p.front.Stay()
--- a/cmd/plankrouter/succession.go
+++ b/cmd/plankrouter/succession.go
@@ -104,6 +104,7 @@
 func (p *program) inherit(ctx context.Context, group *errgroup.Group, from *handover.Successor) error {
 	if from == nil {
 		notify("READY=1")
+		p.succeed(ctx, group)
 		return nil
 	}
 	select {
@@ -112,10 +113,18 @@
 	case <-from.Cancelled():
 	case <-ctx.Done():
 	}
-	if err := from.Ready(); err != nil {
+	if err := from.Ready(); err != nil && from.Met() {
+		log.Printf("name=%s handover=alone err=%q", p.cfg.Name, err)
+		p.succeed(ctx, group)
+		return nil
+	} else if err != nil {
 		return err
 	}
 	log.Printf("name=%s handover=taken_over predecessor=%q", p.cfg.Name, from.Hello().Name)
+	p.core.Elsewhere(from.Open())
+	if from.Met() {
+		p.budget.Limit(p.places - p.places/shareIdle)
+	}
 	done := p.front.Expect()
 	group.Go(func() error {
 		defer done()
@@ -124,6 +133,11 @@
 		case ctx.Err() != nil: // this process is at its end, whatever the other does
 		case err == nil || errors.Is(err, handover.ErrGone):
 			log.Printf("name=%s handover=complete adopted=%d err=%v", p.cfg.Name, p.front.Adopted.Load(), err)
+			p.succeed(ctx, group)
+		case from.Met(): // the other is as it is, and the platform ends it
+			log.Printf("name=%s handover=broken err=%q", p.cfg.Name, err)
+			from.Close()
+			p.succeed(ctx, group)
 		default: // the two have lost each other: the one that has most of it serves on
 			log.Printf("name=%s handover=broken err=%q", p.cfg.Name, err)
 			from.Close()
@@ -136,6 +150,13 @@
 
 // handOver starts a successor and gives it everything, or goes on as if nothing had been.
 func (p *program) handOver(ctx context.Context) {
+	p.handOverBy(ctx, func(l *net.TCPListener, o handover.Options) (*handover.Predecessor, error) {
+		return p.line.Start(ctx, l, o)
+	})
+}
+
+// handOverBy gives everything to the successor that begin makes ready.
+func (p *program) handOverBy(ctx context.Context, begin func(*net.TCPListener, handover.Options) (*handover.Predecessor, error)) {
 	l, ok := p.listener.(*net.TCPListener)
 	snap := p.take()
 	if !ok || snap == nil {
@@ -147,20 +168,24 @@
 		log.Printf("name=%s handover=without_state err=%q", p.cfg.Name, err)
 	}
 	log.Printf("name=%s handover=begun state_bytes=%d", p.cfg.Name, len(state))
-	to, err := p.line.Start(ctx, l, handover.Options{ReadyWithin: p.cfg.ReadyWithin, Name: p.cfg.Name, Address: p.cfg.Listen,
-		State: state, Env: p.environment()})
+	to, err := begin(l, handover.Options{ReadyWithin: p.cfg.ReadyWithin, Name: p.cfg.Name, Address: p.cfg.Listen,
+		State: state, Env: p.environment(), Open: p.core.Open})
 	if err != nil {
 		log.Printf("name=%s handover=failed err=%q", p.cfg.Name, err)
 		return
 	}
 	log.Printf("name=%s handover=passing successor=%d", p.cfg.Name, to.Pid())
+	if p.meeting() != "" {
+		p.budget.Limit(p.places / shareIdle)
+		defer p.budget.Limit(p.places) // if it serves on
+	}
 	left := p.front.HandOver(func(c net.Conn, note []byte) error { return to.Pass(c.(syscall.Conn), note) })
 	l.SetDeadline(time.Unix(1, 0)) // accepts no more, but keeps the listener
 	select {
 	case <-left:
 		if err := to.Done(); err == nil {
 			log.Printf("name=%s handover=done successor=%d", p.cfg.Name, to.Pid())
-			if ctx.Err() != nil { // told to stop when it was too late to call the handover off: the service was meant
+			if ctx.Err() != nil && p.meeting() == "" { // told to stop when it was too late to call the handover off: the service was meant
 				log.Printf("name=%s handover=told_to_stop successor=%d err=%v", p.cfg.Name, to.Pid(),
 					syscall.Kill(to.Pid(), syscall.SIGTERM))
 			}
@@ -189,3 +214,51 @@
 		log.Printf("notify=%q err=%q", state, err)
 	}
 }
+
+// shareIdle: of two processes the one that does not serve has one in so many of the sockets.
+const shareIdle = 4
+
+// meeting is the folder in which two processes of this sidecar meet, where the platform starts the second one; "" = it does not.
+func (p *program) meeting() string {
+	if p.getenv(handover.ListenVariable) == "" {
+		return ""
+	}
+	return p.getenv("TMPDIR")
+}
+
+// succeed makes this process the sidecar's only one, and the one that a second process finds.
+func (p *program) succeed(ctx context.Context, group *errgroup.Group) {
+	p.budget.Limit(p.places)
+	p.core.Elsewhere(nil)
+	folder := p.meeting()
+	if folder == "" {
+		return
+	}
+	l, err := handover.Listen(folder)
+	if err != nil {
+		log.Printf("name=%s handover=not_found_by_others err=%q", p.cfg.Name, err)
+		return
+	}
+	group.Go(func() error {
+		defer context.AfterFunc(ctx, func() { l.Close() })()
+		for ctx.Err() == nil {
+			c, err := l.AcceptUnix()
+			if err != nil {
+				return nil
+			}
+			p.handOverBy(ctx, func(own *net.TCPListener, o handover.Options) (*handover.Predecessor, error) {
+				live, cancel := context.WithCancel(ctx)
+				defer cancel()
+				defer context.AfterFunc(p.told, cancel)() // a word to stop calls off what is not ready
+				p.budget.Limit(p.places - p.places/shareIdle)
+				to, err := p.line.Meet(live, c, own, o)
+				if err != nil {
+					p.budget.Limit(p.places)
+				}
+				return to, err
+			})
+			c.Close()
+		}
+		return nil
+	})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,8 @@
 	"container/heap"
 	"context"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -73,6 +75,7 @@
 	held      map[logic.RequestID]*held
 	byInv     map[*invocation.Invocation]logic.RequestID
 	open      map[string]bool     // the consumers' ids of what has no final answer yet
+	elsewhere map[string]bool     // likewise, in the process before this one
 	calls     map[uint64]*attempt // and probes under way
 	lastCall  uint64
 	providers map[logic.ServerID]*known
@@ -161,6 +164,8 @@
 		done chan<- error
 	}
 	reading struct{ to chan<- Counts }
+	asking  struct{ to chan<- []string }
+	foreign struct{ ids []string }
 	banning struct {
 		set  bans.Set
 		done chan<- struct{}
@@ -312,9 +317,34 @@
 
 func (e reading) apply(s *Pool) { e.to <- s.counts }
 
+// Open returns the consumers' ids of what has no final answer yet.
+func (s *Pool) Open() []string {
+	to := make(chan []string, 1)
+	if s.send(asking{to}) {
+		select {
+		case ids := <-to:
+			return ids
+		case <-s.stopped:
+		}
+	}
+	return nil
+}
+
+func (e asking) apply(s *Pool) { e.to <- slices.Collect(maps.Keys(s.open)) }
+
+// Elsewhere takes the ids of what another process of the same sidecar has open, in place of those it took before.
+func (s *Pool) Elsewhere(ids []string) { s.send(foreign{ids}) }
+
+func (e foreign) apply(s *Pool) {
+	s.elsewhere = map[string]bool{}
+	for _, id := range e.ids {
+		s.elsewhere[id] = true
+	}
+}
+
 func (e arrived) apply(s *Pool) {
 	inv := e.inv
-	if s.open[inv.ID] { // providers could not tell the two apart, and one might get the other's answer
+	if s.open[inv.ID] || s.elsewhere[inv.ID] { // providers could not tell the two apart, and one might get the other's answer
 		s.counts.Conflicts++
 		inv.Answer(invocation.Answer{Kind: invocation.Conflict})
 		return
--- a/internal/core/learned.go
+++ b/internal/core/learned.go
@@ -59,7 +59,8 @@
 	}
 	for _, in := range st.Servers {
 		one := snapshot.LearnedServer{Name: names[in.ID], StartedAt: in.StartedAt, Latency: in.Latency, Reported: in.Reported,
-			ReportAt: once(in.ReportAt), Network: in.Network, Failing: in.Failing}
+			ReportAt: once(in.ReportAt), Network: in.Network, Failing: in.Failing,
+			Cold: snapshot.Rate{V: max(0, in.Cold.V), At: in.Cold.At}}
 		for who := range 1 + len(s.tenants) { // of all, then by tenant
 			t := in.Outcomes[0]
 			if who > 0 {
@@ -140,6 +141,7 @@
 		}
 		one := logic.ServerState{ID: id, StartedAt: in.StartedAt, Latency: in.Latency, Reported: in.Reported,
 			ReportAt: never(in.ReportAt), Network: in.Network, Failing: in.Failing,
+			Cold:     logic.Level{V: in.Cold.V, At: in.Cold.At},
 			Outcomes: make([]logic.Tally, 1+len(s.set.Logic.Tenants))}
 		for _, t := range in.By {
 			if int(t.Who) < len(one.Outcomes) {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -224,13 +224,13 @@
 		socket syscall.Conn
 		want   string
 	}{
-		{map[int]any{1: 2, 2: "n1", 9: []int{1}}, l, "speaks handover version 2, this program version 1"},
-		{Hello{Version: 1, State: MaxState + 1}, l, "state of 16777217 bytes, at most 16777216"},
-		{Hello{Version: 1, State: -1}, l, "state of -1 bytes"},
+		{map[int]any{1: 1, 2: "n1", 9: []int{1}}, l, "speaks handover version 1, this program version 2"},
+		{Hello{Version: Version, State: MaxState + 1}, l, "state of 16777217 bytes, at most 16777216"},
+		{Hello{Version: Version, State: -1}, l, "state of -1 bytes"},
 		{"hello", l, "malformed"},
-		{Hello{Version: 1}, client(t, l.Addr().String()), "no listening TCP socket"},
-		{Hello{Version: 1, State: 1}, l, "kind 's' with 2 bytes within the state"},
-		{Hello{Version: 1, Address: "there"}, l, `listen on "there", this one on "here"`},
+		{Hello{Version: Version}, client(t, l.Addr().String()), "no listening TCP socket"},
+		{Hello{Version: Version, State: 1}, l, "kind 's' with 2 bytes within the state"},
+		{Hello{Version: Version, Address: "there"}, l, `listen on "there", this one on "here"`},
 	} {
 		old, getenv := pipe()
 		old.sendConn(message{kind: kindHello, body: must(cbor.Marshal(tc.hello))}, tc.socket)
@@ -260,7 +260,7 @@
 	old, getenv := pipe()
 	l := must(net.Listen("tcp", "127.0.0.1:0")).(*net.TCPListener)
 	defer l.Close()
-	old.sendConn(message{kind: kindHello, body: must(cbor.Marshal(Hello{Version: 1}))}, l)
+	old.sendConn(message{kind: kindHello, body: must(cbor.Marshal(Hello{Version: Version}))}, l)
 	s := must(Inherited(getenv))
 	old.send(message{kind: kindServe}, -1)
 	must(0, s.Ready())
@@ -280,7 +280,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	hello := message{kind: kindHello, body: must(cbor.Marshal(Hello{1, "n1", "127.0.0.1:3000", 5}))}
+	hello := message{kind: kindHello, body: must(cbor.Marshal(Hello{Version, "n1", "127.0.0.1:3000", 5}))}
 	for _, b := range [][]byte{{}, []byte("h1234567"), []byte("?12345678"), hello.encode(),
 		message{kind: kindConn, number: 1 << 63, body: make([]byte, MaxNote+1)}.encode()} {
 		f.Add(b)
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -25,6 +25,7 @@
 	kindState  kind = 's' // P: the next part of the state
 	kindReady  kind = 'r' // S: its process id is the number
 	kindRefuse kind = 'n' // S: why not
+	kindOpen   kind = 'o' // P: ids of requests that are open there, each with an end of line
 	kindServe  kind = 'g' // P: from now on S serves
 	kindConn   kind = 'c' // P: a connection and its note
 	kindTaken  kind = 'a' // S: the connection of that number is its own
@@ -61,7 +62,7 @@
 // maxBody is the longest body of that kind; less than none for a kind that does not exist.
 func (k kind) maxBody() int {
 	switch k {
-	case kindHello, kindState:
+	case kindHello, kindState, kindOpen:
 		return maxBody
 	case kindConn:
 		return MaxNote
--- a/internal/handover/predecessor.go
+++ b/internal/handover/predecessor.go
@@ -20,21 +20,23 @@
 
 // Options says how to start the successor and what to tell it. The zero value of each field but Address has a meaning.
 type Options struct {
-	Path        string        // the program, looked up anew: it may be a new binary; "" = as this one was started
-	Args        []string      // without the program's name; nil = this process's
-	Env         []string      // as KEY=value; nil = this process's
-	ReadyWithin time.Duration // from Start on; 0 = 30 s
-	AckWithin   time.Duration // without any answer that is due; then the successor is killed; 0 = 10 s
-	Name        string        // of the daemon, for the successor's log
-	Address     string        // that the daemon was told to listen on; a successor told another one refuses
-	State       []byte        // for the successor; at most MaxState bytes
+	Path        string          // the program, looked up anew: it may be a new binary; "" = as this one was started
+	Args        []string        // without the program's name; nil = this process's
+	Env         []string        // as KEY=value; nil = this process's
+	ReadyWithin time.Duration   // from Start on; 0 = 30 s
+	AckWithin   time.Duration   // without any answer that is due; then the successor is killed; 0 = 10 s
+	Name        string          // of the daemon, for the successor's log
+	Address     string          // that the daemon was told to listen on; a successor told another one refuses
+	State       []byte          // for the successor; at most MaxState bytes
+	Open        func() []string // the ids of open requests, asked once the successor is ready; nil = none are told
 }
 
 // Predecessor is the running process's side of a handover whose successor is ready.
 type Predecessor struct {
 	handover *Handover
 	control  *control
-	cmd      *exec.Cmd
+	cmd      *exec.Cmd // nil = the platform has started it: it can't be ended from here
+	pid      int
 	exited   chan struct{} // the successor has been reaped
 	lost     chan struct{}
 	passes   sync.WaitGroup // calls of Pass
@@ -45,6 +47,7 @@
 	within   time.Duration
 	patience *time.Timer // runs while an answer is due; kills
 	finished bool        // Done has been called
+	last     uint64      // the number of its message
 	over     error       // ErrLost once the successor is
 }
 
@@ -70,11 +73,19 @@
 		h.release()
 		return nil, fmt.Errorf("handover: start the successor: %w", err)
 	}
+	return h.begin(ctx, p, l, o)
+}
+
+// begin takes the successor to where it serves.
+func (h *Handover) begin(ctx context.Context, p *Predecessor, l *net.TCPListener, o Options) (*Predecessor, error) {
 	p.handover = h
 	if err := p.prepare(ctx, l, o); err != nil {
 		p.end()
 		h.release()
-		return nil, fmt.Errorf("handover: successor %d (%v): %w", p.Pid(), p.cmd.ProcessState, err)
+		if p.cmd != nil {
+			err = fmt.Errorf("(%v): %w", p.cmd.ProcessState, err)
+		}
+		return nil, fmt.Errorf("handover: successor %d: %w", p.Pid(), err)
 	}
 	go p.listen()
 	return p, nil
@@ -102,9 +113,9 @@
 		mine.Close()
 		return nil, err
 	}
-	p := &Predecessor{control: mine, cmd: cmd, within: cmp.Or(o.AckWithin, ackWithin), exited: make(chan struct{}),
+	p := &Predecessor{control: mine, cmd: cmd, pid: cmd.Process.Pid, within: cmp.Or(o.AckWithin, ackWithin), exited: make(chan struct{}),
 		lost: make(chan struct{}), waiting: map[uint64]chan error{}}
-	p.patience = time.AfterFunc(p.within, func() { p.cmd.Process.Kill() })
+	p.patience = time.AfterFunc(p.within, p.kill)
 	p.patience.Stop()
 	go func() {
 		cmd.Wait() // how it ended is in ProcessState
@@ -128,9 +139,23 @@
 	case err != nil:
 		return err
 	}
+	if o.Open != nil {
+		if err := p.control.sendLines(kindOpen, o.Open()); err != nil {
+			return err
+		}
+	}
 	return p.control.send(message{kind: kindServe}, -1)
 }
 
+// kill ends a successor that hangs, or at least the handover to it.
+func (p *Predecessor) kill() {
+	if p.cmd != nil {
+		p.cmd.Process.Kill()
+	} else {
+		p.control.SetDeadline(longAgo)
+	}
+}
+
 func (p *Predecessor) awaitReady(l *net.TCPListener, o Options) error {
 	// A successor that refuses may have read only a part of it.
 	if err := p.introduce(l, o); err != nil && !gone(err) {
@@ -169,6 +194,9 @@
 // end ends a successor that must not serve: it learns that from its control socket, and is killed if it hangs.
 func (p *Predecessor) end() {
 	p.control.Close()
+	if p.cmd == nil {
+		return
+	}
 	select {
 	case <-p.exited:
 	case <-time.After(endWithin):
@@ -178,7 +206,7 @@
 }
 
 // Pid is the successor's process id.
-func (p *Predecessor) Pid() int { return p.cmd.Process.Pid }
+func (p *Predecessor) Pid() int { return p.pid }
 
 // Lost is closed when the successor has ended, or has given the handover up, before Done. What has not been passed by
 // then is this process's to serve, and so is the listener. A new handover may be started.
@@ -220,7 +248,12 @@
 		return fmt.Errorf("handover: done: %w", ErrFinished)
 	}
 	p.passes.Wait()
-	err := p.ask(message{kind: kindDone}, func(m message) error { return p.control.send(m, -1) })
+	err := p.ask(message{kind: kindDone}, func(m message) error {
+		p.mu.Lock()
+		p.last = m.number
+		p.mu.Unlock()
+		return p.control.send(m, -1)
+	})
 	if err != nil {
 		return fmt.Errorf("handover: done: %w", err)
 	}
@@ -275,8 +308,11 @@
 		case errors.Is(err, io.EOF):
 			p.fail()
 			return
+		case err != nil && p.cmd == nil:
+			p.fail()
+			return
 		case err != nil:
-			p.cmd.Process.Kill() // what it holds can't be told; what it had acknowledged and its end follow
+			p.kill() // what it holds can't be told; what it had acknowledged and its end follow
 		case m.kind == kindTaken:
 			p.answer(m.number, nil)
 		case m.kind == kindLeft:
@@ -285,7 +321,7 @@
 			p.answer(m.number, nil)
 			return
 		default:
-			p.cmd.Process.Kill()
+			p.kill()
 		}
 	}
 }
@@ -298,7 +334,11 @@
 	p.patience.Stop()
 	for number, to := range p.waiting {
 		delete(p.waiting, number)
-		to <- ErrLost
+		if p.cmd == nil && number != p.last {
+			to <- nil // it may have the connection and live: nobody here may read that any more
+		} else {
+			to <- ErrLost
+		}
 	}
 	p.handover.release()
 	close(p.lost)
--- a/internal/handover/successor.go
+++ b/internal/handover/successor.go
@@ -9,8 +9,10 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // Successor is the new process's side of a handover.
@@ -23,6 +25,8 @@
 	decided   chan struct{} // closed when it is known whether this process may serve
 	verdict   error         // whether it may not; from then on
 	alone     atomic.Bool   // all is this process's own
+	met       bool          // the platform has started this process, which can do without the other
+	open      []string      // ids of requests that the predecessor has open
 }
 
 // Inherited returns the successor's side if this process was started by a predecessor, nil and nil if not. It waits for
@@ -80,6 +84,9 @@
 // await learns whether this process may serve.
 func (s *Successor) await() {
 	m, _, err := s.control.receive()
+	for ; err == nil && m.kind == kindOpen; m, _, err = s.control.receive() {
+		s.open = append(s.open, strings.Split(strings.TrimSuffix(string(m.body), "\n"), "\n")...)
+	}
 	switch {
 	case err != nil:
 		s.verdict = ErrCancelled
@@ -99,6 +106,12 @@
 // has returned nil.
 func (s *Successor) Listener() *net.TCPListener { return s.listener }
 
+// Met reports whether the platform has started this process beside the other: if that one fails, this one serves alone.
+func (s *Successor) Met() bool { return s.met }
+
+// Open are the ids of requests that the predecessor had open when it let this process serve.
+func (s *Successor) Open() []string { return s.open }
+
 // State is the predecessor's state blob. It is let go when Ready returns.
 func (s *Successor) State() []byte { return s.state }
 
@@ -129,8 +142,14 @@
 func (s *Successor) Ready() error {
 	err := s.control.send(message{kind: kindReady, number: uint64(os.Getpid())}, -1)
 	if err == nil || gone(err) {
+		if s.met {
+			defer time.AfterFunc(metWithin, func() { s.control.SetReadDeadline(longAgo) }).Stop()
+		}
 		<-s.decided
-		err = s.verdict
+		if err = s.verdict; err != nil && s.met {
+			s.alone.Store(true)
+			s.Close()
+		}
 	}
 	s.state = nil
 	if err != nil {
--- a/internal/snapshot/check.go
+++ b/internal/snapshot/check.go
@@ -104,6 +104,9 @@
 	if err := figures("StartedAt Latency ReportAt Network", s.StartedAt, s.Latency, s.ReportAt, s.Network); err != nil {
 		return err
 	}
+	if err := figures("Cold.V Cold.At", s.Cold.V, s.Cold.At); err != nil {
+		return err
+	}
 	if err := parts("Failing", s.Failing); err != nil {
 		return err
 	}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -74,6 +74,7 @@
 	Network   float64 `cbor:"6,keyasint,omitempty"` // lowest round trip in ms
 	Failing   float64 `cbor:"7,keyasint,omitempty"` // part of its answers that it reported as errors at ReportAt
 	By        Tallies `cbor:"8,keyasint,omitempty"` // only those that hold anything
+	Cold      Rate    `cbor:"9,keyasint,omitempty"` // what was left of its allowance as a cold server
 }
 
 // The types below are arrays of a fixed length on the wire: new figures get a field of their own beside them.
--- a/internal/snapshot/still.go
+++ b/internal/snapshot/still.go
@@ -240,7 +240,7 @@
 	kept, gone := Match(l.Servers, s.Members)
 	v.out = append(v.out, gone...)
 	for i := range kept {
-		if one := v.server(&kept[i]); one.Latency > 0 || one.Network > 0 || one.Failing > 0 || len(one.By) > 0 {
+		if one := v.server(&kept[i]); one.Latency > 0 || one.Network > 0 || one.Failing > 0 || one.Cold.At > 0 || len(one.By) > 0 {
 			o.Servers = append(o.Servers, one)
 		}
 	}
@@ -267,6 +267,9 @@
 			v.drop(ofFailing, in.Name, 1, FadedAway)
 		}
 	}
+	if in.Cold.At > 0 { // it fills by itself
+		out.Cold = Rate{V: in.Cold.V, At: v.wall(in.Cold.At)}
+	}
 	beyond, faded := 0, 0
 	for _, t := range in.By {
 		t.At = v.wall(t.At)
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -58,6 +58,21 @@
 	return &Budget{most: most, dial: dial, freed: make(chan struct{}, 1)}
 }
 
+// Limit allows for most sockets from now on. Where more are in use, idle ones to providers are closed at once, and none
+// is opened until enough have ended; consumers keep theirs.
+func (b *Budget) Limit(most int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.most = most
+	for e := b.idle.Front(); e != nil && b.used > most; {
+		s := e.Value.(*Socket)
+		if e = e.Next(); s.side == Outward {
+			s.close()
+		}
+	}
+	b.tell()
+}
+
 // Dial opens a connection under the limit, or fails with ErrNone.
 func (b *Budget) Dial(ctx context.Context, address string, within time.Duration) (*Socket, error) {
 	if !b.Reserve(Outward) {
--- a/logic/api.go
+++ b/logic/api.go
@@ -209,6 +209,7 @@
 	Network   Ms // lowest round trip
 	Failing   float64
 	Outcomes  []Tally // of all requests, then by tenant
+	Cold      Level   // what was left of its allowance while cold
 }
 
 // Tally is fading evidence for and against a server.
--- a/logic/state.go
+++ b/logic/state.go
@@ -19,7 +19,7 @@
 	for _, s := range b.servers { // the present load, of s.rif and the pool, stays out
 		if s.info.Health == Ready {
 			st.Servers = append(st.Servers, ServerState{s.info.ID, s.info.StartedAt, s.latency, s.reported,
-				s.reportAt, s.network, s.failing, append([]Tally(nil), s.by...)})
+				s.reportAt, s.network, s.failing, append([]Tally(nil), s.by...), Level(s.cold)})
 		}
 	}
 	return st
@@ -49,6 +49,7 @@
 		}
 		s.latency, s.reported, s.network, s.failing = in.Latency, in.Reported, in.Network, in.Failing
 		s.reportAt = min(in.ReportAt, b.now-poolAge-1) // whose load is not known: no server is idle by that
+		s.cold = limit.Bucket(in.Cold)
 		copy(s.by, in.Outcomes)
 	}
 	b.updateMedians()
