--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -75,7 +75,11 @@
 	if err != nil {
 		return err
 	}
-	return serve(cfg, os.Getenv, l, sockets.TCP, signals, from)
+	operators, err := listenForOperators(cfg)
+	if err != nil {
+		return err
+	}
+	return serve(cfg, os.Getenv, l, operators, sockets.TCP, signals, from)
 }
 
 // listen returns the predecessor's listener, the one that the platform or the service manager holds for this process, or a
@@ -123,13 +127,9 @@
 	endSnapshots func() // writes the last one; nil = none is kept, or it is written
 }
 
-// serve runs the sidecar until a signal ends it and all that it has taken is answered, or until a successor has it all.
-func serve(cfg *config.Config, getenv func(string) string, l net.Listener, dial sockets.Dialer,
+// serve runs the sidecar, for operators too if there is a listener for them, until a signal ends it and all that it has taken is answered, or until a successor has it all.
+func serve(cfg *config.Config, getenv func(string) string, l, operators net.Listener, dial sockets.Dialer,
 	signals <-chan os.Signal, from *handover.Successor) error {
-	operators, err := listenForOperators(cfg)
-	if err != nil {
-		return err
-	}
 	outer, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(outer)
--- a/cmd/plankrouter/play_test.go
+++ b/cmd/plankrouter/play_test.go
@@ -202,7 +202,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		go func() { result <- serve(cfg, getenv, g, g.dial, signals, nil) }()
+		go func() { result <- serve(cfg, getenv, g, nil, g.dial, signals, nil) }()
 		synctest.Wait()
 	}
 	for _, part := range parts[1:] {
--- a/cmd/plankrouter/recovery_test.go
+++ b/cmd/plankrouter/recovery_test.go
@@ -272,7 +272,7 @@
 		t.Fatal(err)
 	}
 	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
-	go func() { ended <- serve(cfg, getenv, front, w.dial, signals, nil) }()
+	go func() { ended <- serve(cfg, getenv, front, nil, w.dial, signals, nil) }()
 	if err := peers.Ready(t.Context(), w.net, front.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -38,7 +38,7 @@
 	Invocation *invocation.Invocation // nil = a probe: the provider is asked for its load
 	Wait       time.Duration          // after which the attempt is going to be stopped, for the provider to know
 	NotAfter   time.Time              // no first byte later than this; zero = any time
-	Flowed     func(whole bool)       // with a Source: called now and then as it is sent, and when its last byte is written; nil = nobody asks
+	Flowed     func()                 // with a Source: called when its last byte is written; nil = nobody asks
 	Ended      func(Result)           // called once from any goroutine, unless Stop returned true; may wait for the pool's goroutine
 }
 
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -65,6 +65,7 @@
 	if inv == nil || inv.Rest == nil {
 		heap.Push(&s.timers, a.end)
 	} else { // its time begins when its last byte is written
+		s.uploads[number] = a
 		wait = s.patience(inv)
 	}
 	s.calls[number] = a
@@ -72,7 +73,7 @@
 	a.began = time.Now()
 	s.traceStart(a, k)
 	a.call = k.at.Start(caller.Task{Invocation: inv, Wait: wait, NotAfter: k.notAfter,
-		Flowed: func(whole bool) { s.send(flowed{number, whole}) },
+		Flowed: func() { s.send(flowed{number}) },
 		Ended: func(r caller.Result) {
 			if !s.send(callEnded{number, r}) {
 				closeFlow(r.Rest)
@@ -142,7 +143,7 @@
 	}
 	s.ready.Store(ready)
 	s.step(logic.Event{Kind: logic.List, Full: l.Complete, Servers: lines})
-	s.countedAt = time.Time{}
+	s.lookedAt = time.Time{}
 }
 
 // setHealth notes a provider's state and, when it leaves, the end of the grace for calls that still connect.
--- a/internal/core/bans.go
+++ b/internal/core/bans.go
@@ -8,7 +8,7 @@
 	"plankrouter/logic"
 )
 
-const countEvery = 100 * time.Millisecond // providers that are left out
+const lookEvery = 100 * time.Millisecond // at what changes by itself
 
 // Ban lays operators' word over the list from now on, in place of the earlier one, and returns once it is in force, or once
 // the pool has stopped.
@@ -78,12 +78,16 @@
 	return h, told, max(m.UpSince, s.bans.Back[m.ID])
 }
 
-// countTargets tells now and then how many providers are listed, and how many of them operators or the module leave out.
-func (s *Pool) countTargets(now time.Time) {
-	if now.Sub(s.countedAt) < countEvery {
+// look tells now and then how many providers are listed, and how many of them operators or the module leave out; and the
+// module, of which providers no answer is missing since the request is still being sent.
+func (s *Pool) look(now time.Time) {
+	if now.Sub(s.lookedAt) < lookEvery {
 		return
 	}
-	s.countedAt = now
+	s.lookedAt = now
+	for _, a := range s.uploads {
+		s.step(logic.Event{Kind: logic.Flowing, Server: a.server})
+	}
 	listed, out := 0, 0
 	for id, k := range s.providers {
 		if !s.listed(k) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -77,6 +77,7 @@
 	open      map[string]bool     // the consumers' ids of what has no final answer yet
 	elsewhere map[string]bool     // likewise, in the process before this one
 	calls     map[uint64]*attempt // and probes under way
+	uploads   map[uint64]*attempt // those whose request is still being sent
 	lastCall  uint64
 	providers map[logic.ServerID]*known
 	serverIDs map[string]logic.ServerID // of providers, by their ids
@@ -89,7 +90,7 @@
 	now       time.Time // of the event that the module has last seen; what it asks for counts from here
 	revision  uint64    // of the list
 	bans      bans.Set  // lies over the list
-	countedAt time.Time // when Targets was told
+	lookedAt  time.Time // see look
 	classes   []int     // of the module, in the order of the settings
 	tenants   []int
 	gone      []snapshot.Member // deleted lately: an older list must not bring them back to the next process
@@ -152,10 +153,7 @@
 		number uint64
 		caller.Result
 	}
-	flowed struct {
-		number uint64
-		whole  bool
-	}
+	flowed   struct{ number uint64 }
 	told     members.List
 	taking   struct{ to chan<- *snapshot.Snapshot }
 	stopNow  struct{ plan stopping.Plan }
@@ -193,7 +191,7 @@
 	}
 	s := &Pool{set: o, bans: o.Bans, bal: bal, clock: newClock(), zones: map[string]int{}, stopped: make(chan struct{}),
 		events: make(chan event, eventsAhead), held: map[logic.RequestID]*held{},
-		byInv: map[*invocation.Invocation]logic.RequestID{}, open: map[string]bool{}, calls: map[uint64]*attempt{},
+		byInv: map[*invocation.Invocation]logic.RequestID{}, open: map[string]bool{}, calls: map[uint64]*attempt{}, uploads: map[uint64]*attempt{},
 		providers: map[logic.ServerID]*known{}, serverIDs: map[string]logic.ServerID{},
 		numbers: map[logic.ServerID]bool{}}
 	s.classes, s.tenants = upTo(len(o.Logic.Classes)), upTo(len(o.Logic.Tenants))
@@ -234,7 +232,7 @@
 			alarm.Reset(farAhead)
 		}
 		s.due()
-		s.countTargets(time.Now())
+		s.look(time.Now())
 	}
 }
 
@@ -379,8 +377,9 @@
 		return
 	}
 	s.step(logic.Event{Kind: logic.Flowing, Server: a.server})
+	delete(s.uploads, e.number)
 	h := s.held[a.request]
-	if !e.whole || h == nil || h.answered {
+	if h == nil || h.answered {
 		return
 	}
 	now := time.Now() // the consumer waits from now on, and so the attempt counts
@@ -445,6 +444,7 @@
 		return
 	}
 	delete(s.calls, number)
+	delete(s.uploads, number)
 	if a.end.index >= 0 { // else it would hold the call until its time was up
 		heap.Remove(&s.timers, a.end.index)
 	}
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -40,10 +40,10 @@
 	bodiless bool // its answer has no body, whatever it says
 	done     func(caller.Result)
 	upload   invocation.Source // what follows message; nil = nothing
-	flowed   func(whole bool)
-	hold     time.Duration   // of the last byte, on the present connection
-	fresh    time.Duration   // likewise, on a new one
-	ctx      context.Context // ends with the call
+	flowed   func()            // told when its last byte is written
+	hold     time.Duration     // of the last byte, on the present connection
+	fresh    time.Duration     // likewise, on a new one
+	ctx      context.Context   // ends with the call
 	cancel   context.CancelFunc
 
 	// How its connections did, for the book. The goroutine that carries it writes them.
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -26,8 +26,6 @@
 	pauseMost = 400 * time.Millisecond
 	// stallMost is the same for a body that flows, either way.
 	stallMost = 5 * time.Second
-	// flowedEvery is how often it is told that a request is still being sent.
-	flowedEvery = 500 * time.Millisecond
 )
 
 // conn is one connection to a provider. One goroutine carries its calls, one after another, and watches it between
@@ -135,7 +133,7 @@
 		return result{}, false
 	}
 	if call.upload != nil {
-		call.flowed(true)
+		call.flowed()
 	}
 	sent = time.Now()
 	resp, err := c.answer(call)
@@ -188,7 +186,7 @@
 		return nil, nil
 	}
 	chunked := call.upload.Length() < 0
-	for told := time.Now(); ; {
+	for {
 		n, err := call.upload.Read(buf)
 		piece := buf[:n]
 		switch {
@@ -206,10 +204,6 @@
 		if n > 0 && !write(piece) {
 			return nil, nil
 		}
-		if now := time.Now(); now.Sub(told) >= flowedEvery {
-			told = now
-			call.flowed(false)
-		}
 	}
 }
 
