--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -6,11 +6,13 @@
 	"context"
 	"fmt"
 	"log"
+	"maps"
 	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -240,6 +242,10 @@
 	log.Printf("name=%s counters=core taken=%d conflicts=%d consumer_gone=%d sent=%d probes=%d lists=%d served=%d "+
 		"refused=%d failed=%d", p.cfg.Name, c.Taken, c.Conflicts, c.Gone, now.Dispatches, c.Probes, c.Lists,
 		figures.Sum(now.Success), figures.Sum(now.Overload), figures.Sum(now.Error))
+	for _, class := range slices.Sorted(maps.Keys(now.Success)) {
+		log.Printf("name=%s counters=requests class=%s success=%d overload=%d error=%d", p.cfg.Name, class, now.Success[class],
+			now.Overload[class], now.Error[class])
+	}
 	log.Printf("name=%s counters=front connections=%d adopted=%d not_taken=%d sockets=%d",
 		p.cfg.Name, f.Connections.Load(), f.Adopted.Load(), f.NotTaken.Load(), p.budget.Used())
 	log.Printf("name=%s counters=directory answers=%d failures=%d doubts=%d", p.cfg.Name, w.Answers.Load(), w.Failures.Load(),
--- a/internal/renumber/renumber.go
+++ b/internal/renumber/renumber.go
@@ -37,8 +37,9 @@
 	for n := range t.slots {
 		p.From[n] = n
 		if t.slots[n].live && !named[n] {
-			t.slots[n].live, t.slots[n].until = false, now.Add(hold)
+			t.slots[n].until = now.Add(hold)
 		}
+		t.slots[n].live = named[n] // also where it was dropped before: nobody else may get it now
 	}
 	before := len(t.slots)
 	for i, name := range names {
@@ -53,10 +54,9 @@
 			if n == len(t.slots) {
 				t.slots, p.From = append(t.slots, slot[R]{}), append(p.From, -1)
 			}
-			t.slots[n] = slot[R]{name: name, rules: rules[i]}
+			t.slots[n] = slot[R]{name: name, rules: rules[i], live: true}
 			p.Order[i], p.From[n] = n, from
 		}
-		t.slots[p.Order[i]].live = true
 	}
 	return p
 }
