--- a/internal/snapshot/still.go
+++ b/internal/snapshot/still.go
@@ -240,7 +240,7 @@
 	kept, gone := Match(l.Servers, s.Members)
 	v.out = append(v.out, gone...)
 	for i := range kept {
-		if one := v.server(&kept[i]); one.Latency > 0 || one.Network > 0 || one.Failing > 0 || one.Cold.At > 0 || len(one.By) > 0 {
+		if one := v.server(&kept[i]); one.Latency > 0 || one.Network > 0 || one.Failing > 0 || len(one.By) > 0 {
 			o.Servers = append(o.Servers, one)
 		}
 	}
