A server that is left out for a moment is not counted as avoided

The module takes a server for silent for 50 to 100 ms now and then (ejected=true silent=true in the log); the core counts it after 0.3 s.

--- a/internal/core/bans.go
+++ b/internal/core/bans.go
@@ -8,7 +8,10 @@
 	"plankrouter/logic"
 )
 
-const lookEvery = 100 * time.Millisecond // at what changes by itself
+const (
+	lookEvery = 100 * time.Millisecond // at what changes by itself
+	outLeast  = 300 * time.Millisecond // for which the module must leave a provider out: one that is late with an answer is not avoided
+)
 
 // Ban lays operators' word over the list from now on, in place of the earlier one, and returns once it is in force, or once
 // the pool has stopped.
@@ -94,7 +97,13 @@
 			continue
 		}
 		listed++
-		if _, banned := s.bans.Out[k.name]; banned || s.bal.LeftOut(id) {
+		if !s.bal.LeftOut(id) {
+			k.outSince = time.Time{}
+		} else if k.outSince.IsZero() {
+			k.outSince = now
+		}
+		_, banned := s.bans.Out[k.name]
+		if banned || !k.outSince.IsZero() && now.Sub(k.outSince) >= outLeast {
 			out++
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -127,6 +127,7 @@
 	notAfter time.Time // of a first byte, once it drains or is gone
 	calls    int       // and probes under way
 	newsAt   time.Time // of its last load report
+	outSince time.Time // the module has left it out; zero = it does not
 }
 
 // attempt is an invoker call or a probe under way, and what it is for.
