A successor gets the operators' address, kept bodies are given back, bans read until settled

Found in review and by trying: SIGUSR2 failed wherever admin_addr is set (exit 1, the address is still the predecessor's); requests turned away after a body of unknown length never gave their 64 KiB back (consumer.go's keep), so that after enough of them every such body was refused; two bans written within one tick of the file system's clock could look like one; to HTTP/1.0 a broken answer looked whole.

--- a/cmd/plankrouter/daily_test.go
+++ b/cmd/plankrouter/daily_test.go
@@ -634,3 +634,58 @@
 		s.stop()
 	})
 }
+
+// What is kept of a body is given back, whatever becomes of its request.
+func TestKeptBodiesAreGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := peers.NewMemory()
+		_, directory := hands(t, m, 2, func(w http.ResponseWriter, r *http.Request) { io.Copy(w, r.Body) })
+		s := start(t, m, directory, func(p *peers.Sidecar) { p.MemoryMB = 8 }) // room for 32 bodies of a length that is not known
+		ask := func(path, rest string) (int, string) {
+			return parse(t, s.send(s.front, "POST "+path+" HTTP/1.1\r\nHost: x\r\nReq-Id: "+rand()+
+				"\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"+rest))
+		}
+		for i := range 40 {
+			for path, tc := range map[string]struct {
+				rest string
+				want int
+			}{"/nowhere": {"1\r\nx\r\n0\r\n\r\n", 404}, "/order/1": {"x\r\n", 400}} {
+				if got, _ := ask(path, tc.rest); got != tc.want {
+					t.Fatalf("%d: %s: %d", i, path, got)
+				}
+			}
+		}
+		if got, body := ask("/order/1", "5\r\nhello\r\n0\r\n\r\n"); got != 200 || body != "hello" {
+			t.Errorf("after them: %d %q", got, body)
+		}
+		s.stop()
+	})
+}
+
+// A successor that has no listener for operators has one as soon as its predecessor gives the address up.
+func TestOperatorsAddressIsInherited(t *testing.T) {
+	log.SetOutput(io.Discard)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	p, ended := program{cfg: &config.Config{AdminAddr: l.Addr().String()}}, make(chan error, 1)
+	if _, err := listenForOperators(p.cfg); err == nil || !strings.Contains(err.Error(), "admin_addr") {
+		t.Errorf("an address that is taken: %v", err)
+	}
+	go func() { ended <- p.serveOperators(ctx, nil) }()
+	l.Close()
+	var resp *http.Response
+	for resp == nil && ctx.Err() == nil {
+		resp, _ = http.Get("http://" + l.Addr().String() + "/nowhere")
+	}
+	if resp == nil || resp.StatusCode != 404 {
+		t.Errorf("it answers %v", resp)
+	} else {
+		resp.Body.Close()
+	}
+	if cancel(); <-ended != nil {
+		t.Error("it has failed")
+	}
+}
--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -21,7 +21,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"plankrouter/internal/admin"
 	"plankrouter/internal/bans"
 	"plankrouter/internal/config"
 	"plankrouter/internal/consumer"
@@ -78,7 +77,7 @@
 		return err
 	}
 	operators, err := listenForOperators(cfg)
-	if err != nil {
+	if err != nil && (from == nil || from.Met()) {
 		return err
 	}
 	return serve(cfg, os.Getenv, l, operators, sockets.TCP, signals, from)
@@ -178,8 +177,8 @@
 		return p.core.Run(ctx)
 	})
 	group.Go(func() error { return p.watch.Run(ctx) })
-	if operators != nil {
-		group.Go(func() error { return admin.New(&p).Serve(ctx, operators) })
+	if cfg.AdminAddr != "" {
+		group.Go(func() error { return p.serveOperators(ctx, operators) })
 		group.Go(func() error { p.followBans(ctx); return nil })
 	}
 	group.Go(func() error {
--- a/cmd/plankrouter/operators.go
+++ b/cmd/plankrouter/operators.go
@@ -14,6 +14,8 @@
 	"plankrouter/internal/figures"
 )
 
+const listenAgain = 20 * time.Millisecond // for operators, while a predecessor does
+
 // listenForOperators returns the listener for operators, nil where they have no address.
 func listenForOperators(cfg *config.Config) (net.Listener, error) {
 	if cfg.AdminAddr == "" {
@@ -26,6 +28,20 @@
 	return l, nil
 }
 
+// serveOperators answers operators until ctx ends. A successor that its predecessor has started has no listener before that one
+// has ended, since both are told the same address.
+func (p *program) serveOperators(ctx context.Context, l net.Listener) error {
+	for l == nil {
+		select {
+		case <-time.After(listenAgain):
+		case <-ctx.Done():
+			return nil
+		}
+		l, _ = listenForOperators(p.cfg)
+	}
+	return admin.New(p).Serve(ctx, l)
+}
+
 // places are the descriptors for consumers, providers and the directory: what operators need is set aside.
 func places(cfg *config.Config) int {
 	most := cfg.Limits.Sockets - socketReserve
--- a/internal/bans/store.go
+++ b/internal/bans/store.go
@@ -1,6 +1,7 @@
 package bans
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -20,6 +21,8 @@
 
 	// LookEvery is how soon a process knows what another one has been told: well within a drain's grace.
 	LookEvery = 50 * time.Millisecond
+
+	settled = time.Second // since the last change: two at one moment can look the same from outside
 )
 
 // Store is the set that this process goes by. Where Path is set the file there is the truth, for this process and any other of
@@ -30,6 +33,7 @@
 	mu   sync.Mutex
 	set  Set
 	seen fs.FileInfo // of the file that set was read from or written to; nil = there was none
+	raw  []byte      // what was in it
 }
 
 // file is what is kept.
@@ -63,7 +67,8 @@
 	if err != nil {
 		return false, fmt.Errorf("bans: %w", err)
 	}
-	if s.seen != nil && os.SameFile(s.seen, info) && s.seen.ModTime().Equal(info.ModTime()) {
+	if s.seen != nil && os.SameFile(s.seen, info) && s.seen.ModTime().Equal(info.ModTime()) &&
+		time.Since(info.ModTime()) > settled {
 		return false, nil
 	}
 	s.seen = info // also of a bad one: it is complained of once
@@ -71,6 +76,10 @@
 	if err != nil {
 		return false, fmt.Errorf("bans: %w", err)
 	}
+	if s.raw != nil && bytes.Equal(raw, s.raw) {
+		return false, nil
+	}
+	s.raw = raw
 	var in file
 	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, &in); err != nil {
 		return false, fmt.Errorf("bans: %s: %w; remove the file, or disable the tile servers again", s.Path, err)
@@ -131,7 +140,7 @@
 		err = os.Rename(next, s.Path)
 	}
 	if err == nil {
-		s.seen = info
+		s.seen, s.raw = info, raw
 	}
 	return err
 }
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -310,6 +310,7 @@
 func (c *conn) run() {
 	c.br, c.done = http1.NewReader(c), make(chan struct{})
 	e := c.read()
+	c.letGo()
 	close(c.done) // not answers: the core may just be giving one to a consumer that is gone
 	c.socket.Close()
 	c.leave()
@@ -472,6 +473,7 @@
 		c.socket.SetReadDeadline(began.Add(lingerFor))
 	}
 	c.upload, c.paced = nil, nil
+	c.letGo() // of a message that was turned away
 	req, err := http1.ReadRequest(c.br)
 	if err == nil && req.WantsContinue() {
 		_, err = c.socket.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -571,6 +573,9 @@
 		a.flow.Close(e == ending.Open)
 	}
 	if e != ending.Open {
+		if abrupt, ok := c.socket.Conn.(interface{ SetLinger(int) error }); ok && e == ending.Broken && a.old {
+			abrupt.SetLinger(0) // an end in order would look like the body's
+		}
 		c.socket.Close()
 		return e
 	}
