--- a/internal/limit/level.go
+++ b/internal/limit/level.go
@@ -16,6 +16,15 @@
 	return k.V >= 1
 }
 
+// Take takes one out of the bucket, if it holds one now.
+func (k *Bucket) Take(now, perMs, full float64) bool {
+	if !k.Fill(now, perMs, full) {
+		return false
+	}
+	k.V--
+	return true
+}
+
 // Rate is how often something happens, exponentially weighted.
 type Rate struct{ V, At float64 }
 
--- a/logic/api.go
+++ b/logic/api.go
@@ -90,7 +90,7 @@
 	ClientGone                   // Request
 	TimerDue                     // Timer
 	ProbeDone                    // Server, Status, Took, Report
-	Flowing                      // Server, which is known: a long request is still on its way there, so no answer is missing
+	Flowing                      // Server: a long request is still on its way there
 )
 
 // Status is how an attempt or a probe ended.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -134,9 +134,8 @@
 	}
 	b.cfg.Balancers, b.cfg.Classes = max(1, cfg.Balancers), slices.Clone(cfg.Classes)
 	b.margin, b.perRequest = 2*cfg.Round+1, limit.MostProbes
-	b.fit.class = make([]classFit, len(cfg.Classes))
 	for i, c := range cfg.Classes { // who is to be answered sooner takes less time
-		b.fit.class[i] = classFit{prior: c.Aim / aims}
+		b.fit.class = append(b.fit.class, classFit{prior: c.Aim / aims})
 		b.cfg.Classes[i].Attempts = max(1, cmp.Or(c.Attempts, cfg.MaxAttempts))
 	}
 	b.buckets = slices.Repeat([]limit.Bucket{{At: math.Inf(-1)}}, len(cfg.Tenants))
@@ -580,11 +579,7 @@
 		return true
 	}
 	k, quota := &b.buckets[tenant], b.cfg.Tenants[tenant].Quota*b.fraction()
-	if !k.Fill(b.now, quota/1000, max(quotaLeast, quota)) {
-		return false
-	}
-	k.V--
-	return true
+	return k.Take(b.now, quota/1000, max(quotaLeast, quota))
 }
 
 // admits: the answer is likely in time, and the crowding leaves room for a request of this worth.
@@ -744,7 +739,8 @@
 	}
 	r.expected = b.expect(s, r.class, s.rif)
 	s.expected = r.expected
-	again := b.cfg.Classes[r.class].Repeat != Unsafe && r.attempts+1 < b.cfg.Classes[r.class].Attempts && b.retries >= 1
+	c := &b.cfg.Classes[r.class]
+	again := c.Repeat != Unsafe && r.attempts+1 < c.Attempts && b.retries >= 1
 	if w := max(timeoutTimes*r.expected, b.minAim/2); again && w < end/2 {
 		end = w
 	}
@@ -785,7 +781,7 @@
 			if !b.silent(s) {
 				b.sample(s, r, e.Took, 0) // the survivors alone would look too fast
 			}
-			if b.silent(s) || r != nil && e.Took > timeoutTimes*r.expected {
+			if b.silent(s) || r != nil && e.Took+b.cfg.Round > timeoutTimes*r.expected {
 				b.learn(s, who, 1)
 			}
 		}
@@ -806,7 +802,8 @@
 		return
 	}
 	r.avoid = s
-	if e.Status != NotSent && !e.Spent && r.attempts < b.cfg.Classes[r.class].Attempts && b.retries >= 1 && r.endAt-b.now > b.margin {
+	left := e.Status != NotSent && !e.Spent && r.attempts < b.cfg.Classes[r.class].Attempts
+	if left && b.retries >= 1 && r.endAt-b.now > b.margin {
 		b.retries--
 		r.waits = 0
 		b.choose(r)
@@ -901,7 +898,7 @@
 	}
 }
 
-// LeftOut: the server is listed as ready, and neither its evidence nor its last connection or probe let it be chosen.
+// LeftOut: the server is listed as ready, but its evidence, connections or probes keep it from being picked.
 func (b *Balancer) LeftOut(id ServerID) bool {
 	s := b.byID[id]
 	return s != nil && s.info.Health == Ready && (s.ejected || b.isShut(s))
--- a/logic/state.go
+++ b/logic/state.go
@@ -56,8 +56,8 @@
 	return nil
 }
 
-// Reconfigure takes other settings, or none of them. A number among classes and tenants is the old one whose past is the
-// new one's, -1 that it has none; what is open keeps the number and so the rules it came with.
+// Reconfigure takes other settings, or none of them. A number among classes and tenants is the old one whose
+// past is the new one's, -1 = nobody's; what is open keeps the number and so the rules it came with.
 func (b *Balancer) Reconfigure(cfg Config, classes, tenants []int) error {
 	next, err := New(cfg, 0)
 	if err != nil {
@@ -71,7 +71,8 @@
 		follow(tenants, s.by[1:], by[1:])
 		s.by = by
 	}
-	b.cfg, b.minAim, b.margin, b.buckets, b.fit.class = next.cfg, next.minAim, next.margin, next.buckets, next.fit.class
+	b.cfg, b.minAim, b.margin = next.cfg, next.minAim, next.margin
+	b.buckets, b.fit.class = next.buckets, next.fit.class
 	return nil
 }
 
