Nobody reads a connection whose long body was left

Found in review: a consumer that left in the middle of a long answer had the provider's connection given back, buffer and all, while its writer could still be reading from it (conn.go's download, call.go's Free), and likewise a call that still read a request whose consumer's connection had ended (long.go's uploaded). The buffer goes to another connection, whose bytes could then reach the wrong peer. Both ends now take the body back under its lock before the connection ends; and a front that is hung up no longer waits for a body. TestLeavingLongBodies reports the race without the change.

--- a/cmd/plankrouter/daily_test.go
+++ b/cmd/plankrouter/daily_test.go
@@ -689,3 +689,66 @@
 		t.Error("it has failed")
 	}
 }
+
+// Peers that leave in the middle of long bodies, in either direction, disturb no other: nobody reads a connection that is over.
+func TestLeavingLongBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := peers.NewMemory()
+		_, directory := hands(t, m, 3, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == "POST" {
+				io.CopyN(io.Discard, r.Body, 80<<10)
+				if strings.HasSuffix(r.URL.Path, "/early") {
+					c, _, _ := http.NewResponseController(w).Hijack()
+					c.Close()
+					return
+				}
+				io.Copy(io.Discard, r.Body)
+				fmt.Fprint(w, "done")
+				return
+			}
+			slowly(flusher{w}, long, 4000, 2*time.Millisecond)
+		})
+		s := start(t, m, directory, nil)
+		var all sync.WaitGroup
+		for i := range 90 {
+			all.Go(func() {
+				c, err := m.Dial(t.Context(), s.front)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				leave := time.Duration(i%10*17) * time.Millisecond // 0 = stays
+				if leave > 0 {
+					time.AfterFunc(leave, func() { c.Close() })
+				}
+				path, body := []string{"early", "late", "down"}[i%3], long
+				head := "POST /order/"
+				if path == "down" {
+					head, body = "GET /tile/", nil
+				}
+				go slowly(c, fmt.Appendf(nil, "%s%s HTTP/1.1\r\nHost: x\r\nReq-Id: l%d\r\nContent-Length: %d\r\n\r\n%s", head, path, i,
+					len(body), body), 9000, 3*time.Millisecond)
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					if leave == 0 {
+						t.Errorf("%s: %v", path, err)
+					}
+					return
+				}
+				got, err := io.ReadAll(resp.Body)
+				want := map[string]string{"early": "", "late": "done", "down": string(long)}[path]
+				if leave == 0 && resp.StatusCode == 200 && (err != nil || string(got) != want) || err == nil && resp.StatusCode == 200 &&
+					string(got) != want {
+					t.Errorf("%s: %d bytes that are not its own, %v", path, len(got), err)
+				}
+			})
+		}
+		all.Wait()
+		time.Sleep(10 * sec)
+		if f := s.figures(); f.Concurrent != 0 || f.Success["tile"] == 0 || f.Success["order"] == 0 {
+			t.Errorf("%+v", f)
+		}
+		s.stop()
+	})
+}
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -67,6 +67,7 @@
 	resumed chan struct{}                // closed when there is none any more
 	paused  bool                         // none comes in meanwhile
 	closed  chan struct{}                // by Drain
+	hung    chan struct{}                // by hangUp
 	running errgroup.Group               // the connections' goroutines
 	serving bool                         // Serve has been called
 	closing bool
@@ -75,7 +76,8 @@
 
 // New returns a front for core that counts in book what becomes of the requests it takes.
 func New(cfg *config.Config, core invocation.Core, budget *sockets.Budget, book *figures.Book, bounds *flow.Bounds) *Server {
-	s := &Server{core: core, budget: budget, book: book, bounds: bounds, conns: map[*conn]bool{}, closed: make(chan struct{})}
+	s := &Server{core: core, budget: budget, book: book, bounds: bounds, conns: map[*conn]bool{}, closed: make(chan struct{}),
+		hung: make(chan struct{})}
 	s.Reconfigure(&cfg.Settings)
 	return s
 }
@@ -255,6 +257,7 @@
 // hangUp ends all at once: the core has stopped and answers no more.
 func (s *Server) hangUp(l net.Listener) {
 	s.Drain(l)
+	close(s.hung)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
--- a/internal/consumer/long.go
+++ b/internal/consumer/long.go
@@ -242,11 +242,14 @@
 		}
 		return ending.ConsumerGone
 	case e := <-c.written:
+		u.seize() // before anything else: who still reads must not do so beyond the connection's end
 		if e != ending.Open {
 			return e
 		}
+	case <-c.server.hung:
+		u.seize()
+		return ending.Stopped
 	}
-	u.seize()
 	if u.err == errSeized {
 		c.paced = u.pace
 		c.socket.Extend(u.pace.until(time.Now()))
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -214,10 +215,18 @@
 	once  sync.Once
 	whole bool
 	done  chan struct{}
+
+	mu   sync.Mutex // held by who reads
+	over bool       // the connection belongs to its goroutine again
 }
 
 // Read reads what is there, and waits for it for a while.
 func (d *download) Read(p []byte) (int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.over {
+		return 0, net.ErrClosed
+	}
 	d.conn.socket.SetReadDeadline(time.Now().Add(stallMost))
 	return d.Stream.Read(p)
 }
@@ -236,10 +245,13 @@
 func (d *download) wait(ctx context.Context) bool {
 	select {
 	case <-d.done:
-		return d.whole && d.conn.br.Buffered() == 0 && d.conn.socket.SetReadDeadline(time.Time{}) == nil
-	case <-ctx.Done():
-		return false
+	case <-ctx.Done(): // which closes the connection
+		d.Close(false)
 	}
+	d.mu.Lock() // a Read that was under way when it was closed ends first
+	defer d.mu.Unlock()
+	d.over = true
+	return d.whole && d.conn.br.Buffered() == 0 && d.conn.socket.SetReadDeadline(time.Time{}) == nil
 }
 
 // quietFor waits, with the last byte still to be written, and reports whether nothing has come in, an end included.
