Signals are taken before a running process is looked for

Looking for a silent predecessor takes up to 1.5 s (handover.Find in main.go), in which SIGHUP still had its default and ended the process. Tried by a script with a socket that accepts and says nothing: SIGHUP after 0.5 s, alive, alone after 1.5 s and reloaded then.

--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -55,6 +55,8 @@
 	if err != nil {
 		return err
 	}
+	signals := make(chan os.Signal, 4) // from now on: to find a running process may take a while
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if folder := os.Getenv("TMPDIR"); err == nil && from == nil && folder != "" && os.Getenv(handover.ListenVariable) != "" {
 		var alone error
@@ -70,8 +72,6 @@
 	}
 	runtime.GOMAXPROCS(1) // one core is all there is; more threads would only wait for one another
 	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP)
 	l, err := listen(cfg, from)
 	if err != nil {
 		return err
