--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -58,18 +58,17 @@
 	signals := make(chan os.Signal, 4) // from now on: to find a running process may take a while
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
-	if folder := os.Getenv("TMPDIR"); err == nil && from == nil && folder != "" && os.Getenv(handover.ListenVariable) != "" {
-		var alone error
-		if from, alone = handover.Find(folder); alone != nil {
-			log.Printf("name=%s handover=alone err=%q", cfg.Name, alone)
-		}
-	}
 	if err != nil {
 		if from != nil {
 			from.Refuse(err.Error())
 		}
 		return err
 	}
+	if folder := meeting(os.Getenv); from == nil && folder != "" {
+		if from, err = handover.Find(folder); err != nil {
+			log.Printf("name=%s handover=alone err=%q", cfg.Name, err)
+		}
+	}
 	runtime.GOMAXPROCS(1) // one core is all there is; more threads would only wait for one another
 	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.MemoryMB) * (1 << 20)))
 	l, err := listen(cfg, from)
@@ -128,7 +127,8 @@
 	endSnapshots func() // writes the last one; nil = none is kept, or it is written
 }
 
-// serve runs the sidecar, for operators too if there is a listener for them, until a signal ends it and all that it has taken is answered, or until a successor has it all.
+// serve runs the sidecar, for operators too if there is a listener for them, until a signal ends it and all that it has taken
+// is answered, or until a successor has it all.
 func serve(cfg *config.Config, getenv func(string) string, l, operators net.Listener, dial sockets.Dialer,
 	signals <-chan os.Signal, from *handover.Successor) error {
 	outer, stop := context.WithCancel(context.Background())
@@ -162,7 +162,8 @@
 		Budget: p.budget, Told: func(l members.List) { p.core.Told(l) }, Logf: log.Printf, Trace: trace}); err != nil {
 		return err
 	}
-	if p.caller, err = provider.New(ctx, p.budget, provider.Settings{Figures: figuresOf(cfg), Trace: trace, Written: p.book.Dispatched, Bounds: bounds}); err != nil {
+	if p.caller, err = provider.New(ctx, p.budget, provider.Settings{Figures: figuresOf(cfg), Trace: trace,
+		Written: p.book.Dispatched, Bounds: bounds}); err != nil {
 		return err
 	}
 	if p.core, err = core.New(core.Options{Name: cfg.Name, Deployment: deployment,
--- a/cmd/plankrouter/succession.go
+++ b/cmd/plankrouter/succession.go
@@ -175,7 +175,7 @@
 		return
 	}
 	log.Printf("name=%s handover=passing successor=%d", p.cfg.Name, to.Pid())
-	if p.meeting() != "" {
+	if meeting(p.getenv) != "" {
 		p.budget.Limit(p.places / shareIdle)
 		defer p.budget.Limit(p.places) // if it serves on
 	}
@@ -185,7 +185,7 @@
 	case <-left:
 		if err := to.Done(); err == nil {
 			log.Printf("name=%s handover=done successor=%d", p.cfg.Name, to.Pid())
-			if ctx.Err() != nil && p.meeting() == "" { // told to stop when it was too late to call the handover off: the service was meant
+			if ctx.Err() != nil && meeting(p.getenv) == "" { // told to stop when it was too late to call the handover off: the service was meant
 				log.Printf("name=%s handover=told_to_stop successor=%d err=%v", p.cfg.Name, to.Pid(),
 					syscall.Kill(to.Pid(), syscall.SIGTERM))
 			}
@@ -219,18 +219,18 @@
 const shareIdle = 4
 
 // meeting is the folder in which two processes of this sidecar meet, where the platform starts the second one; "" = it does not.
-func (p *program) meeting() string {
-	if p.getenv(handover.ListenVariable) == "" {
+func meeting(getenv func(string) string) string {
+	if getenv(handover.ListenVariable) == "" {
 		return ""
 	}
-	return p.getenv("TMPDIR")
+	return getenv("TMPDIR")
 }
 
 // succeed makes this process the sidecar's only one, and the one that a second process finds.
 func (p *program) succeed(ctx context.Context, group *errgroup.Group) {
 	p.budget.Limit(p.places)
 	p.core.Elsewhere(nil)
-	folder := p.meeting()
+	folder := meeting(p.getenv)
 	if folder == "" {
 		return
 	}
--- a/internal/core/bans.go
+++ b/internal/core/bans.go
@@ -16,27 +16,13 @@
 // Ban lays operators' word over the list from now on, in place of the earlier one, and returns once it is in force, or once
 // the pool has stopped.
 func (s *Pool) Ban(set bans.Set) {
-	done := make(chan struct{})
-	if s.send(banning{set, done}) {
-		select {
-		case <-done:
-		case <-s.stopped:
-		}
-	}
+	ask(s, func(done chan<- struct{}) event { return banning{set, done} })
 }
 
 // Listed reports whether the list has a provider of that id, in whatever phase.
 func (s *Pool) Listed(provider string) bool {
-	to := make(chan bool, 1)
-	if !s.send(finding{provider, to}) {
-		return false
-	}
-	select {
-	case is := <-to:
-		return is
-	case <-s.stopped:
-		return false
-	}
+	is, _ := ask(s, func(to chan<- bool) event { return finding{provider, to} })
+	return is
 }
 
 func (e finding) apply(s *Pool) {
--- a/internal/core/change.go
+++ b/internal/core/change.go
@@ -20,15 +20,11 @@
 
 // Change takes other settings, or none of them, and returns once they are in force.
 func (s *Pool) Change(c Change) error {
-	done := make(chan error, 1)
-	if s.send(changing{c, done}) {
-		select {
-		case err := <-done:
-			return err
-		case <-s.stopped:
-		}
+	err, ok := ask(s, func(done chan<- error) event { return changing{c, done} })
+	if !ok {
+		return errStopped
 	}
-	return errStopped
+	return err
 }
 
 func (e changing) apply(s *Pool) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,7 +56,8 @@
 	Trace func(format string, args ...any)
 	// Saw is told what is seen of providers that bears on the list. It must not block; nil = nobody is.
 	Saw func(provider string, sign freshness.Sign)
-	// Targets is told now and then how many providers are listed, and how many of those are left out. It must not block; nil = nobody is.
+	// Targets is told now and then how many providers are listed, and how many of those are left out. It must not block;
+	// nil = nobody is.
 	Targets func(listed, leftOut int)
 	// Bans are the operators' word at the start.
 	Bans bans.Set
@@ -192,7 +193,8 @@
 	}
 	s := &Pool{set: o, bans: o.Bans, bal: bal, clock: newClock(), zones: map[string]int{}, stopped: make(chan struct{}),
 		events: make(chan event, eventsAhead), held: map[logic.RequestID]*held{},
-		byInv: map[*invocation.Invocation]logic.RequestID{}, open: map[string]bool{}, calls: map[uint64]*attempt{}, uploads: map[uint64]*attempt{},
+		byInv: map[*invocation.Invocation]logic.RequestID{}, open: map[string]bool{},
+		calls: map[uint64]*attempt{}, uploads: map[uint64]*attempt{},
 		providers: map[logic.ServerID]*known{}, serverIDs: map[string]logic.ServerID{},
 		numbers: map[logic.ServerID]bool{}}
 	s.classes, s.tenants = upTo(len(o.Logic.Classes)), upTo(len(o.Logic.Tenants))
@@ -303,13 +305,8 @@
 
 // Counts asks for the present figures; after Run has ended it reads the last ones.
 func (s *Pool) Counts() Counts {
-	to := make(chan Counts, 1)
-	if s.send(reading{to}) {
-		select {
-		case c := <-to:
-			return c
-		case <-s.stopped:
-		}
+	if c, ok := ask(s, func(to chan<- Counts) event { return reading{to} }); ok {
+		return c
 	}
 	return s.counts
 }
@@ -318,15 +315,8 @@
 
 // Open returns the consumers' ids of what has no final answer yet.
 func (s *Pool) Open() []string {
-	to := make(chan []string, 1)
-	if s.send(asking{to}) {
-		select {
-		case ids := <-to:
-			return ids
-		case <-s.stopped:
-		}
-	}
-	return nil
+	ids, _ := ask(s, func(to chan<- []string) event { return asking{to} })
+	return ids
 }
 
 func (e asking) apply(s *Pool) { e.to <- slices.Collect(maps.Keys(s.open)) }
--- a/internal/core/learned.go
+++ b/internal/core/learned.go
@@ -14,15 +14,8 @@
 // Snapshot returns what the sidecar has learned, or nil if it has stopped. Who listens to which directory is filled in by
 // the caller.
 func (s *Pool) Snapshot() *snapshot.Snapshot {
-	to := make(chan *snapshot.Snapshot, 1)
-	if s.send(taking{to}) {
-		select {
-		case snap := <-to:
-			return snap
-		case <-s.stopped:
-		}
-	}
-	return nil
+	snap, _ := ask(s, func(to chan<- *snapshot.Snapshot) event { return taking{to} })
+	return snap
 }
 
 func (e taking) apply(s *Pool) { e.to <- s.snapshot(time.Now()) }
--- a/internal/handover/meet.go
+++ b/internal/handover/meet.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -20,6 +21,32 @@
 	longestPath  = 100 // of a Unix socket, with something to spare
 )
 
+// ListenVariable names, in a process's environment, the descriptor of the listening socket that a platform holds for it and
+// for whoever runs beside or after it.
+const ListenVariable = "GW_LISTEN_FD"
+
+// Held returns the listener that ListenVariable names; nil and nil if there is none. It has to listen on address, which is
+// what this process is told to listen on. Closing it leaves the platform's socket open.
+func Held(getenv func(string) string, address string) (*net.TCPListener, error) {
+	name := getenv(ListenVariable)
+	if name == "" {
+		return nil, nil
+	}
+	fd, err := strconv.Atoi(name)
+	if err != nil || fd < 3 {
+		return nil, fmt.Errorf("%s=%q: not the number of an inherited descriptor", ListenVariable, name)
+	}
+	l, err := tcpListener(os.NewFile(uintptr(fd), ListenVariable))
+	if err != nil {
+		return nil, fmt.Errorf("%s=%s: %w", ListenVariable, name, err)
+	}
+	if at := l.Addr().String(); at != address {
+		l.Close()
+		return nil, fmt.Errorf("%s=%s: it listens on %s, but listen says %s", ListenVariable, name, at, address)
+	}
+	return l, nil
+}
+
 // place is the socket in folder, by a path that is short enough; done is to be called when it is no longer needed.
 func place(folder string) (path string, done func(), err error) {
 	path = filepath.Join(folder, meetingPlace)
--- a/internal/handover/systemd.go
+++ b/internal/handover/systemd.go
@@ -26,32 +26,6 @@
 	return l, nil
 }
 
-// ListenVariable names, in a process's environment, the descriptor of the listening socket that a platform holds for it and
-// for whoever runs beside or after it.
-const ListenVariable = "GW_LISTEN_FD"
-
-// Held returns the listener that ListenVariable names; nil and nil if there is none. It has to listen on address, which is
-// what this process is told to listen on. Closing it leaves the platform's socket open.
-func Held(getenv func(string) string, address string) (*net.TCPListener, error) {
-	name := getenv(ListenVariable)
-	if name == "" {
-		return nil, nil
-	}
-	fd, err := strconv.Atoi(name)
-	if err != nil || fd < 3 {
-		return nil, fmt.Errorf("%s=%q: not the number of an inherited descriptor", ListenVariable, name)
-	}
-	l, err := tcpListener(os.NewFile(uintptr(fd), ListenVariable))
-	if err != nil {
-		return nil, fmt.Errorf("%s=%s: %w", ListenVariable, name, err)
-	}
-	if at := l.Addr().String(); at != address {
-		l.Close()
-		return nil, fmt.Errorf("%s=%s: it listens on %s, but listen says %s", ListenVariable, name, at, address)
-	}
-	return l, nil
-}
-
 // Notify tells the supervisor a state by systemd's protocol (sd_notify(3)): READY=1 once a first process serves,
 // STOPPING=1 when it is told to end. Done tells MAINPID by itself. Where NOTIFY_SOCKET is not set it does nothing.
 func Notify(state string) error {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -111,7 +111,7 @@
 	Status   int
 	Header   Header
 	Body     []byte
-	Rest     Stream // what follows Body, if that is not all; nil = it is
+	Rest     invocation.Stream // what follows Body, if that is not all; nil = it is
 	Close    bool
 	Bodiless bool // it answers HEAD: Header says what a body would have had
 }
@@ -267,12 +267,6 @@
 	return r, err
 }
 
-// Stream is a body that flows.
-type Stream interface {
-	io.Reader      // io.EOF = it was whole
-	Length() int64 // of what is left; -1 = that is not known
-}
-
 // framing says how long a body is.
 type framing struct {
 	chunked, sized bool
--- a/internal/invocation/invocation.go
+++ b/internal/invocation/invocation.go
@@ -2,7 +2,10 @@
 // one protocol: a second front, or a library inside an application, speaks to the core in the same words.
 package invocation
 
-import "time"
+import (
+	"io"
+	"time"
+)
 
 // Field is one named attribute that travels with an invocation or its answer.
 type Field struct{ Name, Value string }
@@ -27,17 +30,21 @@
 	Answer func(Answer)
 }
 
+// Stream is a body that flows.
+type Stream interface {
+	io.Reader      // io.EOF = it was whole
+	Length() int64 // of what is left; -1 = that is not known
+}
+
 // Source is a body that the consumer still sends. One attempt at a time reads it.
 type Source interface {
-	Read(p []byte) (int, error) // io.EOF = it was whole
-	Length() int64              // of what is left; -1 = that is not known
-	Spent() bool                // something of it was read: it can't be sent again
+	Stream
+	Spent() bool // something of it was read: it can't be sent again
 }
 
 // Flow is an answer's body that the provider still sends.
 type Flow interface {
-	Read(p []byte) (int, error) // io.EOF = it was whole
-	Length() int64              // of what is left; -1 = that is not known
+	Stream
 	// Close ends it, whole or not; only the first call counts. Any goroutine may call it, and a Read under way ends soon.
 	Close(whole bool)
 }
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -14,6 +14,7 @@
 	"plankrouter/internal/caller"
 	"plankrouter/internal/ending"
 	"plankrouter/internal/http1"
+	"plankrouter/internal/invocation"
 	"plankrouter/internal/sockets"
 )
 
@@ -210,7 +211,7 @@
 
 // download is the rest of a long answer. Who has it reads it straight from the connection, whose goroutine waits meanwhile.
 type download struct {
-	http1.Stream
+	invocation.Stream
 	conn  *conn
 	once  sync.Once
 	whole bool
--- a/logic/api.go
+++ b/logic/api.go
@@ -146,7 +146,7 @@
 	Final   bool // the request is answered: nothing more is owed
 	Full    bool // Servers is the whole list
 	Again   bool // the client marked the request as a repetition
-	Spent   bool // with AttemptDone: the request\'s body is gone, so that it can\'t be sent again
+	Spent   bool // with AttemptDone: the request's body is gone, so that it can't be sent again
 	Attempt int
 	Request RequestID
 	Server  ServerID
