The pace of bodies decided without sockets, operators' orders without a context that nothing obeyed

Read again: whether a body that comes slowly is slow or bad was decided in the consumers' front, among its sockets; it is flow.Pace now, without a clock, with a table of its own. admin handed orders a context that the program ignored, and said that they end with it: they don't, and are short, so it is gone. No behaviour or bound changed.

--- a/cmd/plankrouter/operators.go
+++ b/cmd/plankrouter/operators.go
@@ -81,17 +81,17 @@
 func (p *program) Figures() figures.Figures { return p.book.Read() }
 
 // Disable takes a provider out, for all processes of this sidecar.
-func (p *program) Disable(ctx context.Context, id string) error {
-	return p.order(ctx, "disable", id, (*bans.Set).Disable)
+func (p *program) Disable(id string) error {
+	return p.order("disable", id, (*bans.Set).Disable)
 }
 
 // Enable puts it back.
-func (p *program) Enable(ctx context.Context, id string) error {
-	return p.order(ctx, "enable", id, (*bans.Set).Enable)
+func (p *program) Enable(id string) error {
+	return p.order("enable", id, (*bans.Set).Enable)
 }
 
 // order changes the bans, and returns once the change is in force here.
-func (p *program) order(_ context.Context, what, id string, how func(*bans.Set, string, float64, bool) error) error {
+func (p *program) order(what, id string, how func(*bans.Set, string, float64, bool) error) error {
 	listed, now := p.core.Listed(id), config.Millis(time.Duration(time.Now().UnixNano()))
 	set, err := p.bans.Change(func(s *bans.Set) error { return how(s, id, now, listed) })
 	if err != nil {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -28,17 +28,17 @@
 	MostConns = 16
 
 	callWithin   = 2 * time.Second        // for the whole call; who sends half of one is owed nothing
-	answerWithin = 800 * time.Millisecond // operators wait for a second
+	answerWithin = 800 * time.Millisecond // for writing the answer: operators wait for a second
 	lingerFor    = 200 * time.Millisecond
 	acceptPause  = 5 * time.Millisecond
 )
 
-// Operations are what operators may ask for. They end with ctx.
+// Operations are what operators may ask for. None may wait for a peer.
 type Operations interface {
 	Ready() bool // a request would be served
 	Figures() figures.Figures
-	Disable(ctx context.Context, id string) error // nothing more to that provider; bans.ErrUnknown
-	Enable(ctx context.Context, id string) error  // and put back; bans.ErrUnknown
+	Disable(id string) error // nothing more to that provider; bans.ErrUnknown
+	Enable(id string) error  // and put back; bans.ErrUnknown
 }
 
 // Server is the front.
@@ -86,7 +86,7 @@
 		s.mu.Unlock()
 		s.running.Go(func() error {
 			defer context.AfterFunc(ctx, func() { c.Close() })()
-			s.serve(ctx, c, e)
+			s.serve(c, e)
 			return nil
 		})
 	}
@@ -114,7 +114,7 @@
 }
 
 // serve reads the call and answers it.
-func (s *Server) serve(ctx context.Context, c net.Conn, e *list.Element) {
+func (s *Server) serve(c net.Conn, e *list.Element) {
 	defer func() {
 		c.Close()
 		s.mu.Lock()
@@ -142,9 +142,7 @@
 	var resp http1.Response
 	switch {
 	case err == nil:
-		ctx, cancel := context.WithTimeout(ctx, answerWithin)
-		defer cancel()
-		resp = s.answer(ctx, req)
+		resp = s.answer(req)
 	case errors.Is(err, http1.ErrMalformed):
 		resp = said(400, err.Error())
 	case errors.Is(err, os.ErrDeadlineExceeded) && br.Buffered() > 0:
@@ -171,13 +169,13 @@
 }
 
 // answer carries out a call.
-func (s *Server) answer(ctx context.Context, req *http1.Request) http1.Response {
+func (s *Server) answer(req *http1.Request) http1.Response {
 	target := req.Target
 	if u, err := url.Parse(target); err == nil && u.Host != "" { // the absolute form
 		target = u.RequestURI()
 	}
 	path, query, _ := strings.Cut(target, "?")
-	method, act := "GET", (func(context.Context, string) error)(nil)
+	method, act := "GET", (func(string) error)(nil)
 	switch path {
 	case "/ready", "/metrics":
 	case "/tile-servers/disable":
@@ -194,7 +192,7 @@
 	}
 	switch {
 	case act != nil:
-		return order(ctx, query, act)
+		return order(query, act)
 	case path == "/metrics":
 		b, err := jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(s.ops.Figures())
 		if err != nil {
@@ -208,7 +206,7 @@
 }
 
 // order carries out an operator's word on the provider that the query names.
-func order(ctx context.Context, query string, act func(context.Context, string) error) http1.Response {
+func order(query string, act func(string) error) http1.Response {
 	values, err := url.ParseQuery(query)
 	if err != nil {
 		return said(400, "query: "+err.Error())
@@ -217,7 +215,7 @@
 	if len(ids) != 1 || ids[0] == "" {
 		return said(400, "target: give the id of one tile server, as ?target=ID")
 	}
-	switch err := act(ctx, ids[0]); {
+	switch err := act(ids[0]); {
 	case errors.Is(err, bans.ErrUnknown):
 		return said(404, "target: "+err.Error())
 	case err != nil:
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -29,9 +29,6 @@
 	lookEvery   = 2 * time.Second         // whether an idle connection may stay; one that has brought nothing yet may not
 	headWithin  = 2700 * time.Millisecond // for a request's head, from its first byte
 	firstWithin = 2700 * time.Millisecond // for the first one's, from its connection's begin
-	pauseMost   = 1200 * time.Millisecond // within a body,
-	paceLeast   = 24 << 10                // bytes a second of it, at least,
-	paceAfter   = 2 * time.Second         // after this
 	idleMost    = time.Minute
 	writeWithin = 10 * time.Second // for an answer, or for each piece of a long one
 	lingerMost  = 128 << 10
@@ -298,7 +295,7 @@
 	request *figures.Request   // its count,
 	kept    int                // and the bytes that it holds of the bounds
 	upload  *upload            // the rest of its body; nil = it is there
-	paced   *pace              // of the body that is being read; nil = none is
+	paced   *flow.Pace         // of the body that is being read; nil = none is
 	idleAt  time.Time          // since when no message is under way; guarded by server.mu
 	answers chan answer        // at most one is under way; nil = no writer yet
 	written chan ending.Ending // how writing it ended; Open = the connection goes on
--- a/internal/consumer/long.go
+++ b/internal/consumer/long.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"plankrouter/internal/ending"
+	"plankrouter/internal/flow"
 	"plankrouter/internal/http1"
 	"plankrouter/internal/invocation"
 )
@@ -80,26 +81,12 @@
 	}
 }
 
-// pace says until when more of a body must have come.
-type pace struct {
-	began time.Time
-	got   int64
-}
-
-func (p *pace) until(now time.Time) time.Time {
-	least := p.began.Add(paceAfter + time.Duration(p.got)*time.Second/paceLeast)
-	if pause := now.Add(pauseMost); pause.Before(least) {
-		return pause
-	}
-	return least
-}
-
 // Read reads from the socket, and gives a body that goes on its time.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.socket.Read(p)
 	if c.paced != nil && n > 0 {
-		c.paced.got += int64(n)
-		c.socket.Extend(c.paced.until(time.Now()))
+		c.paced.Got += int64(n)
+		c.socket.Extend(c.paced.Until(time.Now()))
 	}
 	return n, err
 }
@@ -131,8 +118,8 @@
 func (c *conn) readBody(req *http1.Request) error {
 	if req.Length() < 0 || req.Length() > int64(c.br.Buffered()) {
 		now := time.Now()
-		c.paced = &pace{began: now}
-		c.socket.Extend(c.paced.until(now))
+		c.paced = &flow.Pace{Began: now}
+		c.socket.Extend(c.paced.Until(now))
 	}
 	return req.ReadFirst(c.br)
 }
@@ -144,7 +131,7 @@
 type upload struct {
 	conn *conn
 	body *http1.Body
-	pace *pace
+	pace *flow.Pace
 
 	spent  atomic.Bool
 	seized atomic.Bool
@@ -173,7 +160,7 @@
 	}
 	u.spent.Store(true)
 	u.conn.paced = u.pace
-	u.conn.socket.Extend(u.pace.until(time.Now()))
+	u.conn.socket.Extend(u.pace.Until(time.Now()))
 	n, err := u.body.Read(p)
 	if err == nil && u.body.Length() == 0 {
 		err = io.EOF
@@ -252,7 +239,7 @@
 	}
 	if u.err == errSeized {
 		c.paced = u.pace
-		c.socket.Extend(u.pace.until(time.Now()))
+		c.socket.Extend(u.pace.Until(time.Now()))
 		_, err := io.Copy(io.Discard, u.body)
 		if c.paced = nil; err != nil || !c.socket.Busy() || c.socket.SetReadDeadline(time.Time{}) != nil {
 			return ending.BadInput
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -1,6 +1,9 @@
 package flow
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // All streams that the sockets allow have their buffer within an eighth of the memory, or a small one where that is too
 // little; and what is kept whole stays within a quarter.
@@ -26,3 +29,20 @@
 		}
 	}
 }
+
+// 64 kB a second in pieces is slow, a pause or a trickle is bad.
+func TestPace(t *testing.T) {
+	began := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		got       int64
+		now, want time.Duration
+	}{
+		{0, 0, pauseMost}, {100, 1900 * time.Millisecond, 2004 * time.Millisecond}, // a trickle: 2 s in all
+		{640 << 10, 10 * time.Second, 10*time.Second + pauseMost}, {24 << 10, 2900 * time.Millisecond, 3 * time.Second},
+	} {
+		p := Pace{Began: began, Got: tc.got}
+		if got := p.Until(began.Add(tc.now)).Sub(began).Round(time.Millisecond); got != tc.want {
+			t.Errorf("%d bytes after %s: until %s, want %s", tc.got, tc.now, got, tc.want)
+		}
+	}
+}
