Past the age at which a list is sure, servers vouch for themselves by probes

Nothing compared the list's age with anything: logic.allowed took the list's word for ever.

What draining servers answered lies in line with the protocol (503).

Change: freshness.Keeper tells until when the list in force is all that counts as told (3 s after the first unanswered call with the platform's wait, 6 s after the last answer where none waits); directory passes it on before each call; past that, less the drain's grace and the time for a connection, logic sends only where a probe was answered within 2.3 s, and a request that finds none has two probes of its own whatever is saved up (limit.Awaited). Sum: two more probes for each such request, whose answers serve the next ones. Where there are no probes the list stays in force, as before.

--- a/internal/core/change.go
+++ b/internal/core/change.go
@@ -28,7 +28,7 @@
 }
 
 func (e changing) apply(s *Pool) {
-	err := s.bal.Reconfigure(e.Logic, e.Classes.From, e.Tenants.From)
+	err := s.bal.Reconfigure(vouching(e.Logic, e.DrainGrace), e.Classes.From, e.Tenants.From)
 	if err == nil {
 		s.set.Logic, s.set.Deployment, s.set.DrainGrace = e.Logic, e.Deployment, e.DrainGrace
 		s.classes, s.tenants = e.Classes.Order, e.Tenants.Order
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,7 @@
 	goneMost     = 64                     // deleted providers that the next process is told of
 	flowMost     = 10 * time.Minute       // for a request whose body is still being sent
 	flowMargin   = 15 * time.Millisecond  // before its consumer stops waiting, once it was sent
+	doubtLead    = 250 * time.Millisecond // before a list too old to be sure of counts: a connection may have to come up first
 	graceMargin  = 100 * time.Millisecond // before the end of a drain's grace: a first byte may take its time
 )
 
@@ -157,6 +158,7 @@
 	}
 	flowed   struct{ number uint64 }
 	told     members.List
+	sure     struct{ until time.Time }
 	taking   struct{ to chan<- *snapshot.Snapshot }
 	stopNow  struct{ plan stopping.Plan }
 	changing struct {
@@ -178,7 +180,7 @@
 
 // New returns a Pool that does nothing until Run is called; what is sent to it waits.
 func New(o Options) (*Pool, error) {
-	bal, err := logic.New(o.Logic, o.Seed)
+	bal, err := logic.New(vouching(o.Logic, o.DrainGrace), o.Seed)
 	if err != nil {
 		return nil, err
 	}
@@ -289,6 +291,20 @@
 // Told takes news from the directory.
 func (s *Pool) Told(l members.List) { s.send(told(l)) }
 
+// Sure takes until when the list is all that counts as told.
+func (s *Pool) Sure(until time.Time) { s.send(sure{until}) }
+
+func (e sure) apply(s *Pool) {
+	s.step(logic.Event{Kind: logic.Sure, Left: millis(time.Until(e.until) + s.set.DrainGrace - doubtLead)})
+}
+
+// vouching adds to the module's settings for how long a probe's answer, of which it knows only when it came, stands for a
+// list that is not sure.
+func vouching(cfg logic.Config, grace time.Duration) logic.Config {
+	cfg.Vouched = millis(freshness.Vouched + grace - doubtLead - probeTimeout)
+	return cfg
+}
+
 // Stopping says that the process has been told to stop: what comes in from now on is answered in time for that.
 func (s *Pool) Stopping(plan stopping.Plan) { s.send(stopNow{plan}) }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -194,3 +194,30 @@
 		}
 	})
 }
+
+// Once the list is not sure a provider gets a probe and no request, until it has answered one.
+func TestUnsureListGetsProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, err := New(Options{Logic: logic.Config{MaxAttempts: 1, Cancel: true, Probes: true,
+			Classes: []logic.Class{{Aim: 100, Deadline: 1000}}}, Caller: refusing{}, DrainGrace: 750 * time.Millisecond,
+			Known: members.List{Members: []members.Member{{ID: "a", Address: "a:1", Phase: members.Serving},
+				{ID: "b", Address: "b:1", Phase: members.Serving}}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go s.Run(ctx)
+		s.Sure(time.Now().Add(time.Second))
+		for i, want := range []int{1, 1} {
+			inv := &invocation.Invocation{ID: fmt.Sprint(i), Patience: time.Second, SentAt: time.Now(),
+				Answer: func(invocation.Answer) {}}
+			s.Take(inv)
+			time.Sleep(2 * time.Second)
+			if c := s.Counts(); c.Sent != want || c.Probes == 0 {
+				t.Errorf("request %d: %d sent, want %d; %d probes", i, c.Sent, want, c.Probes)
+			}
+		}
+		cancel()
+		<-s.Stopped()
+	})
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -52,6 +52,7 @@
 	Anew    bool         // and if the revision of Known is not one that the directory has told
 	Budget  *sockets.Budget
 	Told    func(members.List)               // takes each answer that tells anything, in order
+	Sure    func(time.Time)                  // takes, before each call, until when the list is sure: see freshness; nil = nobody
 	Logf    func(format string, args ...any) // nil = nothing is logged
 	Trace   func(format string, args ...any) // logs a line for every call; nil = none
 }
@@ -65,6 +66,9 @@
 	if o.Logf == nil {
 		o.Logf = func(string, ...any) {}
 	}
+	if o.Sure == nil {
+		o.Sure = func(time.Time) {}
+	}
 	w := &Watch{set: o, keeper: keeper, revision: o.Known.Revision, address: o.Address, at: o.Address,
 		source: o.Address, first: make(chan struct{})}
 	known := o.Known
@@ -111,8 +115,8 @@
 	}
 }
 
-// begin returns the next call, and a context that ends when it is to be left.
-func (w *Watch) begin(ctx context.Context) (context.Context, freshness.Call) {
+// begin returns the next call, a context that ends when it is to be left, and until when the list is sure.
+func (w *Watch) begin(ctx context.Context) (context.Context, freshness.Call, time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	ctx, w.leave = context.WithCancel(ctx)
@@ -121,14 +125,16 @@
 		w.keeper.Moved()
 		w.at = w.address
 	}
-	return ctx, w.keeper.Next(time.Now())
+	c := w.keeper.Next(time.Now())
+	return ctx, c, w.keeper.Sure()
 }
 
 // Run watches until ctx ends.
 func (w *Watch) Run(ctx context.Context) error {
 	defer w.hangUp()
 	for ctx.Err() == nil {
-		here, c := w.begin(ctx)
+		here, c, sure := w.begin(ctx)
+		w.set.Sure(sure)
 		select {
 		case <-here.Done():
 		case <-time.After(c.After): // none after an answer: a watch goes on only if the next call comes within 200 ms
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -30,7 +30,13 @@
 	callerQueue = 50 * time.Millisecond   // where calls wait in turn, one waits for all others, 20 a second;
 	callerBound = 30 * time.Second        // and nobody waits longer than this,
 	callerFirst = 5 * time.Second         // nor for a first call or a first retry than this;
-	callerTold  = 1900 * time.Millisecond // what there is to tell counts as told 2 s after the end of a call's wait
+	callerTold  = 1900 * time.Millisecond // a little less than toldAfter
+)
+
+// What the directory has to tell counts as told some time later, whether or not it arrives: the platform's protocol.
+const (
+	toldWithin = 6 * time.Second // of a change, while no call waits for it
+	toldAfter  = 2 * time.Second // after the end of a call's wait
 )
 
 // Settings bound what is asked of the directory. What asking costs there decides on them: an agent on the own machine is
@@ -116,6 +122,9 @@
 	started  bool          // the first call is made
 	failures int           // in a row
 	full     bool          // the directory has turned a call away, and answered no watch since
+	asOf     time.Time     // what the directory had to tell until then has arrived
+	sure     time.Time     // no later change counts as told before; zero = no call since the last answer
+	began    time.Time     // of the present call
 	lateAt   time.Time     // from when on the present call's answer is overdue
 	turnAt   time.Time     // from when on evidence counts though it is not
 	late     time.Duration // mean time that an answer takes beyond its wait
@@ -161,9 +170,28 @@
 		c.Within += c.Wait
 	}
 	k.lateAt = now.Add(c.After + c.Wait + k.set.LeastPatience)
+	if k.asOf.IsZero() { // the list to begin with: how old it is nobody says
+		k.asOf = now
+	}
+	k.began = now.Add(c.After)
+	until := k.asOf.Add(toldWithin)
+	if !c.Whole && k.failures == 0 {
+		until = k.began.Add(c.Wait + toldAfter)
+	}
+	if k.sure.IsZero() || until.Before(k.sure) { // the first call that was not answered decides
+		k.sure = until
+	}
 	return c
 }
 
+// Sure is the time until which the list in force is all that counts as told. After that a provider that it names as in
+// service may have begun to drain, and the word of it may count although it never came: see Vouched.
+func (k *Keeper) Sure() time.Time { return k.sure }
+
+// Vouched is for how long a provider that answers a probe as one in service vouches for itself, whatever the list. One that
+// drains turns probes away, so that it began to drain later, and no word of a change counts as told sooner than this.
+const Vouched = toldAfter
+
 func wait(first, most time.Duration, nth int, random float64) time.Duration {
 	p := backoff.Policy{First: float64(first), Most: float64(most), Factor: 2, Jitter: 0.5}
 	return time.Duration(p.Wait(nth, random))
@@ -185,11 +213,13 @@
 // Answered takes note of an answer to c that came after took, whatever it said.
 func (k *Keeper) Answered(c Call, took time.Duration) {
 	k.failures = 0
+	k.asOf, k.sure = k.began, time.Time{}
 	k.whole = k.whole && !c.Whole
 	k.full = k.full && c.Whole // a whole list that was there already says nothing of the room for a watch
 	if took < c.Wait {         // there was news: how late an answer is, it does not say
 		return
 	}
+	k.asOf = k.began.Add(c.Wait) // there was none until then
 	late := took - c.Wait
 	if !k.known {
 		k.known, k.late, k.spread = true, late, late/2
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -308,3 +308,51 @@
 		t.Error("what is owed since a failure is forgotten")
 	}
 }
+
+// Until when the list is sure, by what became of the calls since its last answer: each told as its age when it was made, how
+// long it may wait, and what followed. What is left of the fate of the last call is what the next one finds.
+func TestHowLongTheListIsSure(t *testing.T) {
+	type fate func(*Keeper, Call)
+	answered := func(k *Keeper, c Call) { k.Answered(c, c.Wait+2*ms) }
+	news := func(k *Keeper, c Call) { k.Answered(c, c.Wait/2) }
+	lost := func(k *Keeper, c Call) { k.Failed() }
+	full := func(k *Keeper, c Call) { k.TurnedAway() }
+	left := func(*Keeper, Call) {}
+	for _, c := range []struct {
+		name  string
+		fates []fate        // of one call a second
+		want  time.Duration // from the start, less what is left to chance of a wait
+	}{
+		{"the first call is out", nil, 3 * time.Second},
+		{"each is answered", []fate{answered, answered, answered}, 6 * time.Second},
+		{"each brings news", []fate{news, news, news}, 6 * time.Second},
+		{"the first is lost", []fate{lost}, 3 * time.Second},
+		{"all are lost", []fate{answered, lost, lost, lost, lost}, 4 * time.Second},
+		{"all are turned away", []fate{answered, full, full, full, full}, 4 * time.Second},
+		{"it is left for another", []fate{answered, left}, 4 * time.Second},
+		{"found again", []fate{lost, lost, answered}, 6 * time.Second},
+	} {
+		k, now := keeper(t, 4), time.Unix(1e9, 0)
+		for i, f := range append(c.fates, left) {
+			call := k.Next(now.Add(time.Duration(i) * time.Second))
+			f(k, call)
+		}
+		within(t, c.name, k.Sure().Sub(now), c.want-100*ms, c.want+100*ms)
+	}
+	set := usual
+	set.Wait, set.LeastWait = 20*time.Second, 10*time.Second
+	k, err := New(set, 1, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1e9, 0)
+	if k.Next(now); k.Sure().Sub(now) != toldWithin {
+		t.Errorf("a whole list is out: sure for %s", k.Sure().Sub(now))
+	}
+	k.Answered(Call{Whole: true}, ms)
+	k.Next(now)
+	within(t, "a call that may wait for long", k.Sure().Sub(now), 20*time.Second, 22*time.Second)
+	k.TurnedAway()
+	k.Next(now)
+	within(t, "that was turned away", k.Sure().Sub(now), toldWithin, toldWithin)
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -13,6 +13,8 @@
 	probeWorth  = 0.02 // of a request's worth, lost for want of news at one probe a request; at r probes the r-th part
 	poolGrowth  = 1.0  // the paper's testbed delta: net growth of the pool a request
 	usesMost    = 3.0  // uses of an entry where the paper's formula has no positive divisor
+	SyncProbes  = 4    // of a request that waits for their answers; the paper's d
+	leastProbes = 2    // of one that can't do without
 	LeastReach  = 4    // servers among which an instance chooses, at least
 	connections = 128  // instances that may normally connect to one server; few hundred connections slow one
 )
@@ -41,6 +43,20 @@
 // Dear reports whether the price alone keeps probes below what the design would send: then none is sent out of turn.
 func Dear(price float64) bool { return price*MostProbes*MostProbes > probeWorth }
 
+// Awaited is how many probes a request may send whose answers it waits for. Where they are dear there are those that requests
+// have saved up or may borrow. Where the list is not sure there are always two: then all instances send two more at most
+// for each request that finds no server which has answered lately, and its answers serve the next ones.
+func Awaited(saved float64, dear, unsure bool) int {
+	n := SyncProbes
+	if dear {
+		n = max(0, min(n, int(saved)))
+	}
+	if unsure {
+		n = max(n, leastProbes)
+	}
+	return n
+}
+
 // Reach is the number of servers among which one of so many instances chooses: at one server, connections instances meet,
 // or all there are, or LeastReach/servers of them where that is more.
 func Reach(servers, instances int) int {
--- a/logic/api.go
+++ b/logic/api.go
@@ -75,6 +75,8 @@
 	CrossPrice  float64 // part of a request's worth that an attempt in another zone costs
 	WastePrice  float64 // the same for all work of the servers being in vain
 	ProbePrice  float64 // the same for one probe
+
+	Vouched Ms // for so long a probe's answer stands for a list that is not Sure, where there are probes
 }
 
 // EventKind names what has happened.
@@ -90,6 +92,7 @@
 	ClientGone                   // Request
 	TimerDue                     // Timer
 	ProbeDone                    // Server, Status, Took, Report
+	Sure                         // Left: for so long the list is; then servers count that have answered a probe lately
 	Flowing                      // Server: a long request is still on its way there
 )
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,7 +27,6 @@
 	tickEvery   = 50.0   // ms between looks at what moves without traffic
 	idleProbe   = 1000   // ms without any probe after which one is sent; an idle sidecar's only news
 	tickRetries = 2      // probes a tick of servers that were shut: their way back, which needs no request
-	syncProbes  = 4      // probes of a request that waits for their answers; the paper's d
 	probeDebt   = 10.0   // probes that may be borrowed where they are dear, before a refusal
 	syncRounds  = 2      // such waits for an attempt
 	syncPart    = 0.05   // of the tightest aim that one of them may take
@@ -99,16 +98,16 @@
 	waiting                         []*request // for answers of probes, in order of arrival
 	lastProbe                       Ms
 
-	fit                fit
-	medianMiss         float64
-	fleetLatency       Ms      // median service time
-	fracOwn, fracAll   float64 // own requests, and all, that probed servers held
-	buckets            []limit.Bucket
-	sendRate, arrivals limit.Rate
-	retries            float64
-	requests           map[RequestID]*request
-	shed               int // refused since lastLog
-	lastLog, bornAt    Ms
+	fit                     fit
+	medianMiss              float64
+	fleetLatency            Ms      // median service time
+	fracOwn, fracAll        float64 // own requests, and all, that probed servers held
+	buckets                 []limit.Bucket
+	sendRate, arrivals      limit.Rate
+	retries                 float64
+	requests                map[RequestID]*request
+	shed                    int // refused since lastLog
+	lastLog, bornAt, sureAt Ms  // until sureAt the list is all that counts as told
 }
 
 // New returns a Balancer for cfg whose random choices come from seed.
@@ -117,7 +116,7 @@
 		return nil, errors.New("logic: no request classes")
 	}
 	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), minAim: math.Inf(1),
-		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, hotRIF: math.Inf(1)}
+		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, hotRIF: math.Inf(1), sureAt: math.Inf(1)}
 	aims := 0.0
 	for i, c := range cfg.Classes {
 		if !(c.Aim > 0) || !(c.Deadline > 0) || c.Repeat > Unsafe || c.Scope > ScopeCell || c.Window < 0 {
@@ -393,10 +392,9 @@
 	if r.waits == 0 {
 		near = b.home()
 	}
-	n := syncProbes
+	n := limit.Awaited(b.probeDue+debt, b.sparse || limit.Dear(b.cfg.ProbePrice), b.unsure())
 	if b.sparse || limit.Dear(b.cfg.ProbePrice) { // then they come out of what requests have saved up
-		n = max(0, min(n, int(b.probeDue+debt)))
-		b.probeDue -= float64(n)
+		b.probeDue = max(b.probeDue-float64(n), -probeDebt)
 	}
 	if r.need = b.probe(n, near) - 1; r.need <= 0 {
 		return false
@@ -504,9 +502,13 @@
 
 // allowed: rules 2, 3 and 4 let the server have this request.
 func (b *Balancer) allowed(s *server, r *request) bool {
-	return s.info.Health == Ready && b.mayRepeatAt(s, r) && b.warmEnough(s)
+	return s.info.Health == Ready && b.mayRepeatAt(s, r) && b.warmEnough(s) &&
+		(!b.unsure() || b.now-s.reportAt < b.cfg.Vouched)
 }
 
+// unsure: what the list does not say may count as told, and probes can tell it; without them it stays in force.
+func (b *Balancer) unsure() bool { return b.now >= b.sureAt && b.cfg.Probes }
+
 // suits: not even for its tenant alone does the evidence exclude the server.
 func (b *Balancer) suits(s *server, r *request) bool {
 	return b.trusted(s) && s.by[r.who].Missed(b.now) < b.medianMiss+ejectAt
@@ -673,9 +675,8 @@
 	b.arrivals.Add(b.now)
 	b.retries = min(retryBurst, b.retries+retryPart)
 	class := min(max(0, e.Class), len(b.cfg.Classes)-1)
-	c := &b.cfg.Classes[class]
 	r := &request{id: e.Request, class: class, who: 1 + max(-1, min(e.Tenant, len(b.buckets)-1)),
-		aimAt: b.now + c.Aim, endAt: b.now + max(0, e.Left-b.margin)}
+		aimAt: b.now + b.cfg.Classes[class].Aim, endAt: b.now + max(0, e.Left-b.margin)}
 	b.requests[r.id] = r
 	b.timer(uint64(r.id), r.endAt-b.now)
 	b.tend(r)
@@ -939,6 +940,8 @@
 		b.onTimer(e)
 	case ProbeDone:
 		b.onProbe(e)
+	case Sure:
+		b.sureAt = b.now + e.Left
 	case Flowing:
 		b.byID[e.Server].quietAt = b.now
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -285,8 +285,8 @@
 				targets = append(targets, a.Server)
 			}
 		}
-		if find(acts, Send) != nil || len(targets) != syncProbes {
-			t.Fatalf("%s: did not wait for %d probes: %v", c.name, syncProbes, acts)
+		if find(acts, Send) != nil || len(targets) != limit.SyncProbes {
+			t.Fatalf("%s: did not wait for %d probes: %v", c.name, limit.SyncProbes, acts)
 		}
 		g.now += 5
 		var sent *Action
--- /dev/null
+++ b/logic/unsure_test.go
@@ -0,0 +1,60 @@
+package logic
+
+import "testing"
+
+// While the directory can't be heard a server may begin to drain at any time and the word of it count. A quiet sidecar among
+// many servers must still serve, and send only where a probe has been answered lately: one that drains turns it away.
+func TestUnsureListIsVouchedForByProbes(t *testing.T) {
+	for name, price := range map[string]float64{"dear": 0.08, "cheap": 0} {
+		cfg := testConfig()
+		cfg.ProbePrice, cfg.Vouched, cfg.Balancers = price, 2300, 300
+		g := newRig(t, cfg, 40)
+		g.do(Event{Kind: Sure, Left: 3650})
+		answered, drains, probes := map[ServerID]Ms{}, map[ServerID]bool{}, 0
+		var handle func([]Action) bool
+		handle = func(acts []Action) (sent bool) {
+			for _, a := range acts {
+				switch a.Kind {
+				case Send:
+					sent = true
+					if last, ok := answered[a.Server]; g.now >= 1000+3650 && (!ok || g.now-last >= 2300) {
+						t.Fatalf("%s, %.0f ms: sent to %d, which answered a probe at %.0f", name, g.now, a.Server, last)
+					}
+					g.do(Event{Kind: AttemptDone, Request: a.Request, Server: a.Server, Status: OK, Took: 40, Final: true})
+				case Probe:
+					probes++
+					e := Event{Kind: ProbeDone, Server: a.Server, Took: 1, Status: Failed}
+					if !drains[a.Server] {
+						answered[a.Server] = g.now
+						e.Status, e.Report = OK, Report{HasRIF: true, HasLatency: true, RIF: 1, Latency: 40}
+					}
+					sent = handle(g.do(e)) || sent
+				}
+			}
+			return sent
+		}
+		refused := 0
+		for id := range RequestID(200) {
+			if g.now += 350; id%10 == 0 {
+				drains[ServerID(1+id/10)] = true // half of them in the end
+			}
+			handle(g.do(Event{Kind: TimerDue, Timer: tickTimer}))
+			if !handle(g.do(Event{Kind: Arrival, Request: id, Left: 900})) {
+				refused++
+			}
+		}
+		if refused > 20 || probes > 3*200 && price > 0 {
+			t.Errorf("%s: %d of 200 were not sent, %d probes", name, refused, probes)
+		}
+		g.do(Event{Kind: Sure, Left: 3000})
+		if g.b.unsure() {
+			t.Errorf("%s: heard again, and not believed", name)
+		}
+	}
+	cfg := testConfig()
+	cfg.Probes = false
+	g := newRig(t, cfg, 4)
+	if g.do(Event{Kind: Sure, Left: -1}); find(g.arrive(1, 0), Send) == nil {
+		t.Error("without probes an old list serves nobody")
+	}
+}
