The list a sidecar starts with is not sure either, and only blind requests borrow probes

Need: a drain that was told nobody counts as told 6 s after it was made, also to a sidecar that was killed and restarted meanwhile with an older list.

freshness.Sure is now the zero time until something was heard. The two probes that are always allowed go to requests for which no server may be picked at all (decide's blind): in the pool's usual wait they would have brought up to 1.5 more probes a request for the first seconds of every sidecar. abandon sets done itself, as all three of its callers did.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -170,10 +170,10 @@
 		c.Within += c.Wait
 	}
 	k.lateAt = now.Add(c.After + c.Wait + k.set.LeastPatience)
+	k.began = now.Add(c.After)
 	if k.asOf.IsZero() { // the list to begin with: how old it is nobody says
-		k.asOf = now
+		return c
 	}
-	k.began = now.Add(c.After)
 	until := k.asOf.Add(toldWithin)
 	if !c.Whole && k.failures == 0 {
 		until = k.began.Add(c.Wait + toldAfter)
@@ -184,7 +184,8 @@
 	return c
 }
 
-// Sure is the time until which the list in force is all that counts as told. After that a provider that it names as in
+// Sure is the time until which the list in force is all that counts as told; zero for the one to begin with, whose age
+// nobody knows. After that a provider that it names as in
 // service may have begun to drain, and the word of it may count although it never came: see Vouched.
 func (k *Keeper) Sure() time.Time { return k.sure }
 
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -44,14 +44,15 @@
 func Dear(price float64) bool { return price*MostProbes*MostProbes > probeWorth }
 
 // Awaited is how many probes a request may send whose answers it waits for. Where they are dear there are those that requests
-// have saved up or may borrow. Where the list is not sure there are always two: then all instances send two more at most
-// for each request that finds no server which has answered lately, and its answers serve the next ones.
-func Awaited(saved float64, dear, unsure bool) int {
+// have saved up or may borrow. A request that may go nowhere without them, the list not being
+// sure, always sends two: so do all instances, for each that finds no server which has answered lately, and the answers serve
+// the next ones.
+func Awaited(saved float64, dear, blind bool) int {
 	n := SyncProbes
 	if dear {
 		n = max(0, min(n, int(saved)))
 	}
-	if unsure {
+	if blind {
 		n = max(n, leastProbes)
 	}
 	return n
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -383,7 +383,7 @@
 
 // await is the paper's synchronous mode, for a pool that is short: wait for all but one of the own probes.
 // Up to debt they may be borrowed from later requests: who is about to be refused needs them more.
-func (b *Balancer) await(r *request, debt float64) bool {
+func (b *Balancer) await(r *request, debt float64, blind bool) bool {
 	hold := max(2*b.cfg.Round, syncPart*b.minAim)
 	if b.ready < 2 || r.waits >= syncRounds || r.endAt-b.now < 2*hold {
 		return false
@@ -392,7 +392,7 @@
 	if r.waits == 0 {
 		near = b.home()
 	}
-	n := limit.Awaited(b.probeDue+debt, b.sparse || limit.Dear(b.cfg.ProbePrice), b.unsure())
+	n := limit.Awaited(b.probeDue+debt, b.sparse || limit.Dear(b.cfg.ProbePrice), blind)
 	if b.sparse || limit.Dear(b.cfg.ProbePrice) { // then they come out of what requests have saved up
 		b.probeDue = max(b.probeDue-float64(n), -probeDebt)
 	}
@@ -686,7 +686,7 @@
 
 // choose decides from the pool, or waits for answers where the pool is short.
 func (b *Balancer) choose(r *request) {
-	if _, n := b.best(r); n < min(2, b.ready) && b.mayRefuse(r) && b.await(r, 0) {
+	if _, n := b.best(r); n < min(2, b.ready) && b.mayRefuse(r) && b.await(r, 0, false) {
 		return
 	}
 	if r.attempts == 0 {
@@ -704,6 +704,7 @@
 // decide sends the request, waits for news of more servers, or gives up.
 func (b *Balancer) decide(r *request) {
 	s := b.pick(r)
+	blind := s == nil && b.unsure()
 	if s != nil && r.attempts == 0 && !b.admits(s, r) {
 		s = b.roomy(r)
 	} else if r.attempts > 0 && s != nil && b.expect(s, r.class, s.rif) >= r.endAt-b.now {
@@ -712,7 +713,7 @@
 	switch {
 	case s != nil:
 		b.send(r, s)
-	case (r.waits > 0 || b.sparse && r.attempts == 0) && b.await(r, probeDebt):
+	case (r.waits > 0 || blind || b.sparse && r.attempts == 0) && b.await(r, probeDebt, blind):
 	default:
 		b.finish(r)
 	}
@@ -798,7 +799,6 @@
 		r.mayRan = true
 	}
 	if e.Final || r.done {
-		r.done = true
 		b.abandon(r)
 		return
 	}
@@ -824,7 +824,6 @@
 
 // finish gives the final answer: a refusal where that is true, else a failure.
 func (b *Balancer) finish(r *request) {
-	r.done = true
 	act := Action{Kind: Fail, Request: r.id}
 	if b.mayRefuse(r) {
 		b.shed++
@@ -844,6 +843,7 @@
 
 // abandon stops the work on a request that nobody waits for.
 func (b *Balancer) abandon(r *request) {
+	r.done = true
 	if !r.out {
 		delete(b.requests, r.id)
 		b.waiting = slices.DeleteFunc(b.waiting, func(w *request) bool { return w == r })
@@ -933,7 +933,6 @@
 		b.onAttemptDone(e)
 	case ClientGone:
 		if r := b.requests[e.Request]; r != nil {
-			r.done = true
 			b.abandon(r)
 		}
 	case TimerDue:
