--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -185,8 +185,8 @@
 }
 
 // Sure is the time until which the list in force is all that counts as told; zero for the one to begin with, whose age
-// nobody knows. After that a provider that it names as in
-// service may have begun to drain, and the word of it may count although it never came: see Vouched.
+// nobody knows. After that a provider that it names as in service may have begun to drain, and the word of it may count
+// although it never came: see Vouched.
 func (k *Keeper) Sure() time.Time { return k.sure }
 
 // Vouched is for how long a provider that answers a probe as one in service vouches for itself, whatever the list. One that
--- a/logic/api.go
+++ b/logic/api.go
@@ -92,7 +92,7 @@
 	ClientGone                   // Request
 	TimerDue                     // Timer
 	ProbeDone                    // Server, Status, Took, Report
-	Sure                         // Left: for so long the list is; then servers count that have answered a probe lately
+	Sure                         // Left: for so long the list is; then servers count that answered a probe lately
 	Flowing                      // Server: a long request is still on its way there
 )
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -116,7 +116,7 @@
 		return nil, errors.New("logic: no request classes")
 	}
 	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), minAim: math.Inf(1),
-		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, hotRIF: math.Inf(1), sureAt: math.Inf(1)}
+		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, hotRIF: math.Inf(1), sureAt: -never}
 	aims := 0.0
 	for i, c := range cfg.Classes {
 		if !(c.Aim > 0) || !(c.Deadline > 0) || c.Repeat > Unsafe || c.Scope > ScopeCell || c.Window < 0 {
@@ -506,7 +506,7 @@
 		(!b.unsure() || b.now-s.reportAt < b.cfg.Vouched)
 }
 
-// unsure: what the list does not say may count as told, and probes can tell it; without them it stays in force.
+// unsure: what the list does not say may count as told, and probes can tell it.
 func (b *Balancer) unsure() bool { return b.now >= b.sureAt && b.cfg.Probes }
 
 // suits: not even for its tenant alone does the evidence exclude the server.
