While nobody asks the directory a probe vouches for the drain's grace alone

Cause: freshness.Vouched (2 s, to which core added the grace) rests on a call that is out and may bring the word late. Keeper.Next also took the list for sure for 6 s through such a pause. Ruled out: the directory (210 first calls answered in 1.7 ms at the median, none turned away) and connects (0.4 ms).

Now the list is sure no longer than to the beginning of a pause, and freshness.Vouches decides: a probe stands for the grace less the leads (300 ms), and for 2 s more only if it was answered since the call that is out began. The watch says which it is before a pause and as a call begins. A grace too short for the leads leaves 50 ms.

Tests: freshness.TestWhatAProbeVouchesFor, TestHowLongTheListIsSure (pauses), logic's unsure test in a pause, directory.TestPausesAreToldOf; each fails on the old code.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	"context"
 	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,7 @@
 	flowMost     = 10 * time.Minute       // for a request whose body is still being sent
 	flowMargin   = 15 * time.Millisecond  // before its consumer stops waiting, once it was sent
 	doubtLead    = 250 * time.Millisecond // before a list too old to be sure of counts: a connection may have to come up first
+	vouchLeast   = 50 * time.Millisecond  // for which a probe's answer stands, however short the grace
 	graceMargin  = 100 * time.Millisecond // before the end of a drain's grace: a first byte may take its time
 )
 
@@ -156,9 +158,12 @@
 		number uint64
 		caller.Result
 	}
-	flowed   struct{ number uint64 }
-	told     members.List
-	sure     struct{ until time.Time }
+	flowed struct{ number uint64 }
+	told   members.List
+	sure   struct {
+		until time.Time
+		asked bool
+	}
 	taking   struct{ to chan<- *snapshot.Snapshot }
 	stopNow  struct{ plan stopping.Plan }
 	changing struct {
@@ -291,17 +296,22 @@
 // Told takes news from the directory.
 func (s *Pool) Told(l members.List) { s.send(told(l)) }
 
-// Sure takes until when the list is all that counts as told.
-func (s *Pool) Sure(until time.Time) { s.send(sure{until}) }
+// Sure takes until when the list is all that counts as told, and whether the directory is asked for what has changed from now
+// on or waits for this sidecar to ask.
+func (s *Pool) Sure(until time.Time, asked bool) { s.send(sure{until, asked}) }
 
 func (e sure) apply(s *Pool) {
-	s.step(logic.Event{Kind: logic.Sure, Left: millis(time.Until(e.until) + s.set.DrainGrace - doubtLead)})
+	since := 0.0
+	if !e.asked {
+		since = math.Inf(-1)
+	}
+	s.step(logic.Event{Kind: logic.Sure, Left: millis(time.Until(e.until) + s.set.DrainGrace - doubtLead), Took: since})
 }
 
 // vouching adds to the module's settings for how long a probe's answer, of which it knows only when it came, stands for a
-// list that is not sure.
+// list that is not sure: for the request that has waited for it, whatever the grace.
 func vouching(cfg logic.Config, grace time.Duration) logic.Config {
-	cfg.Vouched = millis(freshness.Vouched + grace - doubtLead - probeTimeout)
+	cfg.Vouched = millis(max(vouchLeast, grace-doubtLead-probeTimeout))
 	return cfg
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -51,10 +51,10 @@
 	Known   members.List // what it begins with; if it is empty, the first call asks for the whole list,
 	Anew    bool         // and if the revision of Known is not one that the directory has told
 	Budget  *sockets.Budget
-	Told    func(members.List)               // takes each answer that tells anything, in order
-	Sure    func(time.Time)                  // takes, before each call, until when the list is sure: see freshness; nil = nobody
-	Logf    func(format string, args ...any) // nil = nothing is logged
-	Trace   func(format string, args ...any) // logs a line for every call; nil = none
+	Told    func(members.List)                // takes each answer that tells anything, in order
+	Sure    func(until time.Time, asked bool) // see freshness: as a call begins, and before a pause; nil = nobody
+	Logf    func(format string, args ...any)  // nil = nothing is logged
+	Trace   func(format string, args ...any)  // logs a line for every call; nil = none
 }
 
 // New returns a watch that Run begins.
@@ -67,7 +67,7 @@
 		o.Logf = func(string, ...any) {}
 	}
 	if o.Sure == nil {
-		o.Sure = func(time.Time) {}
+		o.Sure = func(time.Time, bool) {}
 	}
 	w := &Watch{set: o, keeper: keeper, revision: o.Known.Revision, address: o.Address, at: o.Address,
 		source: o.Address, first: make(chan struct{})}
@@ -134,10 +134,13 @@
 	defer w.hangUp()
 	for ctx.Err() == nil {
 		here, c, sure := w.begin(ctx)
-		w.set.Sure(sure)
+		if c.After > 0 {
+			w.set.Sure(sure, false)
+		}
 		select {
 		case <-here.Done():
 		case <-time.After(c.After): // none after an answer: a watch goes on only if the next call comes within 200 ms
+			w.set.Sure(sure, true)
 			w.once(here, c)
 		}
 		w.leave()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -173,3 +173,18 @@
 		})
 	}
 }
+
+// What changes while nobody asks counts at once: each pause is told of before it begins, and its end.
+func TestPausesAreToldOf(t *testing.T) {
+	play(t, 0, func(r *rig) {
+		var asked []bool
+		r.watch.set.Sure = func(_ time.Time, is bool) { asked = append(asked, is) }
+		r.at.Close() // each call fails at once
+		end := r.run()
+		r.wait(100 * time.Millisecond)
+		if n := len(asked); n < 3 || !slices.Equal(asked[:3], []bool{true, false, true}) {
+			t.Errorf("asked: %t", asked)
+		}
+		end()
+	})
+}
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -175,10 +175,13 @@
 		return c
 	}
 	until := k.asOf.Add(toldWithin)
-	if !c.Whole && k.failures == 0 {
+	switch {
+	case c.After > 0: // while nobody asks, all counts that would be told
+		until = now
+	case !c.Whole:
 		until = k.began.Add(c.Wait + toldAfter)
 	}
-	if k.sure.IsZero() || until.Before(k.sure) { // the first call that was not answered decides
+	if k.sure.IsZero() || until.Before(k.sure) { // the first call that was not answered decides, or the first pause
 		k.sure = until
 	}
 	return c
@@ -186,12 +189,19 @@
 
 // Sure is the time until which the list in force is all that counts as told; zero for the one to begin with, whose age
 // nobody knows. After that a provider that it names as in service may have begun to drain, and the word of it may count
-// although it never came: see Vouched.
+// although it never came: see Vouches.
 func (k *Keeper) Sure() time.Time { return k.sure }
 
-// Vouched is for how long a provider that answers a probe as one in service vouches for itself, whatever the list. One that
-// drains turns probes away, so that it began to drain later, and no word of a change counts as told sooner than this.
-const Vouched = toldAfter
+// Vouches reports whether a provider that answered a probe as one in service age ms ago may be sent to, whatever the list; the
+// call that is out was made asked ms ago, -Inf = none is out, and grace is that of a drain. One that drains turns probes away,
+// so that it began to drain later. While nobody asks, its word counts as soon as it would have come; while a call is out, and
+// the word does not come, no sooner than toldAfter.
+func Vouches(age, asked, grace float64) bool {
+	if age <= asked {
+		grace += float64(toldAfter.Milliseconds())
+	}
+	return age < grace
+}
 
 func wait(first, most time.Duration, nth int, random float64) time.Duration {
 	p := backoff.Policy{First: float64(first), Most: float64(most), Factor: 2, Jitter: 0.5}
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -326,8 +327,8 @@
 		{"the first call is answered", []fate{answered}, 4 * time.Second},
 		{"each is answered", []fate{answered, answered, answered}, 6 * time.Second},
 		{"each brings news", []fate{news, news, news}, 6 * time.Second},
-		{"all are lost", []fate{answered, lost, lost, lost, lost}, 4 * time.Second},
-		{"all are turned away", []fate{answered, full, full, full, full}, 4 * time.Second},
+		{"all are lost: there is a pause after the first", []fate{answered, lost, lost, lost, lost}, 2 * time.Second},
+		{"all are turned away", []fate{answered, full, full, full, full}, 2 * time.Second},
 		{"it is left for another", []fate{answered, left}, 4 * time.Second},
 		{"found again", []fate{lost, lost, answered}, 6 * time.Second},
 	} {
@@ -356,5 +357,38 @@
 	within(t, "a call that may wait for long", k.Sure().Sub(now), 20*time.Second, 22*time.Second)
 	k.TurnedAway()
 	k.Next(now)
-	within(t, "that was turned away", k.Sure().Sub(now), toldWithin, toldWithin+100*ms)
+	within(t, "that was turned away", k.Sure().Sub(now), 0, 0)
+	set.Callers = 300
+	if k, err = New(set, 1, false); err != nil {
+		t.Fatal(err)
+	}
+	k.Answered(k.Next(now), ms)
+	k.Moved()
+	c := k.Next(now.Add(time.Second))
+	within(t, "the turn at another directory", c.After, ms, callerFirst)
+	within(t, "meanwhile", k.Sure().Sub(now), time.Second, time.Second)
+}
+
+// For how long a probe's answer stands for the list, by the time since a call was made, if one is out.
+func TestWhatAProbeVouchesFor(t *testing.T) {
+	none := math.Inf(-1)
+	for _, c := range []struct {
+		what              string
+		age, asked, grace float64
+		want              bool
+	}{
+		{"answered just now, in a pause", 1, none, 300, true},
+		{"at the end of the grace", 299, none, 300, true},
+		{"its word may have counted that long", 300, none, 300, false},
+		{"answered before the call", 2000, 1000, 300, false},
+		{"a little before it", 299, 200, 300, true},
+		{"since the call", 2000, 2000, 300, true},
+		{"at the end of what a call may leave unsaid", 2299, 5000, 300, true},
+		{"longer ago", 2300, 5000, 300, false},
+		{"never", math.Inf(1), 5000, 300, false},
+	} {
+		if got := Vouches(c.age, c.asked, c.grace); got != c.want {
+			t.Errorf("%s: %t", c.what, got)
+		}
+	}
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -76,7 +76,7 @@
 	WastePrice  float64 // the same for all work of the servers being in vain
 	ProbePrice  float64 // the same for one probe
 
-	Vouched Ms // for so long a probe's answer stands for a list that is not Sure, where there are probes
+	Vouched Ms // for so long, at least, a probe's answer stands for a list that is not Sure, if Probes
 }
 
 // EventKind names what has happened.
@@ -92,7 +92,7 @@
 	ClientGone                   // Request
 	TimerDue                     // Timer
 	ProbeDone                    // Server, Status, Took, Report
-	Sure                         // Left: for so long the list is; then servers count that answered a probe lately
+	Sure                         // Left: for how long; Took: since when the directory is asked, -Inf = not now
 	Flowing                      // Server: a long request is still on its way there
 )
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -13,6 +13,7 @@
 
 	"plankrouter/internal/backoff"
 	"plankrouter/internal/evidence"
+	"plankrouter/internal/freshness"
 	"plankrouter/internal/limit"
 )
 
@@ -98,16 +99,16 @@
 	waiting                         []*request // for answers of probes, in order of arrival
 	lastProbe                       Ms
 
-	fit                     fit
-	medianMiss              float64
-	fleetLatency            Ms      // median service time
-	fracOwn, fracAll        float64 // own requests, and all, that probed servers held
-	buckets                 []limit.Bucket
-	sendRate, arrivals      limit.Rate
-	retries                 float64
-	requests                map[RequestID]*request
-	shed                    int // refused since lastLog
-	lastLog, bornAt, sureAt Ms  // until sureAt the list is all that counts as told
+	fit                              fit
+	medianMiss                       float64
+	fleetLatency                     Ms      // median service time
+	fracOwn, fracAll                 float64 // own requests, and all, that probed servers held
+	buckets                          []limit.Bucket
+	sendRate, arrivals               limit.Rate
+	retries                          float64
+	requests                         map[RequestID]*request
+	shed                             int // refused since lastLog
+	lastLog, bornAt, sureAt, askedAt Ms  // until sureAt the list is all that counts; see freshness.Vouches
 }
 
 // New returns a Balancer for cfg whose random choices come from seed.
@@ -503,7 +504,7 @@
 // allowed: rules 2, 3 and 4 let the server have this request.
 func (b *Balancer) allowed(s *server, r *request) bool {
 	return s.info.Health == Ready && b.mayRepeatAt(s, r) && b.warmEnough(s) &&
-		(!b.unsure() || b.now-s.reportAt < b.cfg.Vouched)
+		(!b.unsure() || freshness.Vouches(b.now-s.reportAt, b.now-b.askedAt, b.cfg.Vouched))
 }
 
 // unsure: what the list does not say may count as told, and probes can tell it.
@@ -940,7 +941,7 @@
 	case ProbeDone:
 		b.onProbe(e)
 	case Sure:
-		b.sureAt = b.now + e.Left
+		b.sureAt, b.askedAt = b.now+e.Left, b.now-e.Took
 	case Flowing:
 		b.byID[e.Server].quietAt = b.now
 	}
--- a/logic/unsure_test.go
+++ b/logic/unsure_test.go
@@ -1,15 +1,23 @@
 package logic
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 // While the directory can't be heard a server may begin to drain at any time and the word of it count. A quiet sidecar among
 // many servers must still serve, and send only where a probe has been answered lately: one that drains turns it away.
 func TestUnsureListIsVouchedForByProbes(t *testing.T) {
-	for name, price := range map[string]float64{"dear": 0.08, "cheap": 0} {
+	for name, c := range map[string]struct {
+		price float64
+		asked Ms // since a call is out
+		holds Ms
+	}{"dear": {0.08, 0, 2300}, "cheap": {0, 0, 2300}, "in a pause": {0.08, math.Inf(-1), 300}} {
+		price := c.price
 		cfg := testConfig()
-		cfg.ProbePrice, cfg.Vouched, cfg.Balancers = price, 2300, 300
+		cfg.ProbePrice, cfg.Vouched, cfg.Balancers = price, 300, 300
 		g := newRig(t, cfg, 40)
-		g.do(Event{Kind: Sure, Left: 3650})
+		g.do(Event{Kind: Sure, Left: 3650, Took: c.asked})
 		answered, drains, probes := map[ServerID]Ms{}, map[ServerID]bool{}, 0
 		var handle func([]Action) bool
 		handle = func(acts []Action) (sent bool) {
@@ -17,7 +25,7 @@
 				switch a.Kind {
 				case Send:
 					sent = true
-					if last, ok := answered[a.Server]; g.now >= 1000+3650 && (!ok || g.now-last >= 2300) {
+					if last, ok := answered[a.Server]; g.now >= 1000+3650 && (!ok || g.now-last >= c.holds) {
 						t.Fatalf("%s, %.0f ms: sent to %d, which answered a probe at %.0f", name, g.now, a.Server, last)
 					}
 					g.do(Event{Kind: AttemptDone, Request: a.Request, Server: a.Server, Status: OK, Took: 40, Final: true})
