Sidecars of a crowded zone look for room in the others, as often as there is any

Followed the refusals ('refused ...; pool 2/199') by zone: two zones refuse 34% and 36% of their tries at 6.2 and 5.9 requests a server, two others 1% and 3% at 2.5 and 3.1; 88% to 98% of the calls stay in the zone. Lines: logic choose and await (home), limit.FarEvery.

Now, where news is sparse and most servers heard of hold more than they run side by side, probes go beyond the zone, as often as probes there lately found room (limit.Luck: not where the others are full, or cut off).

--- a/internal/limit/level.go
+++ b/internal/limit/level.go
@@ -34,6 +34,17 @@
 // PerMs is the rate at now.
 func (r *Rate) PerMs(now float64) float64 { return r.V * math.Exp((r.At-now)/rateMemory) / rateMemory }
 
+// Luck is the part of late of tries that came out well, each new one counting for a tenth.
+type Luck float64
+
+// Note takes note of one.
+func (l *Luck) Note(well bool) {
+	*l *= 0.9
+	if well {
+		*l += 0.1
+	}
+}
+
 // Warmth is the part of its capacity that a process bears at least: it begins with share and is warm within a time. One
 // whose start is not known, as of those that began long ago, is warm.
 func Warmth(age float64, started bool, share, within float64) float64 {
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -112,7 +112,8 @@
 
 // FarEvery is in how many requests' probes one goes to any server in reach, the others to those of the preferred zone. Half
 // of them cross where there is news enough. Where it is sparse, news of few servers is worth more than news of many: it is
-// fresher, and fewer connections are needed for it.
+// fresher, and fewer connections are needed for it. But a zone's instances are crowded together: while its servers hold more
+// than they run side by side, as many go anywhere in reach as there is Luck elsewhere.
 func FarEvery(sparse bool) int {
 	if sparse {
 		return 10
--- a/logic/bench_test.go
+++ b/logic/bench_test.go
@@ -8,19 +8,7 @@
 // BenchmarkRequest measures what a request costs the module, from its arrival to its answer with the probes that it brings,
 // and BenchmarkTick the look every 50 ms at what moves without traffic, at one of many instances with so many servers.
 func BenchmarkRequest(b *testing.B) {
-	sized(b, func(g *rig, n int) {
-		acts := g.do(Event{Kind: Arrival, Request: RequestID(n), Left: 900})
-		for ; len(acts) > 0; acts = acts[1:] {
-			switch a := acts[0]; a.Kind {
-			case Probe:
-				acts = append(acts, g.do(Event{Kind: ProbeDone, Server: a.Server, Took: 1,
-					Report: Report{HasRIF: true, HasLatency: true, RIF: 1, Latency: 40}})...)
-			case Send:
-				acts = append(acts, g.do(Event{Kind: AttemptDone, Request: a.Request, Server: a.Server, Status: OK, Took: 40,
-					Final: true})...)
-			}
-		}
-	})
+	sized(b, func(g *rig, n int) { g.pass(RequestID(n)) })
 }
 
 func BenchmarkTick(b *testing.B) {
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -41,18 +41,8 @@
 				}
 				g := fleet[n*7919%sidecars]
 				g.now = now
-				acts := g.do(Event{Kind: Arrival, Request: RequestID(n), Left: 900})
-				for ; len(acts) > 0; acts = acts[1:] {
-					switch a := acts[0]; a.Kind {
-					case Probe:
-						acts = append(acts, g.do(Event{Kind: ProbeDone, Server: a.Server, Took: 1,
-							Report: Report{HasRIF: true, HasLatency: true, RIF: 1, Latency: 40}})...)
-					case Send:
-						if a.Server == 1 && now >= born {
-							sent = append(sent, now)
-						}
-						acts = append(acts, g.done(a.Request, 0, a.Server, OK)...)
-					}
+				if g.pass(RequestID(n)) == 1 && now >= born {
+					sent = append(sent, now)
 				}
 			}
 			worst := 0.0
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -93,7 +93,8 @@
 	pool                            []entry
 	rifs                            []float64 // ring of recently probed RIF
 	hotRIF                          float64
-	removeDue, probeDue, perRequest float64 // perRequest: probes, at the present rate of requests
+	removeDue, probeDue, perRequest float64    // perRequest: probes, at the present rate of requests
+	elsewhere                       limit.Luck // of probes in other zones: servers with room
 	dropWorst                       bool
 	sparse                          bool       // most servers' news is older than poolAge
 	waiting                         []*request // for answers of probes, in order of arrival
@@ -117,7 +118,8 @@
 		return nil, errors.New("logic: no request classes")
 	}
 	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), minAim: math.Inf(1),
-		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, hotRIF: math.Inf(1), sureAt: -never}
+		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, hotRIF: math.Inf(1), sureAt: -never,
+		elsewhere: 1}
 	aims := 0.0
 	for i, c := range cfg.Classes {
 		if !(c.Aim > 0) || !(c.Deadline > 0) || c.Repeat > Unsafe || c.Scope > ScopeCell || c.Window < 0 {
@@ -341,6 +343,9 @@
 		return
 	}
 	b.unpool(s)
+	if s.rank >= 1 {
+		b.elsewhere.Note(e.Status == OK && e.Report.RIF < b.fit.sideBySide())
+	}
 	if e.Status != OK {
 		if b.shutOut(s); e.Status != Full {
 			b.learn(s, 0, probeWeight)
@@ -389,15 +394,11 @@
 	if b.ready < 2 || r.waits >= syncRounds || r.endAt-b.now < 2*hold {
 		return false
 	}
-	near := b.ready
-	if r.waits == 0 {
-		near = b.home()
-	}
 	n := limit.Awaited(b.probeDue+debt, b.sparse || limit.Dear(b.cfg.ProbePrice), blind)
 	if b.sparse || limit.Dear(b.cfg.ProbePrice) { // then they come out of what requests have saved up
 		b.probeDue = max(b.probeDue-float64(n), -probeDebt)
 	}
-	if r.need = b.probe(n, near) - 1; r.need <= 0 {
+	if r.need = b.probe(n, b.near(r.waits > 0)) - 1; r.need <= 0 {
 		return false
 	}
 	r.waits, r.waitEnd = r.waits+1, b.now+hold
@@ -416,17 +417,20 @@
 // reach is the number of servers to choose among: connections of many sidecars to each would fill its table.
 func (b *Balancer) reach() int { return limit.Reach(b.ready, b.cfg.Balancers) }
 
-// home is the number of those in the preferred zone, or the least to choose among.
-func (b *Balancer) home() int { return min(b.reach(), max(limit.LeastReach, b.local)) }
+// near is among how many to probe: the preferred zone's, or more if far or if those are full and others not.
+func (b *Balancer) near(far bool) int {
+	if far || b.sparse && b.hotRIF > b.fit.sideBySide() && b.rng.Float64() < float64(b.elsewhere) {
+		return min(b.ready, b.local+b.reach())
+	}
+	return min(b.reach(), max(limit.LeastReach, b.local))
+}
 
 // probe fires n probes at servers drawn at random without replacement, among the near first ones by rank.
 func (b *Balancer) probe(n, near int) int {
-	if !b.cfg.Probes {
-		return 0
-	}
 	var all []*server
 	for _, s := range b.servers {
-		if s.info.Health == Ready && b.now >= s.tryAt && (near >= b.ready || near > 0 && b.trusted(s)) {
+		may := b.cfg.Probes && s.info.Health == Ready && b.now >= s.tryAt
+		if may && (near >= b.ready || near > 0 && b.trusted(s)) {
 			all = append(all, s)
 			if b.warmth(s) >= 1 { // one that is still cold is no substitute for a warm one
 				near--
@@ -693,11 +697,7 @@
 	if r.attempts == 0 {
 		n := max(0, int(b.probeDue))
 		b.probeDue -= float64(n)
-		near := b.home()
-		if b.rng.IntN(limit.FarEvery(b.sparse)) == 1 {
-			near = b.reach()
-		}
-		b.probe(n, near)
+		b.probe(n, b.near(b.rng.IntN(limit.FarEvery(b.sparse)) == 1))
 	}
 	b.decide(r)
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -72,6 +72,22 @@
 	return acts
 }
 
+// pass has a request arrive and all probes and attempts that follow on it answered at once, and returns where it was sent.
+func (g *rig) pass(id RequestID) (to ServerID) {
+	acts := g.do(Event{Kind: Arrival, Request: id, Left: 900})
+	for ; len(acts) > 0; acts = acts[1:] {
+		switch a := acts[0]; a.Kind {
+		case Probe:
+			acts = append(acts, g.do(Event{Kind: ProbeDone, Server: a.Server, Took: 1,
+				Report: Report{HasRIF: true, HasLatency: true, RIF: 1, Latency: 40}})...)
+		case Send:
+			to = a.Server
+			acts = append(acts, g.done(id, 0, a.Server, OK)...)
+		}
+	}
+	return to
+}
+
 func find(acts []Action, k ActionKind) *Action {
 	for i := range acts {
 		if acts[i].Kind == k {
--- /dev/null
+++ b/logic/zones_test.go
@@ -0,0 +1,80 @@
+package logic
+
+import "testing"
+
+// All instances of a zone are crowded together. Then their probes, and with them their requests, must find the servers of
+// other zones, but only where there is room: not if those are full as well, or can't be reached.
+func TestCrowdedZoneLooksElsewhere(t *testing.T) {
+	const servers, local = 60, 20
+	for _, c := range []struct {
+		name              string
+		here, there       float64 // RIF
+		cut               bool    // the others answer nothing
+		least, most       float64 // part of the probes that go to other zones
+		leastOut, mostOut float64 // and of the requests
+	}{
+		{"room everywhere", 1, 1, false, 0, 0.15, 0, 0.15},
+		{"full here", 20, 1, false, 0.5, 1, 0.7, 1},
+		{"full everywhere", 20, 20, false, 0, 0.3, 0, 1},
+		{"full here and cut off", 20, 1, true, 0, 0.3, 0, 0},
+	} {
+		cfg := testConfig()
+		cfg.Balancers, cfg.ProbePrice, cfg.CrossPrice = 300, 0.08, 0.01
+		b, err := New(cfg, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := &rig{t: t, b: b, now: 1000}
+		g.do(Event{Kind: Started})
+		var list []ServerInfo
+		for i := range servers {
+			list = append(list, ServerInfo{ID: ServerID(i + 1), Health: Ready, Zone: i / local})
+		}
+		g.do(Event{Kind: List, Full: true, Servers: list})
+		probes, far, sent, out := 0.0, 0.0, 0.0, 0.0
+		for id := range RequestID(600) {
+			g.now += 70
+			g.do(Event{Kind: TimerDue, Timer: tickTimer})
+			acts := g.do(Event{Kind: Arrival, Request: id, Left: 900})
+			for ; len(acts) > 0; acts = acts[1:] {
+				a := acts[0]
+				away := a.Server > local
+				e := Event{Kind: ProbeDone, Server: a.Server, Took: 1, Report: Report{HasRIF: true, RIF: c.here,
+					HasLatency: true, Latency: 40}}
+				if e.Report.RIF = c.here; away {
+					e.Report.RIF = c.there
+				}
+				if away && c.cut {
+					e.Status = TimedOut
+				}
+				switch a.Kind {
+				case Probe:
+					if id >= 100 { // once the rate is known, and what there is elsewhere
+						probes++
+						if away {
+							far++
+						}
+					}
+				case Send:
+					if id >= 100 {
+						sent++
+						if away {
+							out++
+						}
+					}
+					e = Event{Kind: AttemptDone, Request: id, Server: a.Server, Status: OK, Took: 40, Final: true}
+				default:
+					continue
+				}
+				acts = append(acts, g.do(e)...)
+			}
+		}
+		if part := far / probes; part < c.least || part > c.most {
+			t.Errorf("%s: %.2f of %.0f probes go elsewhere, want %.2f to %.2f", c.name, part, probes, c.least, c.most)
+		}
+		if part := out / sent; sent > 0 && (part < c.leastOut || part > c.mostOut) {
+			t.Errorf("%s: %.2f of %.0f requests go elsewhere, want %.2f to %.2f", c.name, part, sent, c.leastOut, c.mostOut)
+		}
+		t.Logf("%s: probes %.2f of %.0f, requests %.2f of %.0f", c.name, far/probes, probes, out/sent, sent)
+	}
+}
