--- a/logic/api.go
+++ b/logic/api.go
@@ -92,7 +92,7 @@
 	ClientGone                   // Request
 	TimerDue                     // Timer
 	ProbeDone                    // Server, Status, Took, Report
-	Sure                         // Left: for how long; Took: since when the directory is asked, -Inf = not now
+	Sure                         // Left: for how long; Took: for how long the directory is asked, -Inf = not
 	Flowing                      // Server: a long request is still on its way there
 )
 
