Probes beyond the zone keep to the reach of one instance, and to it without zones

Seen in review: near() gave ready servers for a far probe and for a second wait, and local + reach of them. Without zones local is all there are, so that one of 300 probed all 200 servers instead of the 85 in reach, one of 5,000 all 200 and, with zones of 40, 45 instead of 5: the sum of limit.Reach (128 instances at a server) did not hold.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -117,9 +117,8 @@
 	if len(cfg.Classes) == 0 {
 		return nil, errors.New("logic: no request classes")
 	}
-	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), minAim: math.Inf(1),
-		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, hotRIF: math.Inf(1), sureAt: -never,
-		elsewhere: 1}
+	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), minAim: -never, hotRIF: -never,
+		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, sureAt: -never, elsewhere: 1}
 	aims := 0.0
 	for i, c := range cfg.Classes {
 		if !(c.Aim > 0) || !(c.Deadline > 0) || c.Repeat > Unsafe || c.Scope > ScopeCell || c.Window < 0 {
@@ -343,7 +342,7 @@
 		return
 	}
 	b.unpool(s)
-	if s.rank >= 1 {
+	if s.rank >= 1 { // in another zone
 		b.elsewhere.Note(e.Status == OK && e.Report.RIF < b.fit.sideBySide())
 	}
 	if e.Status != OK {
@@ -419,10 +418,11 @@
 
 // near is among how many to probe: the preferred zone's, or more if far or if those are full and others not.
 func (b *Balancer) near(far bool) int {
+	home := min(b.reach(), max(limit.LeastReach, b.local))
 	if far || b.sparse && b.hotRIF > b.fit.sideBySide() && b.rng.Float64() < float64(b.elsewhere) {
-		return min(b.ready, b.local+b.reach())
+		return home + min(b.reach(), b.ready-b.local)
 	}
-	return min(b.reach(), max(limit.LeastReach, b.local))
+	return home
 }
 
 // probe fires n probes at servers drawn at random without replacement, among the near first ones by rank.
--- a/logic/zones_test.go
+++ b/logic/zones_test.go
@@ -78,3 +78,24 @@
 		t.Logf("%s: probes %.2f of %.0f, requests %.2f of %.0f", c.name, far/probes, probes, out/sent, sent)
 	}
 }
+
+// Whatever the number of instances, one probes no more servers than its zone's in reach and as many again in others. Without
+// zones there is nothing beyond what is in reach.
+func TestHowFarProbesGo(t *testing.T) {
+	for _, c := range []struct{ sidecars, servers, local, home, far int }{
+		{300, 200, 40, 40, 40 + 85}, {300, 200, 200, 85, 85}, {5000, 200, 40, 5, 5 + 5}, {5000, 200, 200, 5, 5}, {80, 60, 12, 12, 60},
+		{4, 16, 3, 4, 17},
+	} {
+		cfg := testConfig()
+		cfg.Balancers, cfg.CrossPrice = c.sidecars, 0.01
+		g := newRig(t, cfg, 0)
+		var list []ServerInfo
+		for i := range c.servers {
+			list = append(list, ServerInfo{ID: ServerID(i + 1), Health: Ready, Zone: min(1, i/c.local)})
+		}
+		g.do(Event{Kind: List, Full: true, Servers: list})
+		if home, far := g.b.near(false), g.b.near(true); home != c.home || far != c.far {
+			t.Errorf("%+v: %d, %d", c, home, far)
+		}
+	}
+}
