--- a/logic/logic.go
+++ b/logic/logic.go
@@ -117,8 +117,8 @@
 	if len(cfg.Classes) == 0 {
 		return nil, errors.New("logic: no request classes")
 	}
-	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), minAim: -never, hotRIF: -never,
-		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, sureAt: -never, elsewhere: 1}
+	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), minAim: -never,
+		byID: map[ServerID]*server{}, requests: map[RequestID]*request{}, hotRIF: -never, sureAt: -never}
 	aims := 0.0
 	for i, c := range cfg.Classes {
 		if !(c.Aim > 0) || !(c.Deadline > 0) || c.Repeat > Unsafe || c.Scope > ScopeCell || c.Window < 0 {
@@ -134,7 +134,7 @@
 		}
 	}
 	b.cfg.Balancers, b.cfg.Classes = max(1, cfg.Balancers), slices.Clone(cfg.Classes)
-	b.margin, b.perRequest = 2*cfg.Round+1, limit.MostProbes
+	b.margin, b.perRequest, b.elsewhere = 2*cfg.Round+1, limit.MostProbes, 1
 	for i, c := range cfg.Classes { // who is to be answered sooner takes less time
 		b.fit.class = append(b.fit.class, classFit{prior: c.Aim / aims})
 		b.cfg.Classes[i].Attempts = max(1, cmp.Or(c.Attempts, cfg.MaxAttempts))
