--- a/logic/logic.go
+++ b/logic/logic.go
@@ -420,7 +420,7 @@
 func (b *Balancer) near(far bool) int {
 	home := min(b.reach(), max(limit.LeastReach, b.local))
 	if far || b.sparse && b.hotRIF > b.fit.sideBySide() && b.rng.Float64() < float64(b.elsewhere) {
-		return home + min(b.reach(), b.ready-b.local)
+		return min(b.ready, home+min(b.reach(), b.ready-b.local))
 	}
 	return home
 }
--- a/logic/zones_test.go
+++ b/logic/zones_test.go
@@ -84,7 +84,7 @@
 func TestHowFarProbesGo(t *testing.T) {
 	for _, c := range []struct{ sidecars, servers, local, home, far int }{
 		{300, 200, 40, 40, 40 + 85}, {300, 200, 200, 85, 85}, {5000, 200, 40, 5, 5 + 5}, {5000, 200, 200, 5, 5}, {80, 60, 12, 12, 60},
-		{4, 16, 3, 4, 17},
+		{4, 16, 3, 4, 16},
 	} {
 		cfg := testConfig()
 		cfg.Balancers, cfg.CrossPrice = c.sidecars, 0.01
