Attempts that were never sent are withdrawn with their invocation, without leave to cancel

A final answer at the stop plan's time left its attempt connecting as well. And a list that named another process under the same id closed the old endpoint, while calls connecting there went on to write.

Checked and ruled out: attempts waiting in the module for probes (ClientGone takes them out) and those whose last byte is written, which are running attempts and stay with the module's Cancel.

At fault: core.close asked nothing of the call that was out; logic.abandon asks for a Cancel only where cfg.Cancel is set, which is right for what may have run; core.listAt told nothing to calls of the endpoint that it closed; core.ended let the module decide on another attempt though the consumer was gone.

Now: caller.Call has Withdraw, Stop for what is not written whole, which is no cancel and needs no permission; core.close asks for it in every case; core.listAt does for calls to a process that the list no longer names, once the module knows; invocation.Left lets the caller see the end at the first and at the last byte, and the core at the end of an attempt, wherever the word of it waits. What became of a probe sent to an earlier process says nothing of the later one.

Tests: core's crossings_test (each of five cases seen to fail without its line), callertest with three scenarios more, provider's held-back last byte (two cases; one seen to fail without the look at Left). Packages all pass under -race.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -35,11 +35,13 @@
 
 // Task is an attempt to be made.
 type Task struct {
-	Invocation *invocation.Invocation // nil = a probe: the provider is asked for its load
-	Wait       time.Duration          // after which the attempt is going to be stopped, for the provider to know
-	NotAfter   time.Time              // no first byte later than this; zero = any time
-	Flowed     func()                 // with a Source: called when its last byte is written; nil = nobody asks
-	Ended      func(Result)           // called once from any goroutine, unless Stop returned true; may wait for the pool's goroutine
+	// Invocation is whom the attempt is for. Once its consumer has left, no byte of the attempt may be written. nil = a probe:
+	// the provider is asked for its load.
+	Invocation *invocation.Invocation
+	Wait       time.Duration // after which the attempt is going to be stopped, for the provider to know
+	NotAfter   time.Time     // no first byte later than this; zero = any time
+	Flowed     func()        // with a Source: called when its last byte is written; nil = nobody asks
+	Ended      func(Result)  // called once from any goroutine, unless Stop returned true; may wait for the pool's goroutine
 }
 
 // Call is an attempt under way. Its methods are safe for concurrent use and do not block.
@@ -48,6 +50,9 @@
 	// further of this attempt can reach the provider. False means that it has ended already: Ended has been called or is
 	// about to be.
 	Stop(why ending.Ending) (ending.Ending, bool)
+	// Withdraw is Stop for an attempt whose last byte is not written. False means that it may have run, or has ended already.
+	// What was never sent is no running attempt: to withdraw it is no cancel, and allowed where cancels are not.
+	Withdraw(why ending.Ending) (ending.Ending, bool)
 	// NotAfter forbids a first byte later than t, beside what was forbidden before.
 	NotAfter(t time.Time)
 }
--- a/internal/caller/callertest/callertest.go
+++ b/internal/caller/callertest/callertest.go
@@ -46,6 +46,7 @@
 	reports chan report
 	got     seen
 	ended   map[int]bool
+	last    *invocation.Invocation // that was begun
 }
 
 type report struct {
@@ -74,7 +75,8 @@
 func (s *stage) start(number int, notAfter time.Time) caller.Call {
 	task := caller.Task{Wait: time.Second, NotAfter: notAfter, Ended: func(r caller.Result) { s.reports <- report{number, r} }}
 	if number > 0 {
-		task.Invocation = &invocation.Invocation{ID: fmt.Sprint("id", number), Verb: "POST", Target: "/order/1", Body: []byte("x")}
+		s.last = &invocation.Invocation{ID: fmt.Sprint("id", number), Verb: "POST", Target: "/order/1", Body: []byte("x")}
+		task.Invocation = s.last
 	}
 	return s.at.Start(task)
 }
@@ -139,6 +141,16 @@
 	}
 }
 
+// withdraw gives an attempt up, if it has not been sent.
+func (s *stage) withdraw(number int, c caller.Call) {
+	if how, withdrawn := c.Withdraw(ending.CalledOff); withdrawn {
+		s.note(number, how, caller.Result{})
+	}
+	if _, again := c.Withdraw(ending.CalledOff); again {
+		s.t.Errorf("attempt %d was withdrawn twice", number)
+	}
+}
+
 var scenarios = map[string]struct {
 	play func(*stage)
 	want seen
@@ -180,6 +192,31 @@
 		time.Sleep(time.Second)
 		s.settle()
 	}, seen{[]string{"1 withdrawn"}, nil}},
+	"withdrawn while connecting": {func(s *stage) {
+		s.dialed = "late"
+		c := s.start(1, time.Time{})
+		time.Sleep(50 * time.Millisecond)
+		s.withdraw(1, c)
+		time.Sleep(time.Second)
+		s.settle()
+	}, seen{[]string{"1 withdrawn"}, nil}},
+	"withdrawn when it may have run": {func(s *stage) {
+		c := s.start(1, time.Time{})
+		s.read(0)
+		s.withdraw(1, c)
+		s.write(0, s.h.Served)
+		s.settle()
+		s.withdraw(1, c)
+	}, seen{[]string{"1 served ok"}, []string{"id1 "}}},
+	"the consumer has left while connecting, and the word of it waits": {func(s *stage) {
+		s.dialed = "late"
+		s.start(1, time.Time{})
+		time.Sleep(50 * time.Millisecond)
+		s.last.Leave()
+		time.Sleep(time.Second)
+		s.settle()
+		s.read(0)
+	}, seen{[]string{"1 withdrawn"}, []string{"nothing "}}},
 	"timed out while connecting": {func(s *stage) {
 		s.dialed = "late"
 		c := s.start(1, time.Time{})
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -111,6 +111,7 @@
 func (s *Pool) listAt(l members.List, told time.Time) {
 	s.revision = l.Revision
 	named := map[logic.ServerID]bool{}
+	left := map[caller.Endpoint]bool{} // where another process is by now
 	lines := make([]logic.ServerInfo, 0, len(l.Members))
 	for _, m := range l.Members {
 		id, zone := s.serverID(m.ID), -1
@@ -125,6 +126,7 @@
 		}
 		if m.Address != "" && m.Address != k.at.Address() || m.UpSince != k.line.UpSince {
 			k.at.Close() // another process: nobody answers for it at the old place or on the old connections
+			left[k.at] = true
 			k.at = s.set.Caller.Endpoint(m.ID, cmp.Or(m.Address, k.at.Address()))
 			k.proof = freshness.Proof{}
 		}
@@ -153,6 +155,11 @@
 	s.ready.Store(ready)
 	s.step(logic.Event{Kind: logic.List, Full: l.Complete, Servers: lines})
 	s.lookedAt = time.Time{}
+	for number, a := range s.calls { // once the module knows it: what is withdrawn may go out again
+		if left[a.at] {
+			s.withdraw(number, ending.Drained)
+		}
+	}
 }
 
 // setHealth notes a provider's state and, when it leaves, the end of the grace for calls that still connect.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -288,8 +288,11 @@
 // Take, Abandon and Ready make the Pool an invocation.Core.
 func (s *Pool) Take(inv *invocation.Invocation) bool { return s.send(arrived{inv}) }
 
-// Abandon says that the consumer is gone.
-func (s *Pool) Abandon(inv *invocation.Invocation) { s.send(abandoned{inv: inv}) }
+// Abandon says that the consumer is gone. Its word may have to wait behind others; meanwhile nothing more is sent all the same.
+func (s *Pool) Abandon(inv *invocation.Invocation) {
+	inv.Leave()
+	s.send(abandoned{inv: inv})
+}
 
 // Cancel is Abandon for one who has to know whether an attempt may have run. What has been answered meanwhile may have.
 func (s *Pool) Cancel(inv *invocation.Invocation) (mayRun bool) {
@@ -429,15 +432,20 @@
 		}
 		return
 	}
-	s.counts.Gone++
 	h := s.held[id]
-	s.close(id, h)
+	s.leave(id, h)
 	s.step(logic.Event{Kind: logic.ClientGone, Request: id})
 	if e.mayRun != nil {
 		e.mayRun <- h.mayRun || h.call != 0
 	}
 }
 
+// leave ends an invocation whose consumer is gone.
+func (s *Pool) leave(id logic.RequestID, h *held) {
+	s.counts.Gone++
+	s.close(id, h)
+}
+
 // answer gives the one final answer, if it is still owed.
 func (s *Pool) answer(id logic.RequestID, a invocation.Answer) {
 	h := s.held[id]
@@ -452,15 +460,18 @@
 	case invocation.Failed:
 		s.counts.Failed++
 	}
+	s.close(id, h)
 	a.MayHaveRun = h.mayRun || h.call != 0
 	h.inv.Answer(a)
-	s.close(id, h)
 }
 
+// close ends an invocation. An attempt that may have run goes on, unless the module calls it off; one that was not sent yet is
+// not sent any more, since nobody waits for it.
 func (s *Pool) close(id logic.RequestID, h *held) {
 	h.answered = true
 	delete(s.byInv, h.inv)
 	delete(s.open, h.inv.ID)
+	s.withdraw(h.call, ending.CalledOff)
 	if h.call == 0 {
 		delete(s.held, id)
 	}
@@ -494,8 +505,8 @@
 		}
 	}
 	if a.probe {
-		if r.Ending == ending.Served && s.set.Whole != nil && !s.set.Whole(r.Report) {
-			r.Ending = ending.Unreadable
+		if k != nil && k.at != a.at || r.Ending == ending.Served && s.set.Whole != nil && !s.set.Whole(r.Report) {
+			r.Ending = ending.Unreadable // or one of a process that is gone
 		}
 		s.counts.Asked[r.Ending]++
 		seen := 0.0
@@ -510,6 +521,9 @@
 	h := s.held[a.request]
 	h.call = 0
 	h.mayRun = h.mayRun || !r.Ending.Status().NeverRan()
+	if !h.answered && h.inv.Left() { // the word of it is still on its way
+		s.leave(a.request, h)
+	}
 	if r.Ending == ending.Served && !h.answered {
 		s.answer(a.request, invocation.Answer{Kind: invocation.Served, Code: r.Code, Fields: r.Fields,
 			Body: r.Body, Rest: r.Rest})
@@ -579,12 +593,19 @@
 
 // stop gives up a call that has not ended yet.
 func (s *Pool) stop(number uint64, why ending.Ending) {
-	a := s.calls[number]
-	if a == nil {
-		return
+	if a := s.calls[number]; a != nil {
+		if how, stopped := a.call.Stop(why); stopped {
+			s.ended(number, caller.Result{Ending: how})
+		}
 	}
-	if how, stopped := a.call.Stop(why); stopped {
-		s.ended(number, caller.Result{Ending: how})
+}
+
+// withdraw gives up a call of which the last byte is not written.
+func (s *Pool) withdraw(number uint64, why ending.Ending) {
+	if a := s.calls[number]; a != nil {
+		if how, withdrawn := a.call.Withdraw(why); withdrawn {
+			s.ended(number, caller.Result{Ending: how})
+		}
 	}
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -40,8 +40,9 @@
 
 type refusedCall struct{}
 
-func (refusedCall) Stop(ending.Ending) (ending.Ending, bool) { return 0, false }
-func (refusedCall) NotAfter(time.Time)                       {}
+func (refusedCall) Stop(ending.Ending) (ending.Ending, bool)     { return 0, false }
+func (refusedCall) Withdraw(ending.Ending) (ending.Ending, bool) { return 0, false }
+func (refusedCall) NotAfter(time.Time)                           {}
 
 // host returns a Pool that knows no provider yet, run by the test itself.
 func host(t *testing.T) *Pool {
--- /dev/null
+++ b/internal/core/crossings_test.go
@@ -0,0 +1,151 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"plankrouter/internal/caller"
+	"plankrouter/internal/ending"
+	"plankrouter/internal/invocation"
+	"plankrouter/internal/members"
+	"plankrouter/internal/stopping"
+	"plankrouter/logic"
+)
+
+// slow is a caller whose connections have not come up yet, and what was asked of it.
+type slow struct {
+	refusing
+	calls []*slowCall
+	did   []string
+}
+
+type slowEnd struct {
+	of            *slow
+	name, address string
+}
+
+type slowCall struct {
+	*slowEnd
+	caller.Task
+	over bool
+}
+
+func (s *slow) Endpoint(name, address string) caller.Endpoint { return &slowEnd{s, name, address} }
+
+func (e *slowEnd) Address() string { return e.address }
+func (e *slowEnd) Close()          {}
+func (e *slowEnd) Start(t caller.Task) caller.Call {
+	c := &slowCall{e, t, false}
+	e.of.calls = append(e.of.calls, c)
+	e.of.did = append(e.of.did, "start "+e.address)
+	return c
+}
+
+func (c *slowCall) NotAfter(time.Time) {}
+func (c *slowCall) Stop(why ending.Ending) (ending.Ending, bool) {
+	return c.end("stop", why)
+}
+func (c *slowCall) Withdraw(why ending.Ending) (ending.Ending, bool) {
+	return c.end("withdraw", why)
+}
+
+func (c *slowCall) end(how string, why ending.Ending) (ending.Ending, bool) {
+	if c.over {
+		return ending.Open, false
+	}
+	c.over = true
+	c.of.did = append(c.of.did, fmt.Sprint(how, " ", c.address, " ", why.Unsent()))
+	return why.Unsent(), true
+}
+
+// Attempts whose connections are still coming up when something else comes: nothing of them is wanted any more, whether or not
+// the settings let running ones be called off.
+func TestWhatIsNotWantedAnyMoreIsWithdrawn(t *testing.T) {
+	serving := func(id, address string, since float64) members.Member {
+		return members.Member{ID: id, Address: address, Phase: members.Serving, UpSince: since}
+	}
+	for name, tc := range map[string]struct {
+		members []members.Member
+		play    func(s *Pool, inv *invocation.Invocation, c *slow)
+		did     []string
+		answers []invocation.Answer
+		gone    int
+	}{
+		"the consumer leaves": {[]members.Member{serving("s", "p:1", 0)}, func(s *Pool, inv *invocation.Invocation, c *slow) {
+			abandoned{inv: inv}.apply(s)
+		}, []string{"start p:1", "withdraw p:1 withdrawn"}, nil, 1},
+		"a word to stop that leaves less time than the attempt has": {[]members.Member{serving("s", "p:1", 0)},
+			func(s *Pool, inv *invocation.Invocation, c *slow) {
+				stopNow{stopping.For(time.Minute, time.Second)}.apply(s)
+				time.Sleep(time.Second)
+				s.due()
+			}, []string{"start p:1", "withdraw p:1 withdrawn"}, []invocation.Answer{{Kind: invocation.Failed}}, 0},
+		"another process under the same id": {[]members.Member{serving("s", "p:1", 1), serving("t", "p:1", 1)},
+			func(s *Pool, inv *invocation.Invocation, c *slow) {
+				s.retryFreely()
+				s.list(members.List{Members: []members.Member{serving("s", "p:2", 1), serving("t", "p:3", 1)}})
+			}, []string{"start p:1", "withdraw p:1 drained", "start elsewhere"}, nil, 0},
+		"another start of the same process": {[]members.Member{serving("s", "p:1", 1), serving("t", "p:1", 1)},
+			func(s *Pool, inv *invocation.Invocation, c *slow) {
+				s.retryFreely()
+				s.list(members.List{Members: []members.Member{serving("s", "p:1", 2), serving("t", "p:1", 2)}})
+			}, []string{"start p:1", "withdraw p:1 drained", "start elsewhere"}, nil, 0},
+		"an attempt fails, and the word of the consumer's end waits": {[]members.Member{serving("s", "p:1", 0), serving("t", "p:1", 0)},
+			func(s *Pool, inv *invocation.Invocation, c *slow) {
+				s.retryFreely()
+				s.Abandon(inv)
+				c.calls[0].over = true
+				s.ended(1, caller.Result{Ending: ending.Declined})
+				(<-s.events).apply(s)
+			}, []string{"start p:1"}, nil, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := new(slow)
+				s, err := New(Options{Logic: logic.Config{MaxAttempts: 3, Classes: []logic.Class{{Aim: 1e4, Deadline: 6e4}}}, Caller: c,
+					DrainGrace: time.Minute})
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.list(members.List{Members: tc.members})
+				before := s.sizes()
+				var got []invocation.Answer
+				inv := &invocation.Invocation{ID: "a", SentAt: time.Now(), Patience: time.Minute,
+					Answer: func(a invocation.Answer) { got = append(got, a) }}
+				arrived{inv}.apply(s)
+				tc.play(s, inv, c)
+				for i, did := range c.did[1:] {
+					if did[:3] == "sta" {
+						c.did[i+1] = "start elsewhere"
+					}
+				}
+				if !slices.Equal(c.did, tc.did) || !slices.EqualFunc(got, tc.answers, func(a, b invocation.Answer) bool {
+					return a.Kind == b.Kind && a.MayHaveRun == b.MayHaveRun
+				}) || s.counts.Gone != tc.gone {
+					t.Errorf("%q, %+v, %d gone", c.did, got, s.counts.Gone)
+				}
+				if last := tc.did[len(tc.did)-1]; last != "start elsewhere" {
+					time.Sleep(time.Minute) // until its timers have passed
+					s.due()
+					if after := s.sizes(); after.Held != before.Held || after.Calls != before.Calls || after.Open != before.Open {
+						t.Errorf("%+v, was %+v", after, before)
+					}
+				}
+			})
+		})
+	}
+}
+
+// retryFreely has so many invocations come and go that a further attempt is allowed.
+func (s *Pool) retryFreely() {
+	for i := range 20 {
+		inv := &invocation.Invocation{ID: fmt.Sprint("x", i), SentAt: time.Now(), Patience: time.Minute, Answer: func(invocation.Answer) {}}
+		arrived{inv}.apply(s)
+		abandoned{inv: inv}.apply(s)
+	}
+	c := s.set.Caller.(*slow)
+	c.calls, c.did, s.counts.Gone = c.calls[:1], c.did[:1], 0
+}
--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -33,7 +33,7 @@
 	Served      // 200 and a whole body
 	ServerError // an answer that is neither a 200 nor a provider's word that it has not run
 	Declined    // the provider's word that it has not run
-	Unreadable  // a probe's answer without the load report that it should bring: it says nothing
+	Unreadable  // what became of a probe without the load report that it should bring, or sent to an earlier process: it says nothing
 
 	// Of an invoker call or a probe: never ran.
 	NoSocket       // the limit on sockets left none for it
--- a/internal/invocation/invocation.go
+++ b/internal/invocation/invocation.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,8 +29,17 @@
 
 	// Answer takes the one final answer. It must not block.
 	Answer func(Answer)
+
+	left atomic.Bool
 }
 
+// Leave notes that its consumer is gone. Whoever is about to write something of it sees that at once, wherever the word of it
+// has to wait.
+func (i *Invocation) Leave() { i.left.Store(true) }
+
+// Left reports whether its consumer is gone.
+func (i *Invocation) Left() bool { return i.left.Load() }
+
 // Stream is a body that flows.
 type Stream interface {
 	io.Reader      // io.EOF = it was whole
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -37,7 +37,8 @@
 	at       *endpoint
 	message  []byte
 	probe    bool
-	bodiless bool // its answer has no body, whatever it says
+	inv      *invocation.Invocation // nil = none: a probe
+	bodiless bool                   // its answer has no body, whatever it says
 	done     func(caller.Result)
 	upload   invocation.Source // what follows message; nil = nothing
 	flowed   func()            // told when its last byte is written
@@ -67,7 +68,7 @@
 
 // word words the task for the endpoint.
 func (e *endpoint) word(t caller.Task) *call {
-	c := &call{at: e, done: t.Ended, notAfter: t.NotAfter}
+	c := &call{at: e, done: t.Ended, notAfter: t.NotAfter, inv: t.Invocation}
 	if inv := t.Invocation; inv != nil {
 		fields := append([]invocation.Field{{Name: http1.HeaderID, Value: inv.ID},
 			{Name: http1.HeaderDeadline, Value: strconv.FormatFloat(t.Wait.Seconds(), 'f', 3, 64)}}, inv.Fields...)
@@ -143,10 +144,8 @@
 				conn.close()
 				return nil
 			}
-		default: // ended by Stop, or too late for its provider: another call may use the connection
-			if e != ending.Withdrawn {
-				v.end(c, result{Result: caller.Result{Ending: e}})
-			}
+		default: // nobody waits for it, or it is too late for its provider: another call may use the connection
+			v.end(c, result{Result: caller.Result{Ending: e}})
 		}
 		v.keep(conn)
 		next, how := conn.idle()
@@ -181,7 +180,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.stage == ended:
+	case c.over():
 		return ending.Withdrawn
 	case !c.notAfter.IsZero() && time.Now().After(c.notAfter):
 		// The list said so while the connection came up: a drain counts from the first byte of a send.
@@ -197,6 +196,9 @@
 	return ending.Open
 }
 
+// over reports whether nothing of the call may be written any more. It is called with mu held.
+func (c *call) over() bool { return c.stage == ended || c.inv != nil && c.inv.Left() }
+
 // inParts reports whether the last byte is written by itself, so that what comes in before it is seen to.
 func (c *call) inParts() bool { return len(c.message) > lump || c.hold > 0 || c.upload != nil }
 
@@ -204,7 +206,7 @@
 func (c *call) release() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stage == ended {
+	if c.over() {
 		return false
 	}
 	c.stage = writing
@@ -216,7 +218,7 @@
 func (c *call) rewind(d dead) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stage == ended || c.dead != nil || c.upload != nil && c.upload.Spent() {
+	if c.over() || c.dead != nil || c.upload != nil && c.upload.Spent() {
 		return false
 	}
 	c.stage, c.conn, c.dead = connecting, nil, &d
@@ -248,10 +250,16 @@
 
 // Stop gives the call up. Its connection is closed when Stop returns, so that no later attempt can be out
 // beside this one. False means that it had ended already and its Result is on the way.
-func (c *call) Stop(why ending.Ending) (ending.Ending, bool) {
+func (c *call) Stop(why ending.Ending) (ending.Ending, bool) { return c.giveUp(why, waiting) }
+
+// Withdraw is Stop for a call whose last byte is not written.
+func (c *call) Withdraw(why ending.Ending) (ending.Ending, bool) { return c.giveUp(why, holding) }
+
+// giveUp ends the call unless it has come further than to that stage.
+func (c *call) giveUp(why ending.Ending, most stage) (ending.Ending, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stage == ended {
+	if c.stage > most {
 		return ending.Open, false
 	}
 	if c.stage <= holding {
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -109,24 +109,27 @@
 	early := func() (result, bool) { // a part of a request can't have run
 		return result{Result: caller.Result{Ending: ending.Unwritten}, early: true, took: time.Since(sent)}, false
 	}
+	withdrawn := func() (result, bool) { // nobody waits for it, and its last byte is not written
+		return result{Result: caller.Result{Ending: ending.Withdrawn}}, false
+	}
 	rest := call.message
 	if call.upload != nil {
 		var consumer error
 		if rest, consumer = c.pump(call); rest == nil && consumer != nil { // who sends it has ended: so has the attempt, unsent
-			return result{Result: caller.Result{Ending: ending.Withdrawn}}, false
+			return withdrawn()
 		}
 		if rest == nil {
 			return early()
 		}
 		if !call.release() {
-			return result{}, false
+			return withdrawn()
 		}
 	} else if call.inParts() {
 		if _, err := c.socket.Write(rest[:len(rest)-1]); err != nil || !c.quietFor(call.hold) {
 			return early()
 		}
 		if rest = rest[len(rest)-1:]; !call.release() {
-			return result{}, false
+			return withdrawn()
 		}
 	}
 	if _, err := c.socket.Write(rest); err != nil {
--- a/internal/provider/dead_test.go
+++ b/internal/provider/dead_test.go
@@ -38,20 +38,24 @@
 		Whole  int // messages that the provider got with their last byte, the first one included
 	}
 	for name, c := range map[string]struct {
-		hold  time.Duration
-		probe bool
-		early bool // the provider ends the connection, before the last byte if that is held back
-		stop  time.Duration
-		want  seen
+		hold     time.Duration
+		probe    bool
+		early    bool // the provider ends the connection, before the last byte if that is held back
+		stop     time.Duration
+		leave    bool // what happens then is that the consumer leaves, or, if the call is withdrawn, that it is
+		withdraw bool
+		want     seen
 	}{
-		"alive":                    {hold: hold, want: seen{Ending: ending.Served, Whole: 2}},
-		"dead before the last":     {hold: hold, early: true, want: seen{Ending: ending.Served, Dead: true, Whole: 2}},
-		"dead after it":            {hold: 0, early: true, want: seen{Ending: ending.ResetByPeer, Whole: 2}},
-		"a probe, dead after it":   {probe: true, early: true, want: seen{Ending: ending.Served, Dead: true, Whole: 3}},
-		"stopped while held back":  {hold: hold, stop: hold / 2, want: seen{Ending: ending.Unwritten, Whole: 1}},
-		"stopped after that":       {hold: hold, stop: 2 * hold, want: seen{Ending: ending.TimedOut, Whole: 2}},
-		"stopped, not held back":   {stop: hold / 2, want: seen{Ending: ending.TimedOut, Whole: 2}},
-		"dead, stopped on the new": {hold: hold, early: true, stop: 2 * hold, want: seen{Ending: ending.TimedOut, Dead: true, Whole: 2}},
+		"alive":                     {hold: hold, want: seen{Ending: ending.Served, Whole: 2}},
+		"dead before the last":      {hold: hold, early: true, want: seen{Ending: ending.Served, Dead: true, Whole: 2}},
+		"dead after it":             {hold: 0, early: true, want: seen{Ending: ending.ResetByPeer, Whole: 2}},
+		"a probe, dead after it":    {probe: true, early: true, want: seen{Ending: ending.Served, Dead: true, Whole: 3}},
+		"stopped while held back":   {hold: hold, stop: hold / 2, want: seen{Ending: ending.Unwritten, Whole: 1}},
+		"left while held back":      {hold: hold, stop: hold / 2, leave: true, want: seen{Ending: ending.Withdrawn, Whole: 1}},
+		"withdrawn while held back": {hold: hold, stop: hold / 2, withdraw: true, want: seen{Ending: ending.Withdrawn, Whole: 1}},
+		"stopped after that":        {hold: hold, stop: 2 * hold, want: seen{Ending: ending.TimedOut, Whole: 2}},
+		"stopped, not held back":    {stop: hold / 2, want: seen{Ending: ending.TimedOut, Whole: 2}},
+		"dead, stopped on the new":  {hold: hold, early: true, stop: 2 * hold, want: seen{Ending: ending.TimedOut, Dead: true, Whole: 2}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -101,7 +105,15 @@
 				if c.stop > 0 {
 					go func() {
 						time.Sleep(c.stop)
-						if how, stopped := second.Stop(ending.TimedOut); stopped {
+						give, why := second.Stop, ending.TimedOut
+						switch {
+						case c.leave:
+							second.inv.Leave()
+							return
+						case c.withdraw:
+							give, why = second.Withdraw, ending.CalledOff
+						}
+						if how, stopped := give(why); stopped {
 							results <- caller.Result{Ending: how}
 						}
 					}()
