A consumer's end is seen behind what it has sent, in a long body and before its request is taken

Seen, on the untouched tree with the new loopback test: where a byte had come behind the request (a blank line, another request, more than the reader's buffer) the consumer's end was never seen before the answer (12 of 12 ways); nor while the rest of a long body waited for its attempt (4 of 4); and a request whose consumer had left while the connection was still in the listener's backlog was taken and sent (4 of 4).

At fault: conn.invoke waited in next() for one byte or the end, and after the byte for the answer alone; uploaded() left reading, and so seeing the end, to an attempt that may not be there yet; nothing looked between reading a request and Take. Socket.Quiet took any error for silence, a reset too.

Checked and ruled out: a close while the request is queued for the core (await sees it, and invocation.Left stops what is decided meanwhile), a small body half sent (never taken), half-closes (a consumer that ends its sending has left, as before).

Now: Socket.Left asks the kernel for the other side's end (poll, POLLRDHUP), whatever is unread before it; await and uploaded look every 100 ms, only where there is something behind; invoke looks once before Take, and asks only if something is unread. A reader that is woken by a deadline, which only an answered connection's is, waits for the word of that answer: it took a close of its own for the consumer's end before. What an answered request counts as is left to its writer: one whose consumer closed at once after its answer could count as left (seen as served=0 in three runs of this test).

Test: TestWhatNobodyWaitsForIsNotSent, 8 places x FIN or reset x with or without MayCancel, over loopback with dialer and listener held at the point; each mend was taken out and its cases failed. 5 runs under -race.

--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -36,6 +36,7 @@
 	floodFor    = 100 * time.Millisecond
 	closingFor  = 50 * time.Millisecond // instead of lingerFor, once the front is being closed: the process may be killed soon
 	acceptPause = 5 * time.Millisecond
+	leftEvery   = 100 * time.Millisecond // whether a consumer has left behind something that is still unread
 
 	// A consumer opens a connection when all it has are busy. One that has just been answered is thus about to carry a
 	// request, which would be lost if the connection were closed to make room. But a new one waits to carry one now:
@@ -315,6 +316,9 @@
 	c.socket.Close()
 	c.leave()
 	c.writer.Wait()
+	if c.request != nil {
+		c.request.End(figures.Left) // unless it was answered, which may have been at the last moment
+	}
 	http1.Free(c.br)
 	c.server.ended(c, e)
 }
@@ -361,8 +365,10 @@
 func (c *conn) invoke(inv *invocation.Invocation) ending.Ending {
 	c.serve()
 	c.request = c.server.book.Taken(c.class)
-	defer c.request.End(figures.Left) // unless it was answered
 	defer c.letGo()
+	if (c.br.Buffered() > 0 || !c.socket.Quiet()) && c.socket.Left() { // while its request waited to be read
+		return ending.ConsumerGone
+	}
 	if !c.server.core.Take(inv) {
 		return ending.Stopped
 	}
@@ -374,20 +380,31 @@
 			return ending.Open
 		}
 	}
-	err := c.next() // the next message, or the consumer's end
-	if err == errHandedOver {
-		return ending.HandedOver
-	}
+	return c.await(inv)
+}
+
+// await returns how writing the answer has ended; or, if the consumer leaves before, how the connection has.
+func (c *conn) await(inv *invocation.Invocation) ending.Ending {
+	_, err := c.br.Peek(1) // the next message, or the consumer's end
 	select {
 	case e := <-c.written:
 		return e
 	default:
 	}
-	if err != nil {
-		c.server.core.Abandon(inv)
-		return ending.ConsumerGone
+	if errors.Is(err, os.ErrDeadlineExceeded) { // none but the reader of an answered one is woken: the word of that is about to come
+		return <-c.written
+	}
+	for look := time.Tick(leftEvery); err == nil && !c.socket.Left(); { // behind what has come its end can't be read
+		select {
+		case e := <-c.written:
+			return e
+		case <-c.server.hung:
+			return ending.Stopped
+		case <-look:
+		}
 	}
-	return <-c.written
+	c.server.core.Abandon(inv)
+	return ending.ConsumerGone
 }
 
 // next waits for the first byte of a message. Its deadline passes when the connection is to end while idle, or when it
@@ -509,7 +526,7 @@
 	}
 	c.known, c.class = true, words.names[inv.Class]
 	if c.upload = nil; req.Rest != nil {
-		c.upload = &upload{conn: c, body: req.Rest, pace: c.paced, done: make(chan struct{})}
+		c.upload = &upload{conn: c, body: req.Rest, pace: c.paced, leave: inv.Leave, done: make(chan struct{})}
 		inv.Rest = c.upload
 	}
 	c.paced = nil
--- a/internal/consumer/long.go
+++ b/internal/consumer/long.go
@@ -129,9 +129,10 @@
 // upload is the rest of a long request. The attempt that is out reads it straight from the consumer's connection, whose reader
 // waits meanwhile.
 type upload struct {
-	conn *conn
-	body *http1.Body
-	pace *flow.Pace
+	conn  *conn
+	body  *http1.Body
+	pace  *flow.Pace
+	leave func() // told as soon as it is known that the body will never be whole
 
 	spent  atomic.Bool
 	seized atomic.Bool
@@ -178,7 +179,9 @@
 // end notes why nothing more comes. It is called with mu held.
 func (u *upload) end(err error) {
 	if u.err == nil {
-		u.err = err
+		if u.err = err; err != io.EOF && err != errSeized {
+			u.leave()
+		}
 		u.state.Lock()
 		u.whole = err == io.EOF
 		u.late = u.replied
@@ -209,33 +212,43 @@
 // uploaded waits until the rest of the body has been read. Another ending than Open says that the connection is at its end. If the
 // answer came first, what is left of the body is read and dropped, and c.upload is nil then.
 func (c *conn) uploaded(inv *invocation.Invocation) ending.Ending {
-	u := c.upload
-	select {
-	case <-u.done:
-		switch {
-		case u.err == io.EOF && !u.late:
-			return ending.Open
-		case u.err == io.EOF:
-			if e := <-c.written; e != ending.Open {
+	u, look := c.upload, time.Tick(leftEvery) // where no attempt reads, nobody sees the consumer's end
+	for waiting := true; waiting; {
+		select {
+		case <-look:
+			if c.socket.Left() {
+				c.server.core.Abandon(inv)
+				u.seize()
+				return ending.ConsumerGone
+			}
+			continue
+		case <-u.done:
+			switch {
+			case u.err == io.EOF && !u.late:
+				return ending.Open
+			case u.err == io.EOF:
+				if e := <-c.written; e != ending.Open {
+					return e
+				}
+				c.upload = nil
+				c.rest()
+				return ending.Open
+			}
+			c.server.core.Abandon(inv)
+			if errors.Is(u.err, os.ErrDeadlineExceeded) || errors.Is(u.err, http1.ErrMalformed) {
+				return ending.BadInput
+			}
+			return ending.ConsumerGone
+		case e := <-c.written:
+			u.seize() // before anything else: who still reads must not do so beyond the connection's end
+			if e != ending.Open {
 				return e
 			}
-			c.upload = nil
-			c.rest()
-			return ending.Open
-		}
-		c.server.core.Abandon(inv)
-		if errors.Is(u.err, os.ErrDeadlineExceeded) || errors.Is(u.err, http1.ErrMalformed) {
-			return ending.BadInput
-		}
-		return ending.ConsumerGone
-	case e := <-c.written:
-		u.seize() // before anything else: who still reads must not do so beyond the connection's end
-		if e != ending.Open {
-			return e
+		case <-c.server.hung:
+			u.seize()
+			return ending.Stopped
 		}
-	case <-c.server.hung:
-		u.seize()
-		return ending.Stopped
+		waiting = false
 	}
 	if u.err == errSeized {
 		c.paced = u.pace
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -161,22 +163,35 @@
 	return s.leaving
 }
 
-// Quiet reports whether nothing that has come in is still unread, the other side's close included.
+// Quiet reports whether nothing that has come in is still unread, the other side's close or reset included.
 func (s *Socket) Quiet() bool {
+	var err error
+	known := s.control(func(fd int) {
+		var b [1]byte
+		_, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return !known || err == syscall.EAGAIN || err == syscall.EINTR
+}
+
+// Left reports whether the other side has ended its sending or broken the connection, also where what it sent before that is
+// still unread.
+func (s *Socket) Left() (left bool) {
+	s.control(func(fd int) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		_, err := unix.Poll(p, 0)
+		left = err == nil && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return left
+}
+
+// control calls f with the descriptor, and reports whether there is one.
+func (s *Socket) control(f func(fd int)) bool {
 	sys, ok := s.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return false
 	}
 	raw, err := sys.SyscallConn()
-	if err != nil {
-		return true
-	}
-	waiting := 0
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		waiting, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err != nil || waiting < 0
+	return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
 }
 
 // Force takes one place whether or not the limit leaves it, for a connection that is there already.
