A kept connection whose time is over carries no call, though its goroutine was woken late

Seen by reading, then forced: a connection may be used for 0.8 of the time after which its provider closes an idle one, but only its own goroutine's read deadline kept to that. Where the process was held up beyond it, endpoint.offer still found the connection in the list and idle() took the call; the provider closes it just then, and what is written from that time on ends as a reset, which an order may not be sent again after.

At fault: conn.idle looked at what had come in, not at the time. Now keep notes until when the connection may be used, and idle, which comes last, holds to it: the call goes on a new connection. Ruled out: clocks that jump (both times are read by the monotonic clock).

--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -35,7 +35,8 @@
 // byte is written.
 type conn struct {
 	at     *endpoint // that it was opened to
-	put    time.Time // when it was last put there
+	put    time.Time // when it was last put there,
+	until  time.Time // and until when it may be used from there
 	socket *sockets.Socket
 	br     *bufio.Reader
 	dialed time.Duration // until it was up,
@@ -93,7 +94,8 @@
 	next, c.next = c.next, nil
 	c.over = c.over || next == nil
 	c.mu.Unlock()
-	if next != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+	// This goroutine may have been woken late, and the provider may be about to close the connection.
+	if next != nil && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(c.until) {
 		err = c.socket.SetReadDeadline(time.Time{})
 		if err == nil && c.socket.Quiet() {
 			return next, ending.Open
--- a/internal/provider/conn_test.go
+++ b/internal/provider/conn_test.go
@@ -38,6 +38,7 @@
 	if _, err := in.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nmap")); err != nil {
 		t.Fatal(err)
 	}
+	conn.until = time.Now().Add(time.Hour)
 	if !conn.offer(at.word(caller.Task{})) {
 		t.Fatal("an idle connection takes no call")
 	}
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -188,7 +188,7 @@
 		return
 	}
 	c.socket.Idle(0)
-	c.put = now
+	c.put, c.until = now, now.Add(retire)
 	c.at.idle = append(c.at.idle, c)
 }
 
