A reload asks each class for the keys it had, not for those of the class that stands first

Seen: where a class with KeyScope and MemorySpanMs stands first and another has neither, SIGHUP is turned down even with the very same file: "settings.RequestClasses[1].KeyScope: missing, and it was there before". With the classes in another order the file is taken, and then a class that loses a key goes unnoticed unless the first one has it. At fault: lacks in internal/config/config.go held every entry of a list to the keys of was[0].

Now an entry is held to those of its own name, a new one to what all had. On a platform that writes every key for every class nothing changes, except that a class of its own name is compared with itself.

TestReloadOfUnlikeClasses fails without the mend in four of its six rows (two files wrongly turned down, one for the wrong class, one wrongly taken); seen. go test -race -count=20 ./internal/config: green.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -132,8 +132,7 @@
 	return next, fixed, next.check()
 }
 
-// lacks returns an error that names a key which one has and the other has not. Of lists, each entry of the other must
-// have the keys that the first entry of the one has.
+// lacks returns an error that names a key which one has and the other has not. Of lists, see model.
 func lacks(path string, one, other any) error {
 	switch was := one.(type) {
 	case map[string]any:
@@ -152,7 +151,7 @@
 	case []any:
 		is, _ := other.([]any)
 		for i := 0; len(was) > 0 && path != "known.members." && i < len(is); i++ {
-			if err := lacks(fmt.Sprintf("%s[%d].", strings.TrimSuffix(path, "."), i), was[0], is[i]); err != nil {
+			if err := lacks(fmt.Sprintf("%s[%d].", strings.TrimSuffix(path, "."), i), model(was, is[i]), is[i]); err != nil {
 				return err
 			}
 		}
@@ -160,6 +159,23 @@
 	return nil
 }
 
+// model has the keys that an entry of a list can't be without: those that the entry of its name had or, where there was none,
+// those that all had. The order of the entries says nothing.
+func model(was []any, entry any) map[string]any {
+	is, _ := entry.(map[string]any)
+	name, _ := is["Name"].(string)
+	first, _ := was[0].(map[string]any)
+	common := maps.Clone(first)
+	for _, w := range was {
+		one, _ := w.(map[string]any)
+		if one["Name"] == name && name != "" {
+			return one
+		}
+		maps.DeleteFunc(common, func(key string, _ any) bool { _, have := one[key]; return !have })
+	}
+	return common
+}
+
 // mayGo are the keys that a file may leave out though it had them.
 var mayGo = map[string]bool{"plankrouter": true, "admin_addr": true}
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -172,6 +172,36 @@
 	}
 }
 
+// Classes need not have the same keys, in whatever order they stand; each must keep its own.
+func TestReloadOfUnlikeClasses(t *testing.T) {
+	const tile = `{"Name":"tile","AimMs":750,"HardLimitMs":2500,"Repeat":"pure"}`
+	const search = `{"Name":"search","AimMs":500,"HardLimitMs":1500,"Repeat":"token","KeyScope":"all","MemorySpanMs":4000}`
+	const short = `{"Name":"search","AimMs":500,"HardLimitMs":1500,"Repeat":"token","KeyScope":"all"}`
+	const fresh = `{"Name":"fresh","AimMs":500,"HardLimitMs":1500,"Repeat":"side_effect"}`
+	with := func(classes ...string) string { return strings.Replace(good, tile, strings.Join(classes, ","), 1) }
+	for _, tc := range []struct{ before, after, fault string }{
+		{with(search, tile), with(search, tile), ""},
+		{with(search, tile), with(tile, search), ""},
+		{with(tile, search), with(fresh, search), ""},
+		{with(search, tile), with(tile, short), "RequestClasses[1].MemorySpanMs"},
+		{with(tile, search), with(short, tile), "RequestClasses[0].MemorySpanMs"},
+		{with(search), with(search, fresh), "RequestClasses[1].KeyScope"},
+	} {
+		old, err := load(t, tc.before, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(tc.after), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, _, err = old.Reload(func(key string) string { return map[string]string{"GW_CONFIG": path}[key] })
+		if (err == nil) != (tc.fault == "") || err != nil && !strings.Contains(err.Error(), tc.fault) {
+			t.Errorf("from %s\nto %s: %v, want %q", tc.before, tc.after, err, tc.fault)
+		}
+	}
+}
+
 // The examples of installations can be used as they are.
 func TestExamplesOfInstallations(t *testing.T) {
 	files, err := filepath.Glob("../../deploy/*.json")
