An answer is told once its connection is kept: a further attempt finds it

The provider declines, and the further attempt, due at once, goes over a second connection. At fault: serve in internal/provider/call.go told the end of a call first (v.end, so that the core starts the next) and kept its connection after that (v.keep); whoever came first decided whether a handshake was paid, and a socket taken.

Now the call still ends first, so that Stop can't close a connection that is kept; its end is told after keep. A long answer is told before, since it holds the connection; one after which nothing is kept, as it was.

TestNextCallFindsTheConnection starts the next call from the end of the first: fails without the mend (three of three), green in 20 of 20 with -race. internal/provider and internal/core green three times with -race; the rest of the suite not run.

--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -125,6 +125,7 @@
 		return nil
 	}
 	for {
+		var untold *result
 		switch e := c.begin(conn); e {
 		case ending.Open:
 			r, again := conn.carry(c)
@@ -134,10 +135,17 @@
 				return c
 			}
 			conn.use.carried++
-			// The call ends before its connection is kept for another: once it has ended, Stop can't close that.
-			ended := v.end(c, r)
-			if r.flow != nil && ended {
+			// The call ends before its connection is kept for another: once it has ended, Stop can't close that. It is told
+			// after that, unless a long answer still holds the connection: a call that follows from it is to find that.
+			ended := v.settle(c, &r)
+			switch {
+			case ended && r.flow != nil:
+				c.done(r.Result)
 				again = r.flow.wait(v.ctx) && again
+			case ended && !again:
+				c.done(r.Result)
+			default:
+				untold = &r
 			}
 			if !ended || !again {
 				conn.close()
@@ -149,6 +157,9 @@
 			}
 		}
 		v.keep(conn)
+		if untold != nil {
+			c.done(untold.Result)
+		}
 		next, how := conn.idle()
 		if how != ending.Open {
 			conn.close()
@@ -266,7 +277,14 @@
 }
 
 // end reports the result unless the call has ended before.
-func (v *Caller) end(c *call, r result) bool {
+func (v *Caller) end(c *call, r result) {
+	if v.settle(c, &r) {
+		c.done(r.Result)
+	}
+}
+
+// settle ends the call with a result that is still to be told, unless it has ended before.
+func (v *Caller) settle(c *call, r *result) bool {
 	c.mu.Lock()
 	if c.stage == ended {
 		c.mu.Unlock()
@@ -275,8 +293,7 @@
 	c.stage = ended
 	c.cancel()
 	c.mu.Unlock()
-	v.learn(c, &r)
-	c.done(r.Result)
+	v.learn(c, r)
 	return true
 }
 
--- a/internal/provider/conn_test.go
+++ b/internal/provider/conn_test.go
@@ -1,6 +1,7 @@
 package provider
 
 import (
+	"context"
 	"io"
 	"net"
 	"path/filepath"
@@ -51,3 +52,34 @@
 		t.Errorf("carried: %s, %q, again %t", r.Ending, r.Body, again)
 	}
 }
+
+// A call that follows from the end of another, as a further attempt does, finds the connection that this one leaves.
+func TestNextCallFindsTheConnection(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	opened := make(chan net.Conn, 2)
+	budget := sockets.NewBudget(8, func(context.Context, string) (net.Conn, error) {
+		mine, theirs := net.Pipe()
+		opened <- theirs
+		return mine, nil
+	})
+	v, err := New(ctx, budget, Settings{Figures: Figures{Connect: time.Second, ConnIdle: time.Hour}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer v.Wait()
+	defer cancel()
+	at, ends := v.Endpoint("p1", "p1:1").(*endpoint), make(chan ending.Ending, 2)
+	next := at.word(caller.Task{Ended: func(r caller.Result) { ends <- r.Ending }})
+	first := at.word(caller.Task{Ended: func(r caller.Result) { ends <- r.Ending; v.start(next, fixed(0)) }})
+	v.start(first, fixed(0))
+	for kept, i := <-opened, 0; i < 2; i++ {
+		kept.SetDeadline(time.Now().Add(5 * time.Second)) // on a connection of its own the next never comes here
+		if _, err := io.ReadFull(kept, make([]byte, len(first.message))); err != nil {
+			t.Fatalf("call %d: %v", i, err)
+		}
+		io.WriteString(kept, answer)
+		if how := <-ends; how != ending.Served {
+			t.Errorf("call %d: %s", i, how)
+		}
+	}
+}
