Recorded exchanges are played again under other names and another order, with the same record

Each file in testdata/ is played twice more: once with fresh names of classes, tenants, zones and providers, once with the names of two classes, the tenants and the zones exchanged; each time no class, tenant or zone has its old position. The translation is mechanical, by whole words, and has to lead back to the recording. No file is exempt. For more orders the test settings have a third class, of kind token, and a second tenant: no record changed for that.

--- a/cmd/plankrouter/play_test.go
+++ b/cmd/plankrouter/play_test.go
@@ -45,10 +45,12 @@
 "known":{"revision":7,"complete":true,"members":[%[2]s]},
 "settings":{"Balancers":1,"Discovery":"pushed","RoundMs":5,"Dcs":["a","b"],"Locality":0,
 "Limits":{"ConnIdleMs":60000,"ConnectTimeoutMs":%[5]s,"MaxAttempts":3,"MayCancel":true,"Probes":%[3]s,"MaxRetryAfterMs":1200},
-"Report":{"Names":["active","avg_ms"]},"Realms":[{"Name":"acme","QuotaPerS":%[4]s}],"OverShareWorth":0.2,
+"Report":{"Names":["active","avg_ms"]},
+"Realms":[{"Name":"acme","QuotaPerS":%[4]s},{"Name":"globex","QuotaPerS":500}],"OverShareWorth":0.2,
 "Safety":{"StartCapacity":0.3,"WarmWithinMs":8000,"TipMultiple":4,"FallMs":3000,"DrainGraceMs":750},
 "RequestClasses":[{"Name":"tile","AimMs":750,"HardLimitMs":2500,"Credit":1,"Repeat":"pure"},
-{"Name":"order","AimMs":300,"HardLimitMs":1000,"Credit":5,"Repeat":"side_effect"}]}}`
+{"Name":"order","AimMs":300,"HardLimitMs":1000,"Credit":5,"Repeat":"side_effect"},
+{"Name":"search","AimMs":525,"HardLimitMs":1500,"Credit":1,"Repeat":"token","KeyScope":"all","MemorySpanMs":4000}]}}`
 
 // end is one end of a connection that the test holds; what arrives is collected as it comes.
 type end struct {
@@ -180,7 +182,7 @@
 				t.Fatal(err)
 			}
 			var played string
-			synctest.Test(t, func(t *testing.T) { played = play(t, string(raw)) })
+			synctest.Test(t, func(t *testing.T) { played = play(t, string(raw), bytes.Clone) })
 			if *update {
 				err = os.WriteFile(file, []byte(played), 0o644)
 			}
@@ -191,8 +193,9 @@
 	}
 }
 
-// play returns the exchange as it went: the same text, but for what the program sent.
-func play(t *testing.T, text string) string {
+// play returns the exchange as it went: the same text, but for what the program sent. worded has the last word on what the
+// configuration file says.
+func play(t *testing.T, text string, worded func([]byte) []byte) string {
 	parts := strings.Split(text, "\n--- ")
 	out := []string{parts[0]}
 	g := &stage{ends: map[string]*end{}, opens: map[string]int{}, dials: map[string]string{},
@@ -203,8 +206,8 @@
 	var result chan error
 	path := filepath.Join(t.TempDir(), "config.json")
 	write := func() {
-		if err := os.WriteFile(path, fmt.Appendf(nil, base, set["sockets"], lines(set["providers"]), set["probes"],
-			set["quota"], set["connect"], set["discovery"]), 0o600); err != nil {
+		if err := os.WriteFile(path, worded(fmt.Appendf(nil, base, set["sockets"], lines(set["providers"]), set["probes"],
+			set["quota"], set["connect"], set["discovery"])), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
