An answer of the directory that begins and then falls silent is given up like one that does not

Seen by reading, shown by a scripted directory: from the first byte on an answer had 5 s (transferMost) and nothing else; each interim answer began them anew, up to eight times, and a connection that does not come up had 1 s whatever the settings.

At fault: directory.call, the deadline set by `begun`; the constant dialWithin. Now the Keeper says with each call for how long its answer may pause (Call.Pause, the settings' patience); each read that brings bytes begins that time anew, 5 s bound the whole as before. Interim answers leave the call's own time as it is, and a connection has a pause to come up, 1 s at most.

Likewise by reading: lateness was measured up to the last byte, so that slow news passed for an answer at the end of its wait, the list for up to a wait younger than it was, and the patience grew with a list's size. It counts from the first byte. `heard` is what a call returns, no longer kept from one to the next.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -41,9 +41,8 @@
 
 	at       string // where the present call goes
 	revision uint64
-	conn     *sockets.Socket
+	conn     *line
 	br       *bufio.Reader
-	heard    time.Time // the first byte of the last answer
 }
 
 // Options are what a watch is told.
@@ -153,7 +152,7 @@
 // once makes a call. One that is left has not failed, but its connection may still bring the answer: it is done with.
 func (w *Watch) once(ctx context.Context, c freshness.Call) {
 	began := time.Now()
-	list, err := w.call(ctx, c)
+	list, heard, err := w.call(ctx, c)
 	if w.set.Trace != nil {
 		w.set.Trace("trace=list whole=%t wait_ms=%d took_ms=%.1f lines=%d ok=%t full=%t", c.Whole, c.Wait.Milliseconds(),
 			time.Since(began).Seconds()*1e3, len(list.Members), err == nil, errors.Is(err, errFull))
@@ -161,7 +160,7 @@
 	switch {
 	case err == nil:
 		w.mu.Lock()
-		w.keeper.Answered(c, time.Since(began))
+		w.keeper.Answered(c, heard.Sub(began)) // what follows its first byte may take long and says nothing of the directory
 		w.note(list)
 		w.source = w.at
 		w.mu.Unlock()
@@ -173,7 +172,7 @@
 		}
 		w.revision = list.Revision
 		if list.Complete || len(list.Members) > 0 {
-			w.set.Told(list, w.heard) // not under the lock: it may wait for one who wants to tell what it saw
+			w.set.Told(list, heard) // not under the lock: it may wait for one who wants to tell what it saw
 		}
 	case ctx.Err() != nil:
 		w.hangUp()
@@ -223,61 +222,83 @@
 		"&wait=" + strconv.FormatInt(c.Wait.Milliseconds(), 10)
 }
 
-// call makes the call and reads what it brings.
-func (w *Watch) call(ctx context.Context, c freshness.Call) (members.List, error) {
-	none := members.List{}
+// line is the connection to the directory. A read lasts until due; within an answer no longer than a pause may.
+type line struct {
+	*sockets.Socket
+	due   time.Time
+	pause time.Duration // 0 = no answer has begun
+}
+
+func (l *line) Read(p []byte) (int, error) {
+	due := l.due
+	if by := time.Now().Add(l.pause); l.pause > 0 && by.Before(due) {
+		due = by
+	}
+	l.SetReadDeadline(due)
+	return l.Socket.Read(p)
+}
+
+// call makes the call and takes what it brings; heard is the first byte of that.
+func (w *Watch) call(ctx context.Context, c freshness.Call) (list members.List, heard time.Time, err error) {
+	raw, heard, err := w.exchange(ctx, c)
+	if err != nil {
+		return list, heard, err
+	}
+	list, faults, err := parse(raw)
+	if err != nil {
+		return list, heard, err
+	}
+	for _, fault := range faults { // one bad line must not hide the others
+		w.set.Logf("directory=%s state=line_skipped err=%q", w.at, fault)
+	}
+	switch {
+	case c.Whole && !list.Complete:
+		err = errors.New("asked for the whole list, got a part")
+	case !list.Complete && list.Revision < w.revision:
+		err = fmt.Errorf("changes of revision %d after %d: the directory counts anew", list.Revision, w.revision)
+	}
+	return list, heard, err
+}
+
+// exchange makes the call and reads the whole of its answer.
+func (w *Watch) exchange(ctx context.Context, c freshness.Call) (raw []byte, heard time.Time, err error) {
 	if w.conn == nil {
-		var err error
-		if w.conn, err = w.set.Budget.Dial(ctx, w.at, dialWithin); err != nil {
-			w.conn = nil
-			return none, err
+		socket, err := w.set.Budget.Dial(ctx, w.at, min(dialWithin, c.Pause))
+		if err != nil {
+			return nil, heard, err
 		}
+		w.conn = &line{Socket: socket}
 		w.br = http1.NewReader(w.conn)
 	}
-	conn := w.conn
+	conn, due := w.conn, time.Now().Add(c.Within)
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	if err := conn.SetDeadline(time.Now().Add(c.Within)); err != nil {
-		return none, err
+	if err := conn.SetWriteDeadline(due); err != nil {
+		return nil, heard, err
 	}
 	if _, err := conn.Write(http1.AppendRequest(nil, "GET", w.target(c), w.at, nil, nil)); err != nil {
-		return none, err
+		return nil, heard, err
 	}
-	begun := func(begun bool) { // a long list is no silence
-		if begun {
-			w.heard = time.Now()
+	conn.due, conn.pause = due, 0
+	begun := func(begun bool) { // a long list is no silence, and an interim answer none that counts
+		if conn.due, conn.pause = due, 0; begun {
+			heard = time.Now()
+			conn.due, conn.pause = heard.Add(transferMost), c.Pause
 		}
-		conn.SetDeadline(time.Now().Add(transferMost))
 	}
 	resp, err := http1.ReadLong(w.br, false, begun, func(int) bool { return false }) // body has it all
 	if err != nil {
-		return none, err
+		return nil, heard, err
 	}
 	switch resp.Status {
 	case 200:
 	case 429, 503:
-		return none, fmt.Errorf("%w: status %d", errFull, resp.Status)
+		return nil, heard, fmt.Errorf("%w: status %d", errFull, resp.Status)
 	default:
-		return none, fmt.Errorf("status %d", resp.Status)
-	}
-	raw, err := body(resp, w.set.Most)
-	if err != nil {
-		return none, err
-	}
-	list, faults, err := parse(raw)
-	if err != nil {
-		return none, err
-	}
-	for _, fault := range faults { // one bad line must not hide the others
-		w.set.Logf("directory=%s state=line_skipped err=%q", w.at, fault)
-	}
-	switch {
-	case c.Whole && !list.Complete:
-		return none, errors.New("asked for the whole list, got a part")
-	case !list.Complete && list.Revision < w.revision:
-		return none, fmt.Errorf("changes of revision %d after %d: the directory counts anew", list.Revision, w.revision)
+		return nil, heard, fmt.Errorf("status %d", resp.Status)
 	}
-	if resp.Close {
+	conn.due, conn.pause = heard.Add(transferMost), c.Pause
+	if raw, err = body(resp, w.set.Most); err == nil && resp.Close {
 		w.hangUp()
 	}
-	return list, nil
+	return raw, heard, err
 }
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -123,7 +123,8 @@
 type Call struct {
 	Whole  bool          // the whole list, at once; else what has changed
 	Wait   time.Duration // for news; 0 with Whole
-	Within time.Duration // after which the call is given up
+	Within time.Duration // after which the call is given up, unless its answer has begun
+	Pause  time.Duration // after which it is given up while its connection comes up, or its answer has begun and pauses
 	After  time.Duration // pause before it
 }
 
@@ -181,7 +182,7 @@
 // Next is the call to make at now.
 func (k *Keeper) Next(now time.Time) Call {
 	c := Call{Whole: k.whole || k.asked}
-	c.Within = k.patience(c.Whole)
+	c.Within, c.Pause = k.patience(c.Whole), k.set.Patience // no turn is waited for there, and nothing is learned of it
 	switch {
 	case k.failures > 0:
 		c.After = wait(k.set.Retry, k.set.RetryMost, k.failures, k.rng.Float64())
@@ -295,7 +296,7 @@
 	return min(k.set.Patience, max(k.set.LeastPatience, k.late+varTimes*k.spread))
 }
 
-// Answered takes note of an answer to c that came after took, whatever it said.
+// Answered takes note of an answer to c that began after took, whatever it said.
 func (k *Keeper) Answered(c Call, took time.Duration) {
 	k.failures = 0
 	k.asOf, k.sure, k.moved = k.began, time.Time{}, false
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -447,6 +447,9 @@
 		if gap := dead.Within + again.After; gap > grace*3/4 || !again.Whole {
 			t.Errorf("%s: asked anew %s after it died", grace, gap)
 		}
+		if gap := dead.Pause + again.After; dead.Pause <= 0 || gap > grace*3/4 {
+			t.Errorf("%s: asked anew %s after its answer stopped", grace, gap)
+		}
 		for range 20 {
 			k.Failed()
 			if c := k.Next(now); c.After+c.Within > grace {
