What nobody asked for is no answer of the directory: unread bytes, and an older list on one connection

Seen by reading: whatever lay on the kept connection as the next call was written passed for its answer, a second, late answer above all; and a whole list was taken at any revision. A late whole list of revision 7 after the news of 8 brought back what 8 had deleted, also as the answer to a call for the whole list.

At fault: directory.call, which wrote without a look, and whose check of revisions knew changes alone. Now the connection has to be quiet, its close included, before a call is written; and on a connection that has told a newer revision a lower one is refused, whole or not. Either way the watch hangs up, has failed, and asks for the whole list on a new connection. That is taken at any revision, since a directory that has restarted counts anew. An agent that goes over to lower revisions on an open connection costs one such failure.

Ruled out by test, on real sockets: the same answer again, empty news of the same revision, a whole list of it, all crossing the next call, change nothing, and what comes after them is heard; older changes, and changes for a list, were refused before. A close or a reset between two calls was a failed call before and is one now.

--- a/internal/directory/crossings_test.go
+++ b/internal/directory/crossings_test.go
@@ -22,8 +22,17 @@
 	net.Listener
 }
 
+const hung = 10 * time.Second // of real time: a step that takes so long has failed
+
+// scripted listens in a network of simulated time, or, without one, on a real socket.
 func scripted(t *testing.T, n peers.Network) *script {
-	l, err := n.Listen("127.0.0.1")
+	var l net.Listener
+	var err error
+	if n != nil {
+		l, err = n.Listen("127.0.0.1")
+	} else if l, err = net.Listen("tcp", "127.0.0.1:0"); err == nil {
+		l.(*net.TCPListener).SetDeadline(time.Now().Add(hung))
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -45,6 +54,9 @@
 		s.Fatal(err)
 	}
 	s.Cleanup(func() { c.Close() })
+	if _, real := c.(*net.TCPConn); real {
+		c.SetDeadline(time.Now().Add(hung))
+	}
 	return &turn{s.T, c, bufio.NewReader(c)}
 }
 
@@ -195,3 +207,189 @@
 		}
 	})
 }
+
+// crossed is a watch on real sockets that waits for long, so that whatever happens is the test's doing.
+type crossed struct {
+	*script
+	*Watch
+	told  chan string      // "revision: id=phase ..." of each list, in the hands of the pool from then on
+	goOn  chan struct{}    // lets the pool give the list back
+	read  func(whole bool) // sees each read from the directory before the watch does; nil = nobody
+	trust func()           // is called as a call begins; nil = nothing is
+}
+
+func cross(t *testing.T) *crossed {
+	x := &crossed{script: scripted(t, nil), told: make(chan string), goOn: make(chan struct{}, 100)}
+	set := freshness.Settings{Wait: time.Minute, LeastWait: time.Minute, Patience: time.Minute, LeastPatience: time.Minute,
+		Retry: time.Millisecond, RetryMost: time.Millisecond, Ask: time.Millisecond, AskMost: time.Millisecond}
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := sockets.TCP(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &watched{c.(*net.TCPConn), x}, nil
+	}
+	phases := map[string]string{}
+	var err error
+	x.Watch, err = New(Options{Address: x.Addr().String(), Watch: set, Seed: 1, Budget: sockets.NewBudget(8, dial),
+		Trust: func(freshness.Trust) {
+			if x.trust != nil {
+				x.trust()
+			}
+		},
+		Told: func(l members.List, at time.Time) {
+			if l.Complete {
+				clear(phases)
+			}
+			for _, m := range l.Members {
+				if phases[m.ID] = m.Phase; m.Phase == members.Deleted {
+					delete(phases, m.ID)
+				}
+			}
+			x.told <- fmt.Sprint(l.Revision, phases)
+			<-x.goOn
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// watched is the watch's end of a connection.
+type watched struct {
+	*net.TCPConn
+	of *crossed
+}
+
+func (c *watched) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if c.of.read != nil && n > 0 {
+		c.of.read(strings.HasSuffix(string(p[:n]), "]}"))
+	}
+	return n, err
+}
+
+// start runs the watch up to the list of a and b, revision 7, and b's end, revision 8, which the pool holds.
+func (x *crossed) start() *turn {
+	ctx, cancel := context.WithCancel(x.Context())
+	done := make(chan error)
+	go func() { done <- x.Run(ctx) }()
+	x.Cleanup(func() {
+		cancel()
+		close(x.goOn)
+		for {
+			select {
+			case <-x.told:
+			case <-done:
+				return
+			}
+		}
+	})
+	c := x.turn()
+	x.want("asked", c.asked(), "")
+	x.goOn <- struct{}{}
+	c.say(answer(wording(7, true, "a=SERVING", "b=SERVING")))
+	x.wantTold("7 map[a:SERVING b:SERVING]")
+	x.want("asked", c.asked(), "?index=7&wait=60000")
+	c.say(answer(wording(8, false, "b=DELETED")))
+	x.wantTold("8 map[a:SERVING]")
+	return c
+}
+
+// wantTold waits for the next list in the pool's hands.
+func (x *crossed) wantTold(want string) {
+	x.Helper()
+	select {
+	case got := <-x.told:
+		x.want("told", got, want)
+	case <-time.After(hung):
+		x.Fatalf("told nothing, want %q", want)
+	}
+}
+
+func (x *crossed) want(what, got, want string) {
+	x.Helper()
+	if got != want {
+		x.Fatalf("%s: %q, want %q", what, got, want)
+	}
+}
+
+// Whatever comes over the connection between an answer and the next call, no such call is made on it, and nothing of it is
+// taken: the whole list is asked for on a new one.
+func TestBetweenTwoCalls(t *testing.T) {
+	for name, between := range map[string]func(*turn){
+		"the answer again":  func(c *turn) { c.say(answer(wording(8, false, "b=DELETED"))) },
+		"an older one":      func(c *turn) { c.say(answer(wording(7, true, "a=SERVING", "b=SERVING"))) },
+		"one that is newer": func(c *turn) { c.say(answer(wording(9, false, "b=SERVING"))) },
+		"the start of one":  func(c *turn) { c.say("HTTP/1.1 ") },
+		"bytes":             func(c *turn) { c.say("\r\n") },
+		"its end":           func(c *turn) { c.Close() },
+		"a reset":           func(c *turn) { peers.Abort(c.Conn) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := cross(t)
+			c := x.start()
+			between(c)
+			for x.conn.Quiet() && name != "a reset" { // the kernel has it in a moment
+				time.Sleep(time.Millisecond)
+			}
+			x.goOn <- struct{}{}
+			again := x.turn()
+			x.want("then asked", again.asked(), "")
+			x.want("asked on the old connection", c.asked(), "")
+			x.goOn <- struct{}{}
+			again.say(answer(wording(8, true, "a=SERVING")))
+			x.wantTold("8 map[a:SERVING]")
+			x.want("asked", again.asked(), "?index=8&wait=60000")
+		})
+	}
+}
+
+// An answer that crosses the next call on the wire is not told from that call's: it is taken where it changes nothing that is newer,
+// and else the whole list is asked for on a new connection, whose word is taken at any revision.
+func TestAnswerThatCrossesACall(t *testing.T) {
+	older, same := wording(7, true, "a=SERVING", "b=SERVING"), wording(8, false, "b=DELETED")
+	for name, c := range map[string]struct {
+		late, told string // "" = nothing
+		whole      bool   // is asked for, since all speaks against the list
+		refused    bool
+	}{
+		"the same":                         {same, "8 map[a:SERVING]", false, false},
+		"the same, whole":                  {wording(8, true, "a=SERVING"), "8 map[a:SERVING]", false, false},
+		"nothing new":                      {wording(8, false), "", false, false},
+		"older changes":                    {wording(7, false, "b=SERVING"), "", false, true},
+		"older, empty":                     {wording(7, false), "", false, true},
+		"an older list":                    {older, "", false, true},
+		"changes for a list":               {same, "", true, true},
+		"an older list for the present":    {older, "", true, true},
+		"the present list for the present": {wording(8, true, "a=SERVING"), "8 map[a:SERVING]", true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, asked := cross(t), "?index=8&wait=60000"
+			conn := x.start()
+			if c.whole {
+				asked = ""
+				x.Saw("a", freshness.Refused)
+			}
+			x.goOn <- struct{}{}
+			x.want("asked", conn.asked(), asked)
+			conn.say(answer(c.late))
+			if c.told != "" {
+				x.wantTold(c.told)
+				x.goOn <- struct{}{}
+			}
+			if !c.refused {
+				x.want("then asked", conn.asked(), "?index=8&wait=60000")
+				conn.say(answer(wording(9, false, "a=DRAINING")))
+				x.wantTold("9 map[a:DRAINING]")
+				return
+			}
+			again := x.turn()
+			x.want("then asked", again.asked(), "")
+			again.say(answer(wording(3, true, "c=SERVING"))) // it counts anew
+			x.wantTold("3 map[c:SERVING]")
+			x.goOn <- struct{}{}
+			x.want("and", again.asked(), "?index=3&wait=60000")
+		})
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -23,8 +23,10 @@
 	transferMost = 5 * time.Second // of an answer, from its first byte
 )
 
-// errFull: the directory is there and has no room for the call.
-var errFull = errors.New("turned away")
+var (
+	errFull    = errors.New("turned away") // the directory is there and has no room for the call
+	errUnasked = errors.New("the connection has ended, or brought what no call had asked for")
+)
 
 // Watch is the standing call to the directory. What to ask and how long to wait for it is decided by freshness.Keeper.
 type Watch struct {
@@ -240,6 +242,7 @@
 
 // call makes the call and takes what it brings; heard is the first byte of that.
 func (w *Watch) call(ctx context.Context, c freshness.Call) (list members.List, heard time.Time, err error) {
+	kept := w.conn != nil
 	raw, heard, err := w.exchange(ctx, c)
 	if err != nil {
 		return list, heard, err
@@ -254,14 +257,19 @@
 	switch {
 	case c.Whole && !list.Complete:
 		err = errors.New("asked for the whole list, got a part")
-	case !list.Complete && list.Revision < w.revision:
-		err = fmt.Errorf("changes of revision %d after %d: the directory counts anew", list.Revision, w.revision)
+	case list.Revision < w.revision && (kept || !list.Complete):
+		// The process that has told the newer one may have meant another call, another process counts anew. A whole list on a
+		// new connection has it right in either case.
+		err = fmt.Errorf("revision %d after %d: the directory counts anew, or answers another call", list.Revision, w.revision)
 	}
 	return list, heard, err
 }
 
 // exchange makes the call and reads the whole of its answer.
 func (w *Watch) exchange(ctx context.Context, c freshness.Call) (raw []byte, heard time.Time, err error) {
+	if w.conn != nil && (w.br.Buffered() > 0 || !w.conn.Quiet()) { // it would pass for the answer to this call
+		return nil, heard, errUnasked
+	}
 	if w.conn == nil {
 		socket, err := w.set.Budget.Dial(ctx, w.at, min(dialWithin, c.Pause))
 		if err != nil {
