Evidence that comes just as the directory answers another call is still heard

Seen by reading, shown by a test: several providers speak against the list, the present call is given up for the whole list, and at that moment its answer is read to the end. It was taken, as it must be: what the directory has written is told. But where that answer was a whole list (the protocol allows that for every call), made before the evidence, Keeper.ListedAll took it for the hearing: the call for the whole list was never made, and the providers in question counted no more until they answered again.

At fault: Keeper.asked, which said "asked for" and "being asked" in one. Now Next notes whether the present call is the one, Answered whether one is still owed. And a call that is left before it begins is not made: Run left it to chance, `select` between two that are ready.

Forced on real sockets, at each of six points (no answer yet, half of it read, whole list or changes read to the end, list in the pool's hands, a call about to begin): evidence, the end of the watch, and Move, twice or there and back. Ruled out so: an answer of the old directory that was read by then is told as the old one's word, ahead of all that the new one says; nothing that comes later is; the last of two moves counts; one that leads back goes on from the revision; nothing of this counts as a failed call.

Without the mend: TestEvidenceCrossesAWholeList and TestDoubtAndEndCross/whole fail; without the look before a call TestMoveCrosses/a_call_begins does. 20 times under -race, all the same.

--- a/internal/directory/crossings_test.go
+++ b/internal/directory/crossings_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -60,11 +61,11 @@
 	return &turn{s.T, c, bufio.NewReader(c)}
 }
 
-// asked is what the next call on the connection asks for; "" = it has ended.
+// asked is what the next call on the connection asks for; "" = the whole list.
 func (c *turn) asked() string {
 	r, err := http1.ReadRequest(c.br)
 	if err != nil {
-		return ""
+		return "ended"
 	}
 	return strings.TrimPrefix(r.Target, http1.PathList)
 }
@@ -215,7 +216,9 @@
 	told  chan string      // "revision: id=phase ..." of each list, in the hands of the pool from then on
 	goOn  chan struct{}    // lets the pool give the list back
 	read  func(whole bool) // sees each read from the directory before the watch does; nil = nobody
-	trust func()           // is called as a call begins; nil = nothing is
+	end   context.CancelFunc
+	ended chan error
+	trust func() // is called as a call begins; nil = nothing is
 }
 
 func cross(t *testing.T) *crossed {
@@ -271,16 +274,17 @@
 
 // start runs the watch up to the list of a and b, revision 7, and b's end, revision 8, which the pool holds.
 func (x *crossed) start() *turn {
-	ctx, cancel := context.WithCancel(x.Context())
-	done := make(chan error)
-	go func() { done <- x.Run(ctx) }()
+	var ctx context.Context
+	ctx, x.end = context.WithCancel(x.Context())
+	x.ended = make(chan error)
+	go func() { defer close(x.ended); x.ended <- x.Run(ctx) }()
 	x.Cleanup(func() {
-		cancel()
+		x.end()
 		close(x.goOn)
 		for {
 			select {
 			case <-x.told:
-			case <-done:
+			case <-x.ended:
 				return
 			}
 		}
@@ -336,7 +340,7 @@
 			x.goOn <- struct{}{}
 			again := x.turn()
 			x.want("then asked", again.asked(), "")
-			x.want("asked on the old connection", c.asked(), "")
+			x.want("asked on the old connection", c.asked(), "ended")
 			x.goOn <- struct{}{}
 			again.say(answer(wording(8, true, "a=SERVING")))
 			x.wantTold("8 map[a:SERVING]")
@@ -393,3 +397,158 @@
 		})
 	}
 }
+
+// Wherever Move comes, what the old directory has said by then is told, as its word, and nothing that it says later; the new one is asked
+// for the whole list. Of several moves the last counts, and one that leads back leads to the list that is known.
+func TestMoveCrosses(t *testing.T) {
+	news := answer(wording(9, false, "a=DRAINING"))
+	for name, c := range map[string]struct {
+		at   string // what the watch is doing
+		told bool   // the old directory's answer is
+		back bool
+	}{
+		"half of an answer is read":     {"half", false, false},
+		"and back":                      {"half", false, true},
+		"the whole of it was read":      {"whole", true, false},
+		"that, and back":                {"whole", true, true},
+		"the pool takes it":             {"pool", true, false},
+		"the pool takes it, and back":   {"pool", true, true},
+		"a call begins":                 {"call", false, false},
+		"a call begins, and back":       {"call", false, true},
+		"the call is out and no answer": {"out", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, e, f := cross(t), scripted(t, nil), scripted(t, nil)
+			old, moved := x.Addr().String(), make(chan bool, 1)
+			move := func() {
+				if x.Move(e.Addr().String()); c.back {
+					x.Move(old)
+				} else {
+					x.Move(f.Addr().String())
+				}
+				moved <- true
+			}
+			conn := x.start()
+			var once sync.Once
+			x.read = func(whole bool) {
+				if whole == (c.at == "whole") && (c.at == "half" || c.at == "whole") {
+					once.Do(move)
+				}
+			}
+			if c.at == "call" {
+				x.trust = func() { once.Do(move) }
+			}
+			x.goOn <- struct{}{}
+			if c.at != "call" { // that is not made
+				conn.asked()
+			}
+			switch c.at {
+			case "call":
+			case "out":
+				move()
+			case "half":
+				conn.say(news[:60])
+			default:
+				conn.say(news)
+			}
+			if c.told {
+				x.wantTold("9 map[a:DRAINING]")
+				x.want("source", x.Source(), old)
+				if c.at == "pool" {
+					move()
+				}
+				x.goOn <- struct{}{}
+			}
+			<-moved
+			if c.at != "pool" && c.at != "call" || !c.back {
+				x.want("then, on that connection", conn.asked(), "ended")
+				conn.say(news[60:]) // too late, if it was not read
+			}
+			if c.back {
+				if c.at != "pool" && c.at != "call" {
+					conn = x.turn()
+				}
+				x.want("asked", conn.asked()[:8], map[bool]string{true: "?index=9", false: "?index=8"}[c.told])
+				return
+			}
+			now := f.turn()
+			x.want("the new one is asked", now.asked(), "")
+			x.want("source", x.Source(), old)
+			now.say(answer(wording(3, true, "c=SERVING")))
+			x.wantTold("3 map[c:SERVING]")
+			x.want("source", x.Source(), f.Addr().String())
+			x.goOn <- struct{}{}
+			x.want("the new one is asked", now.asked(), "?index=3&wait=60000")
+			if x.Failures.Load() != 0 {
+				t.Errorf("%d calls have failed", x.Failures.Load())
+			}
+		})
+	}
+}
+
+// Wherever evidence against the list, or the end of the watch, comes: an answer that was read by then is told. After evidence the
+// next call is for the whole list, also where the present one was just answered by one; after the end there is none.
+func TestDoubtAndEndCross(t *testing.T) {
+	for i, at := range []string{"out", "half", "whole", "changes", "pool", "call"} {
+		for _, end := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, end %t", at, end), func(t *testing.T) {
+				x, done := cross(t), make(chan bool, 1)
+				var once sync.Once
+				happen := func() {
+					once.Do(func() {
+						if end {
+							x.end()
+						} else {
+							x.Saw("a", freshness.Refused)
+						}
+						done <- true
+					})
+				}
+				conn, told := x.start(), i >= 2 && at != "call"
+				news := answer(wording(9, at == "whole", "a=SERVING"))
+				x.read = func(whole bool) {
+					if at == "half" || whole && (at == "whole" || at == "changes") {
+						happen()
+					}
+				}
+				if at == "call" {
+					x.trust = happen
+				}
+				x.goOn <- struct{}{}
+				if at != "call" {
+					x.want("asked", conn.asked(), "?index=8&wait=60000")
+				}
+				switch {
+				case at == "out":
+					happen()
+				case at == "half":
+					conn.say(news[:60])
+				case told:
+					conn.say(news)
+					x.wantTold("9 map[a:SERVING]")
+					if at == "pool" {
+						happen()
+					}
+					x.goOn <- struct{}{}
+				}
+				<-done
+				if end {
+					if err := <-x.ended; err != nil || x.Failures.Load() != 0 {
+						t.Errorf("ended with %v, %d failures", err, x.Failures.Load())
+					}
+					x.want("then asked", conn.asked(), "ended")
+					return
+				}
+				if at != "pool" && at != "call" {
+					x.want("then, on that connection", conn.asked(), "ended")
+					conn = x.turn()
+				}
+				x.want("then asked", conn.asked(), "")
+				conn.say(answer(wording(9, true, "a=SERVING")))
+				x.wantTold("9 map[a:SERVING]")
+				x.goOn <- struct{}{}
+				x.want("after that", conn.asked(), "?index=9&wait=60000")
+			})
+		}
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -144,7 +144,9 @@
 		select {
 		case <-here.Done():
 		case <-time.After(c.After): // none after an answer: a watch goes on only if the next call comes within 200 ms
-			w.once(here, c)
+			if here.Err() == nil {
+				w.once(here, c)
+			}
 		}
 		w.leave()
 	}
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -161,7 +161,9 @@
 	doubted map[string]*against // of those
 	asks    int                 // calls in a row that evidence brought on and that settled nothing
 	askAt   time.Time           // not before
-	asked   bool                // the present call is one of those
+	asked   bool                // one of those is under way, or to be made
+	asking  bool                // and the present call is it
+	owed    bool                // it is still to be made: the last answer was to another call
 }
 
 // against is the evidence that a provider is not in service.
@@ -194,7 +196,7 @@
 		c.Wait = max(k.set.LeastWait, d-time.Duration(waitJitter*k.rng.Float64()*float64(d))).Truncate(time.Millisecond)
 		c.Within += c.Wait
 	}
-	k.started = true
+	k.started, k.asking = true, k.asked
 	k.lateAt = now.Add(c.After + c.Wait + k.set.LeastPatience)
 	k.began = now.Add(c.After)
 	until := now // of the list to begin with nobody knows the age; and an agent may have had the word since it was asked last
@@ -299,6 +301,7 @@
 // Answered takes note of an answer to c that began after took, whatever it said.
 func (k *Keeper) Answered(c Call, took time.Duration) {
 	k.failures = 0
+	k.owed = k.asked && !k.asking // the evidence came as this was answered
 	k.asOf, k.sure, k.moved = k.began, time.Time{}, false
 	k.whole = k.whole && !c.Whole
 	k.full = k.full && c.Whole // a whole list that was there already says nothing of the room for a watch
@@ -362,7 +365,7 @@
 	for _, a := range k.doubted {
 		a.settled = true
 	}
-	k.asked = false
+	k.asked, k.owed = k.owed, false
 }
 
 // against counts the providers that speak against the list and about which the directory has not been asked since.
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -187,6 +187,31 @@
 	}
 }
 
+// Evidence that comes just as a call made before it is answered by a whole list has not been heard by that.
+func TestEvidenceCrossesAWholeList(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		k, now := keeper(t, 4), time.Unix(1e9, 0)
+		if whole {
+			k.Failed()
+		}
+		c := k.Next(now)
+		k.Saw(now, "p0", Refused)
+		if c.Whole != whole || !k.Saw(now, "p1", Refused) {
+			t.Fatalf("%+v, not asked", c)
+		}
+		k.Answered(c, ms)
+		k.ListedAll(named(4))
+		if c = k.Next(now); !c.Whole {
+			t.Errorf("whole %t: evidence is lost", whole)
+		}
+		k.Answered(c, ms)
+		k.ListedAll(named(4))
+		if c = k.Next(now); c.Whole {
+			t.Errorf("whole %t: it is asked twice", whole)
+		}
+	}
+}
+
 func TestSettings(t *testing.T) {
 	for key, spoil := range map[string]func(*Settings){
 		"least_wait":     func(s *Settings) { s.LeastWait = 2 * s.Wait },
