What a process takes as its first list, by test

Ruled out: a first answer with the same revision, an empty or an older one, whole or changes, a list that is empty, cut off or missing, to a process that begins with a list of its own, vouched for or not. Nothing older than that list is taken as changes; a whole list is, at any revision, since a directory that has restarted counts anew; everything else is asked for as a whole on a new connection.

--- a/internal/directory/crossings_test.go
+++ b/internal/directory/crossings_test.go
@@ -272,8 +272,8 @@
 	return n, err
 }
 
-// start runs the watch up to the list of a and b, revision 7, and b's end, revision 8, which the pool holds.
-func (x *crossed) start() *turn {
+// run starts the watch.
+func (x *crossed) run() {
 	var ctx context.Context
 	ctx, x.end = context.WithCancel(x.Context())
 	x.ended = make(chan error)
@@ -289,6 +289,11 @@
 			}
 		}
 	})
+}
+
+// start runs the watch up to the list of a and b, revision 7, and b's end, revision 8, which the pool holds.
+func (x *crossed) start() *turn {
+	x.run()
 	c := x.turn()
 	x.want("asked", c.asked(), "")
 	x.goOn <- struct{}{}
@@ -552,3 +557,43 @@
 		}
 	}
 }
+
+// A process that begins with a list of revision 50 takes the first answer at any revision if it is whole, and changes if they are
+// newer; and where nobody vouches for the list, or the changes are older, it asks for the whole list.
+func TestFirstList(t *testing.T) {
+	for name, c := range map[string]struct {
+		anew              bool
+		asked, said, told string
+		next              string // that it asks, on a new connection where the answer was refused
+	}{
+		"newer changes":         {false, "?index=50&wait=60000", wording(51, false, "b=DRAINING"), "51 map[b:DRAINING]", "?index=51&wait=60000"},
+		"the present revision":  {false, "?index=50&wait=60000", wording(50, false), "", "?index=50&wait=60000"},
+		"older changes":         {false, "?index=50&wait=60000", wording(2, false, "b=SERVING"), "", ""},
+		"an older list":         {false, "?index=50&wait=60000", wording(2, true, "c=SERVING"), "2 map[c:SERVING]", "?index=2&wait=60000"},
+		"an older list, anew":   {true, "", wording(2, true, "c=SERVING"), "2 map[c:SERVING]", "?index=2&wait=60000"},
+		"an empty list, anew":   {true, "", wording(2, true), "2 map[]", "?index=2&wait=60000"},
+		"newer changes, anew":   {true, "", wording(51, false, "b=DRAINING"), "", ""},
+		"no list at all, anew":  {true, "", `{"revision":51,"complete":true}`, "", ""},
+		"a list that is cut":    {true, "", wording(51, true, "b=SERVING")[:40], "", ""},
+		"nothing but a number":  {false, "?index=50&wait=60000", `{"revision":50}`, "", "?index=50&wait=60000"},
+		"nothing but an object": {false, "?index=50&wait=60000", `{}`, "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := cross(t)
+			set := x.set
+			set.Anew, set.Known = c.anew, members.List{Revision: 50, Members: []members.Member{{ID: "a", Phase: members.Serving}}}
+			x.Watch, _ = New(set)
+			x.run()
+			conn := x.turn()
+			x.want("asked", conn.asked(), c.asked)
+			if conn.say(answer(c.said)); c.told != "" {
+				x.wantTold(c.told)
+				x.goOn <- struct{}{}
+			}
+			if c.next == "" {
+				conn = x.turn()
+			}
+			x.want("then asked", conn.asked(), c.next)
+		})
+	}
+}
