A move as a connection comes up, and a silent answer on a real socket, by test

Ruled out: Move, there or there and back, as a connection to the old directory has just come up. It is left unused, the new directory is asked for the whole list; back at the old one the whole list that a failure owes is still asked for.

--- a/internal/directory/crossings_test.go
+++ b/internal/directory/crossings_test.go
@@ -218,6 +218,7 @@
 	read  func(whole bool) // sees each read from the directory before the watch does; nil = nobody
 	end   context.CancelFunc
 	ended chan error
+	up    func() // is called as a connection has come up; nil = nothing is
 	trust func() // is called as a call begins; nil = nothing is
 }
 
@@ -230,6 +231,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if x.up != nil {
+			x.up()
+		}
 		return &watched{c.(*net.TCPConn), x}, nil
 	}
 	phases := map[string]string{}
@@ -491,6 +495,49 @@
 	}
 }
 
+// A move that comes just as a connection to the old directory is up leaves that unused, and what a failure owes is not forgotten.
+func TestMoveAsAConnectionComesUp(t *testing.T) {
+	for _, back := range []bool{false, true} {
+		x, e := cross(t), scripted(t, nil)
+		conn, to, once := x.start(), e, sync.Once{}
+		x.up = func() {
+			once.Do(func() {
+				if x.Move(e.Addr().String()); back {
+					x.Move(x.Addr().String())
+				}
+			})
+		}
+		conn.Close()
+		for x.conn.Quiet() {
+			time.Sleep(time.Millisecond)
+		}
+		x.goOn <- struct{}{}
+		if x.turn(); back {
+			to = x.script
+		}
+		now := to.turn()
+		x.want("asked", now.asked(), "")
+		now.say(answer(wording(3, true, "c=SERVING")))
+		x.wantTold("3 map[c:SERVING]")
+	}
+}
+
+// On a real socket, too, an answer that stops is given up long before its whole time is over.
+func TestSilenceOnASocket(t *testing.T) {
+	x := cross(t)
+	set := x.set
+	set.Watch.Patience, set.Watch.LeastPatience = 200*time.Millisecond, 200*time.Millisecond
+	x.Watch, _ = New(set)
+	x.run()
+	conn, at := x.turn(), time.Now()
+	conn.asked()
+	conn.say(answer(wording(7, true, "a=SERVING"))[:60])
+	x.want("asked anew", x.turn().asked(), "")
+	if took := time.Since(at); took > transferMost/2 {
+		t.Errorf("after %s", took)
+	}
+}
+
 // Wherever evidence against the list, or the end of the watch, comes: an answer that was read by then is told. After evidence the
 // next call is for the whole list, also where the present one was just answered by one; after the end there is none.
 func TestDoubtAndEndCross(t *testing.T) {
