--- a/internal/directory/crossings_test.go
+++ b/internal/directory/crossings_test.go
@@ -358,8 +358,8 @@
 	}
 }
 
-// An answer that crosses the next call on the wire is not told from that call's: it is taken where it changes nothing that is newer,
-// and else the whole list is asked for on a new connection, whose word is taken at any revision.
+// An answer that crosses the next call on the wire is not told from that call's: it is taken where it changes nothing that is
+// newer, and else the whole list is asked for on a new connection, whose word is taken at any revision.
 func TestAnswerThatCrossesACall(t *testing.T) {
 	older, same := wording(7, true, "a=SERVING", "b=SERVING"), wording(8, false, "b=DELETED")
 	for name, c := range map[string]struct {
@@ -407,8 +407,8 @@
 	}
 }
 
-// Wherever Move comes, what the old directory has said by then is told, as its word, and nothing that it says later; the new one is asked
-// for the whole list. Of several moves the last counts, and one that leads back leads to the list that is known.
+// Wherever Move comes, what the old directory has said by then is told, as its word, and nothing that it says later; the new
+// one is asked for the whole list. Of several moves the last counts, and one that leads back leads to the list that is known.
 func TestMoveCrosses(t *testing.T) {
 	news := answer(wording(9, false, "a=DRAINING"))
 	for name, c := range map[string]struct {
@@ -608,22 +608,23 @@
 // A process that begins with a list of revision 50 takes the first answer at any revision if it is whole, and changes if they are
 // newer; and where nobody vouches for the list, or the changes are older, it asks for the whole list.
 func TestFirstList(t *testing.T) {
+	const at50 = "?index=50&wait=60000"
 	for name, c := range map[string]struct {
 		anew              bool
 		asked, said, told string
 		next              string // that it asks, on a new connection where the answer was refused
 	}{
-		"newer changes":         {false, "?index=50&wait=60000", wording(51, false, "b=DRAINING"), "51 map[b:DRAINING]", "?index=51&wait=60000"},
-		"the present revision":  {false, "?index=50&wait=60000", wording(50, false), "", "?index=50&wait=60000"},
-		"older changes":         {false, "?index=50&wait=60000", wording(2, false, "b=SERVING"), "", ""},
-		"an older list":         {false, "?index=50&wait=60000", wording(2, true, "c=SERVING"), "2 map[c:SERVING]", "?index=2&wait=60000"},
+		"newer changes":         {false, at50, wording(51, false, "b=DRAINING"), "51 map[b:DRAINING]", "?index=51&wait=60000"},
+		"the present revision":  {false, at50, wording(50, false), "", at50},
+		"older changes":         {false, at50, wording(2, false, "b=SERVING"), "", ""},
+		"an older list":         {false, at50, wording(2, true, "c=SERVING"), "2 map[c:SERVING]", "?index=2&wait=60000"},
 		"an older list, anew":   {true, "", wording(2, true, "c=SERVING"), "2 map[c:SERVING]", "?index=2&wait=60000"},
 		"an empty list, anew":   {true, "", wording(2, true), "2 map[]", "?index=2&wait=60000"},
 		"newer changes, anew":   {true, "", wording(51, false, "b=DRAINING"), "", ""},
 		"no list at all, anew":  {true, "", `{"revision":51,"complete":true}`, "", ""},
 		"a list that is cut":    {true, "", wording(51, true, "b=SERVING")[:40], "", ""},
-		"nothing but a number":  {false, "?index=50&wait=60000", `{"revision":50}`, "", "?index=50&wait=60000"},
-		"nothing but an object": {false, "?index=50&wait=60000", `{}`, "", ""},
+		"nothing but a number":  {false, at50, `{"revision":50}`, "", at50},
+		"nothing but an object": {false, at50, `{}`, "", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			x := cross(t)
