--- /dev/null
+++ b/internal/directory/crossings_test.go
@@ -0,0 +1,647 @@
+package directory
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"plankrouter/internal/freshness"
+	"plankrouter/internal/http1"
+	"plankrouter/internal/lab/peers"
+	"plankrouter/internal/members"
+	"plankrouter/internal/sockets"
+)
+
+// script is a directory whose every byte the test writes.
+type script struct {
+	*testing.T
+	net.Listener
+}
+
+const hung = 10 * time.Second // of real time: a step that takes so long has failed
+
+// scripted listens in a network of simulated time, or, without one, on a real socket.
+func scripted(t *testing.T, n peers.Network) *script {
+	var l net.Listener
+	var err error
+	if n != nil {
+		l, err = n.Listen("127.0.0.1")
+	} else if l, err = net.Listen("tcp", "127.0.0.1:0"); err == nil {
+		l.(*net.TCPListener).SetDeadline(time.Now().Add(hung))
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return &script{t, l}
+}
+
+// turn is one connection to it.
+type turn struct {
+	*testing.T
+	net.Conn
+	br *bufio.Reader
+}
+
+func (s *script) turn() *turn {
+	s.Helper()
+	c, err := s.Accept()
+	if err != nil {
+		s.Fatal(err)
+	}
+	s.Cleanup(func() { c.Close() })
+	if _, real := c.(*net.TCPConn); real {
+		c.SetDeadline(time.Now().Add(hung))
+	}
+	return &turn{s.T, c, bufio.NewReader(c)}
+}
+
+// asked is what the next call on the connection asks for; "" = the whole list.
+func (c *turn) asked() string {
+	r, err := http1.ReadRequest(c.br)
+	if err != nil {
+		return "ended"
+	}
+	return strings.TrimPrefix(r.Target, http1.PathList)
+}
+
+func (c *turn) say(pieces ...string) {
+	for _, p := range pieces {
+		c.Write([]byte(p)) // who has hung up does not read it
+	}
+}
+
+// wording words a list: of a revision, whole or not, of lines like "a=SERVING".
+func wording(revision int, whole bool, lines ...string) string {
+	var all []string
+	for _, l := range lines {
+		id, phase, _ := strings.Cut(l, "=")
+		all = append(all, fmt.Sprintf(`{"id":%q,"host_port":"127.0.0.1:9","phase":%q}`, id, phase))
+	}
+	return fmt.Sprintf(`{"revision":%d,"complete":%t,"members":[%s]}`, revision, whole, strings.Join(all, ","))
+}
+
+func answer(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// An answer that has begun and falls silent is given up as soon as one that has not, wherever it stops, and the whole list
+// is asked for anew, within the grace of a drain. One that keeps coming is taken, for as long as an answer may last.
+func TestSilenceWithinAnAnswer(t *testing.T) {
+	const grace, head = 750 * time.Millisecond, "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n"
+	const chunked, interim = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n"
+	list := wording(7, true, "a=SERVING")
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(list), list)
+	for name, c := range map[string]struct {
+		pieces []string // 300 ms apart
+		taken  bool
+	}{
+		"nothing":            {nil, false},
+		"a byte":             {[]string{"H"}, false},
+		"in the head":        {[]string{"HTTP/1.1 200 OK\r\nContent-", "Length:"}, false},
+		"an interim answer":  {[]string{interim}, false},
+		"in an interim one":  {[]string{interim[:9]}, false},
+		"a head behind one":  {[]string{interim + head}, false},
+		"a head":             {[]string{head}, false},
+		"in the body":        {[]string{head, `{"revision"`, ":7"}, false},
+		"in a chunk":         {[]string{chunked + chunk[:9]}, false},
+		"between chunks":     {[]string{chunked, chunk}, false},
+		"in the last chunk":  {[]string{chunked + chunk, "0\r\n"}, false},
+		"up to its close":    {[]string{"HTTP/1.1 200 OK\r\n\r\n" + list}, false},
+		"slow":               {strings.SplitAfter(answer(list), ":"), true},
+		"slow and in chunks": {[]string{chunked, chunk[:1], chunk[1:9], chunk[9:60], chunk[60:], "0\r\n", "\r\n"}, true},
+		"slow behind one":    {[]string{interim + "HTTP", answer(list)[4:50], answer(list)[50:]}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 0, func(r *rig) {
+				d := scripted(t, r.network)
+				set := r.watch.set
+				set.Address, set.Watch = d.Addr().String(), freshness.Agent(grace)
+				r.watch, _ = New(set)
+				defer r.run()()
+				first := d.turn()
+				first.asked()
+				at := time.Now()
+				for i, p := range c.pieces {
+					if i > 0 {
+						time.Sleep(300 * time.Millisecond)
+					}
+					first.say(p)
+					at = time.Now()
+				}
+				if c.taken {
+					if asked := first.asked(); !strings.HasPrefix(asked, "?index=7&") || r.watch.Failures.Load() != 0 {
+						t.Errorf("afterwards it asks %q: %q", asked, r.lines)
+					}
+					return
+				}
+				if asked := d.turn().asked(); asked != "" || time.Since(at) > 460*time.Millisecond || len(r.phases) > 0 {
+					t.Errorf("it asks %q %s later, told %v", asked, time.Since(at), r.phases)
+				}
+			})
+		})
+	}
+}
+
+// Bytes that never end, and connections that never come up, hold the watch no longer than an answer and a pause may last.
+func TestNoEndAndNoBeginning(t *testing.T) {
+	play(t, 0, func(r *rig) {
+		d, set := scripted(t, r.network), r.watch.set
+		set.Address, set.Watch = d.Addr().String(), freshness.Agent(750*time.Millisecond)
+		dials := make(chan time.Time, 100)
+		set.Budget = sockets.NewBudget(8, func(ctx context.Context, address string) (net.Conn, error) {
+			if dials <- time.Now(); len(dials) == 1 {
+				return r.network.Dial(ctx, address)
+			}
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		r.watch, _ = New(set)
+		defer r.run()()
+		first := d.turn()
+		first.asked()
+		for first.say("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n"); len(dials) == 1; r.wait(300 * time.Millisecond) {
+			first.say(" ")
+		}
+		r.wait(3 * time.Second)
+		began, again := <-dials, <-dials
+		<-dials
+		if given, twice := again.Sub(began), (<-dials).Sub(again); given < transferMost || given > transferMost+100*time.Millisecond ||
+			twice > 1100*time.Millisecond {
+			t.Errorf("dialled anew after %s, and twice within %s", given, twice)
+		}
+	})
+}
+
+// What a list is worth once it is heard counts from the first byte: what follows that may come slowly.
+func TestSlowNewsAreOfTheirFirstByte(t *testing.T) {
+	play(t, 0, func(r *rig) {
+		d, set := scripted(t, r.network), r.watch.set
+		set.Address = d.Addr().String()
+		var sure time.Time
+		set.Trust = func(t freshness.Trust) { sure = t.Sure }
+		set.Told = func(l members.List, at time.Time) {
+			if r.told(l, at); l.Revision == 8 {
+				r.watch.Move("e:1")
+			}
+		}
+		r.watch, _ = New(set)
+		defer r.run()()
+		c := d.turn()
+		c.asked()
+		c.say(answer(wording(7, true, "a=SERVING")))
+		c.asked()
+		news, asked := answer(wording(8, false, "a=DRAINING")), time.Now()
+		for i := range 6 { // each well within the pause, and in all well beyond the wait
+			time.Sleep(500 * time.Millisecond)
+			c.say(news[i*15 : i*15+15])
+		}
+		c.say(news[90:])
+		r.wait(time.Millisecond)
+		if left := sure.Sub(asked); left > 6*time.Second || left < 5900*time.Millisecond || r.phases["a"] != members.Draining {
+			t.Errorf("sure until %s after the call that brought %v", left, r.phases)
+		}
+	})
+}
+
+// crossed is a watch on real sockets that waits for long, so that whatever happens is the test's doing.
+type crossed struct {
+	*script
+	*Watch
+	told  chan string      // "revision: id=phase ..." of each list, in the hands of the pool from then on
+	goOn  chan struct{}    // lets the pool give the list back
+	read  func(whole bool) // sees each read from the directory before the watch does; nil = nobody
+	end   context.CancelFunc
+	ended chan error
+	up    func() // is called as a connection has come up; nil = nothing is
+	trust func() // is called as a call begins; nil = nothing is
+}
+
+func cross(t *testing.T) *crossed {
+	x := &crossed{script: scripted(t, nil), told: make(chan string), goOn: make(chan struct{}, 100)}
+	set := freshness.Settings{Wait: time.Minute, LeastWait: time.Minute, Patience: time.Minute, LeastPatience: time.Minute,
+		Retry: time.Millisecond, RetryMost: time.Millisecond, Ask: time.Millisecond, AskMost: time.Millisecond}
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := sockets.TCP(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		if x.up != nil {
+			x.up()
+		}
+		return &watched{c.(*net.TCPConn), x}, nil
+	}
+	phases := map[string]string{}
+	var err error
+	x.Watch, err = New(Options{Address: x.Addr().String(), Watch: set, Seed: 1, Budget: sockets.NewBudget(8, dial),
+		Trust: func(freshness.Trust) {
+			if x.trust != nil {
+				x.trust()
+			}
+		},
+		Told: func(l members.List, at time.Time) {
+			if l.Complete {
+				clear(phases)
+			}
+			for _, m := range l.Members {
+				if phases[m.ID] = m.Phase; m.Phase == members.Deleted {
+					delete(phases, m.ID)
+				}
+			}
+			x.told <- fmt.Sprint(l.Revision, phases)
+			<-x.goOn
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// watched is the watch's end of a connection.
+type watched struct {
+	*net.TCPConn
+	of *crossed
+}
+
+func (c *watched) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if c.of.read != nil && n > 0 {
+		c.of.read(strings.HasSuffix(string(p[:n]), "]}"))
+	}
+	return n, err
+}
+
+// run starts the watch.
+func (x *crossed) run() {
+	var ctx context.Context
+	ctx, x.end = context.WithCancel(x.Context())
+	x.ended = make(chan error)
+	go func() { defer close(x.ended); x.ended <- x.Run(ctx) }()
+	x.Cleanup(func() {
+		x.end()
+		close(x.goOn)
+		for {
+			select {
+			case <-x.told:
+			case <-x.ended:
+				return
+			}
+		}
+	})
+}
+
+// start runs the watch up to the list of a and b, revision 7, and b's end, revision 8, which the pool holds.
+func (x *crossed) start() *turn {
+	x.run()
+	c := x.turn()
+	x.want("asked", c.asked(), "")
+	x.goOn <- struct{}{}
+	c.say(answer(wording(7, true, "a=SERVING", "b=SERVING")))
+	x.wantTold("7 map[a:SERVING b:SERVING]")
+	x.want("asked", c.asked(), "?index=7&wait=60000")
+	c.say(answer(wording(8, false, "b=DELETED")))
+	x.wantTold("8 map[a:SERVING]")
+	return c
+}
+
+// wantTold waits for the next list in the pool's hands.
+func (x *crossed) wantTold(want string) {
+	x.Helper()
+	select {
+	case got := <-x.told:
+		x.want("told", got, want)
+	case <-time.After(hung):
+		x.Fatalf("told nothing, want %q", want)
+	}
+}
+
+func (x *crossed) want(what, got, want string) {
+	x.Helper()
+	if got != want {
+		x.Fatalf("%s: %q, want %q", what, got, want)
+	}
+}
+
+// Whatever comes over the connection between an answer and the next call, no such call is made on it, and nothing of it is
+// taken: the whole list is asked for on a new one.
+func TestBetweenTwoCalls(t *testing.T) {
+	for name, between := range map[string]func(*turn){
+		"the answer again":  func(c *turn) { c.say(answer(wording(8, false, "b=DELETED"))) },
+		"an older one":      func(c *turn) { c.say(answer(wording(7, true, "a=SERVING", "b=SERVING"))) },
+		"one that is newer": func(c *turn) { c.say(answer(wording(9, false, "b=SERVING"))) },
+		"the start of one":  func(c *turn) { c.say("HTTP/1.1 ") },
+		"bytes":             func(c *turn) { c.say("\r\n") },
+		"its end":           func(c *turn) { c.Close() },
+		"a reset":           func(c *turn) { peers.Abort(c.Conn) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := cross(t)
+			c := x.start()
+			between(c)
+			for x.conn.Quiet() && name != "a reset" { // the kernel has it in a moment
+				time.Sleep(time.Millisecond)
+			}
+			x.goOn <- struct{}{}
+			again := x.turn()
+			x.want("then asked", again.asked(), "")
+			x.want("asked on the old connection", c.asked(), "ended")
+			x.goOn <- struct{}{}
+			again.say(answer(wording(8, true, "a=SERVING")))
+			x.wantTold("8 map[a:SERVING]")
+			x.want("asked", again.asked(), "?index=8&wait=60000")
+		})
+	}
+}
+
+// An answer that crosses the next call on the wire is not told from that call's: it is taken where it changes nothing that is
+// newer, and else the whole list is asked for on a new connection, whose word is taken at any revision.
+func TestAnswerThatCrossesACall(t *testing.T) {
+	older, same := wording(7, true, "a=SERVING", "b=SERVING"), wording(8, false, "b=DELETED")
+	for name, c := range map[string]struct {
+		late, told string // "" = nothing
+		whole      bool   // is asked for, since all speaks against the list
+		refused    bool
+	}{
+		"the same":                         {same, "8 map[a:SERVING]", false, false},
+		"the same, whole":                  {wording(8, true, "a=SERVING"), "8 map[a:SERVING]", false, false},
+		"nothing new":                      {wording(8, false), "", false, false},
+		"older changes":                    {wording(7, false, "b=SERVING"), "", false, true},
+		"older, empty":                     {wording(7, false), "", false, true},
+		"an older list":                    {older, "", false, true},
+		"changes for a list":               {same, "", true, true},
+		"an older list for the present":    {older, "", true, true},
+		"the present list for the present": {wording(8, true, "a=SERVING"), "8 map[a:SERVING]", true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, asked := cross(t), "?index=8&wait=60000"
+			conn := x.start()
+			if c.whole {
+				asked = ""
+				x.Saw("a", freshness.Refused)
+			}
+			x.goOn <- struct{}{}
+			x.want("asked", conn.asked(), asked)
+			conn.say(answer(c.late))
+			if c.told != "" {
+				x.wantTold(c.told)
+				x.goOn <- struct{}{}
+			}
+			if !c.refused {
+				x.want("then asked", conn.asked(), "?index=8&wait=60000")
+				conn.say(answer(wording(9, false, "a=DRAINING")))
+				x.wantTold("9 map[a:DRAINING]")
+				return
+			}
+			again := x.turn()
+			x.want("then asked", again.asked(), "")
+			again.say(answer(wording(3, true, "c=SERVING"))) // it counts anew
+			x.wantTold("3 map[c:SERVING]")
+			x.goOn <- struct{}{}
+			x.want("and", again.asked(), "?index=3&wait=60000")
+		})
+	}
+}
+
+// Wherever Move comes, what the old directory has said by then is told, as its word, and nothing that it says later; the new
+// one is asked for the whole list. Of several moves the last counts, and one that leads back leads to the list that is known.
+func TestMoveCrosses(t *testing.T) {
+	news := answer(wording(9, false, "a=DRAINING"))
+	for name, c := range map[string]struct {
+		at   string // what the watch is doing
+		told bool   // the old directory's answer is
+		back bool
+	}{
+		"half of an answer is read":     {"half", false, false},
+		"and back":                      {"half", false, true},
+		"the whole of it was read":      {"whole", true, false},
+		"that, and back":                {"whole", true, true},
+		"the pool takes it":             {"pool", true, false},
+		"the pool takes it, and back":   {"pool", true, true},
+		"a call begins":                 {"call", false, false},
+		"a call begins, and back":       {"call", false, true},
+		"the call is out and no answer": {"out", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, e, f := cross(t), scripted(t, nil), scripted(t, nil)
+			old, moved := x.Addr().String(), make(chan bool, 1)
+			move := func() {
+				if x.Move(e.Addr().String()); c.back {
+					x.Move(old)
+				} else {
+					x.Move(f.Addr().String())
+				}
+				moved <- true
+			}
+			conn := x.start()
+			var once sync.Once
+			x.read = func(whole bool) {
+				if whole == (c.at == "whole") && (c.at == "half" || c.at == "whole") {
+					once.Do(move)
+				}
+			}
+			if c.at == "call" {
+				x.trust = func() { once.Do(move) }
+			}
+			x.goOn <- struct{}{}
+			if c.at != "call" { // that is not made
+				conn.asked()
+			}
+			switch c.at {
+			case "call":
+			case "out":
+				move()
+			case "half":
+				conn.say(news[:60])
+			default:
+				conn.say(news)
+			}
+			if c.told {
+				x.wantTold("9 map[a:DRAINING]")
+				x.want("source", x.Source(), old)
+				if c.at == "pool" {
+					move()
+				}
+				x.goOn <- struct{}{}
+			}
+			<-moved
+			if c.at != "pool" && c.at != "call" || !c.back {
+				x.want("then, on that connection", conn.asked(), "ended")
+				conn.say(news[60:]) // too late, if it was not read
+			}
+			if c.back {
+				if c.at != "pool" && c.at != "call" {
+					conn = x.turn()
+				}
+				x.want("asked", conn.asked()[:8], map[bool]string{true: "?index=9", false: "?index=8"}[c.told])
+				return
+			}
+			now := f.turn()
+			x.want("the new one is asked", now.asked(), "")
+			x.want("source", x.Source(), old)
+			now.say(answer(wording(3, true, "c=SERVING")))
+			x.wantTold("3 map[c:SERVING]")
+			x.want("source", x.Source(), f.Addr().String())
+			x.goOn <- struct{}{}
+			x.want("the new one is asked", now.asked(), "?index=3&wait=60000")
+			if x.Failures.Load() != 0 {
+				t.Errorf("%d calls have failed", x.Failures.Load())
+			}
+		})
+	}
+}
+
+// A move that comes just as a connection to the old directory is up leaves that unused, and what a failure owes is not forgotten.
+func TestMoveAsAConnectionComesUp(t *testing.T) {
+	for _, back := range []bool{false, true} {
+		x, e := cross(t), scripted(t, nil)
+		conn, to, once := x.start(), e, sync.Once{}
+		x.up = func() {
+			once.Do(func() {
+				if x.Move(e.Addr().String()); back {
+					x.Move(x.Addr().String())
+				}
+			})
+		}
+		conn.Close()
+		for x.conn.Quiet() {
+			time.Sleep(time.Millisecond)
+		}
+		x.goOn <- struct{}{}
+		if x.turn(); back {
+			to = x.script
+		}
+		now := to.turn()
+		x.want("asked", now.asked(), "")
+		now.say(answer(wording(3, true, "c=SERVING")))
+		x.wantTold("3 map[c:SERVING]")
+	}
+}
+
+// On a real socket, too, an answer that stops is given up long before its whole time is over.
+func TestSilenceOnASocket(t *testing.T) {
+	x := cross(t)
+	set := x.set
+	set.Watch.Patience, set.Watch.LeastPatience = 200*time.Millisecond, 200*time.Millisecond
+	x.Watch, _ = New(set)
+	x.run()
+	conn, at := x.turn(), time.Now()
+	conn.asked()
+	conn.say(answer(wording(7, true, "a=SERVING"))[:60])
+	x.want("asked anew", x.turn().asked(), "")
+	if took := time.Since(at); took > transferMost/2 {
+		t.Errorf("after %s", took)
+	}
+}
+
+// Wherever evidence against the list, or the end of the watch, comes: an answer that was read by then is told. After evidence the
+// next call is for the whole list, also where the present one was just answered by one; after the end there is none.
+func TestDoubtAndEndCross(t *testing.T) {
+	for i, at := range []string{"out", "half", "whole", "changes", "pool", "call"} {
+		for _, end := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, end %t", at, end), func(t *testing.T) {
+				x, done := cross(t), make(chan bool, 1)
+				var once sync.Once
+				happen := func() {
+					once.Do(func() {
+						if end {
+							x.end()
+						} else {
+							x.Saw("a", freshness.Refused)
+						}
+						done <- true
+					})
+				}
+				conn, told := x.start(), i >= 2 && at != "call"
+				news := answer(wording(9, at == "whole", "a=SERVING"))
+				x.read = func(whole bool) {
+					if at == "half" || whole && (at == "whole" || at == "changes") {
+						happen()
+					}
+				}
+				if at == "call" {
+					x.trust = happen
+				}
+				x.goOn <- struct{}{}
+				if at != "call" {
+					x.want("asked", conn.asked(), "?index=8&wait=60000")
+				}
+				switch {
+				case at == "out":
+					happen()
+				case at == "half":
+					conn.say(news[:60])
+				case told:
+					conn.say(news)
+					x.wantTold("9 map[a:SERVING]")
+					if at == "pool" {
+						happen()
+					}
+					x.goOn <- struct{}{}
+				}
+				<-done
+				if end {
+					if err := <-x.ended; err != nil || x.Failures.Load() != 0 {
+						t.Errorf("ended with %v, %d failures", err, x.Failures.Load())
+					}
+					x.want("then asked", conn.asked(), "ended")
+					return
+				}
+				if at != "pool" && at != "call" {
+					x.want("then, on that connection", conn.asked(), "ended")
+					conn = x.turn()
+				}
+				x.want("then asked", conn.asked(), "")
+				conn.say(answer(wording(9, true, "a=SERVING")))
+				x.wantTold("9 map[a:SERVING]")
+				x.goOn <- struct{}{}
+				x.want("after that", conn.asked(), "?index=9&wait=60000")
+			})
+		}
+	}
+}
+
+// A process that begins with a list of revision 50 takes the first answer at any revision if it is whole, and changes if they are
+// newer; and where nobody vouches for the list, or the changes are older, it asks for the whole list.
+func TestFirstList(t *testing.T) {
+	const at50 = "?index=50&wait=60000"
+	for name, c := range map[string]struct {
+		anew              bool
+		asked, said, told string
+		next              string // that it asks, on a new connection where the answer was refused
+	}{
+		"newer changes":         {false, at50, wording(51, false, "b=DRAINING"), "51 map[b:DRAINING]", "?index=51&wait=60000"},
+		"the present revision":  {false, at50, wording(50, false), "", at50},
+		"older changes":         {false, at50, wording(2, false, "b=SERVING"), "", ""},
+		"an older list":         {false, at50, wording(2, true, "c=SERVING"), "2 map[c:SERVING]", "?index=2&wait=60000"},
+		"an older list, anew":   {true, "", wording(2, true, "c=SERVING"), "2 map[c:SERVING]", "?index=2&wait=60000"},
+		"an empty list, anew":   {true, "", wording(2, true), "2 map[]", "?index=2&wait=60000"},
+		"newer changes, anew":   {true, "", wording(51, false, "b=DRAINING"), "", ""},
+		"no list at all, anew":  {true, "", `{"revision":51,"complete":true}`, "", ""},
+		"a list that is cut":    {true, "", wording(51, true, "b=SERVING")[:40], "", ""},
+		"nothing but a number":  {false, at50, `{"revision":50}`, "", at50},
+		"nothing but an object": {false, at50, `{}`, "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := cross(t)
+			set := x.set
+			set.Anew, set.Known = c.anew, members.List{Revision: 50, Members: []members.Member{{ID: "a", Phase: members.Serving}}}
+			x.Watch, _ = New(set)
+			x.run()
+			conn := x.turn()
+			x.want("asked", conn.asked(), c.asked)
+			if conn.say(answer(c.said)); c.told != "" {
+				x.wantTold(c.told)
+				x.goOn <- struct{}{}
+			}
+			if c.next == "" {
+				conn = x.turn()
+			}
+			x.want("then asked", conn.asked(), c.next)
+		})
+	}
+}
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -123,7 +123,8 @@
 type Call struct {
 	Whole  bool          // the whole list, at once; else what has changed
 	Wait   time.Duration // for news; 0 with Whole
-	Within time.Duration // after which the call is given up
+	Within time.Duration // after which the call is given up, unless its answer has begun
+	Pause  time.Duration // after which it is given up while its connection comes up, or its answer has begun and pauses
 	After  time.Duration // pause before it
 }
 
@@ -160,7 +161,9 @@
 	doubted map[string]*against // of those
 	asks    int                 // calls in a row that evidence brought on and that settled nothing
 	askAt   time.Time           // not before
-	asked   bool                // the present call is one of those
+	asked   bool                // one of those is under way, or to be made
+	asking  bool                // and the present call is it
+	owed    bool                // it is still to be made: the last answer was to another call
 }
 
 // against is the evidence that a provider is not in service.
@@ -181,7 +184,7 @@
 // Next is the call to make at now.
 func (k *Keeper) Next(now time.Time) Call {
 	c := Call{Whole: k.whole || k.asked}
-	c.Within = k.patience(c.Whole)
+	c.Within, c.Pause = k.patience(c.Whole), k.set.Patience // no turn is waited for there, and nothing is learned of it
 	switch {
 	case k.failures > 0:
 		c.After = wait(k.set.Retry, k.set.RetryMost, k.failures, k.rng.Float64())
@@ -193,7 +196,7 @@
 		c.Wait = max(k.set.LeastWait, d-time.Duration(waitJitter*k.rng.Float64()*float64(d))).Truncate(time.Millisecond)
 		c.Within += c.Wait
 	}
-	k.started = true
+	k.started, k.asking = true, k.asked
 	k.lateAt = now.Add(c.After + c.Wait + k.set.LeastPatience)
 	k.began = now.Add(c.After)
 	until := now // of the list to begin with nobody knows the age; and an agent may have had the word since it was asked last
@@ -295,9 +298,10 @@
 	return min(k.set.Patience, max(k.set.LeastPatience, k.late+varTimes*k.spread))
 }
 
-// Answered takes note of an answer to c that came after took, whatever it said.
+// Answered takes note of an answer to c that began after took, whatever it said.
 func (k *Keeper) Answered(c Call, took time.Duration) {
 	k.failures = 0
+	k.owed = k.asked && !k.asking // the evidence came as this was answered
 	k.asOf, k.sure, k.moved = k.began, time.Time{}, false
 	k.whole = k.whole && !c.Whole
 	k.full = k.full && c.Whole // a whole list that was there already says nothing of the room for a watch
@@ -361,7 +365,7 @@
 	for _, a := range k.doubted {
 		a.settled = true
 	}
-	k.asked = false
+	k.asked, k.owed = k.owed, false
 }
 
 // against counts the providers that speak against the list and about which the directory has not been asked since.
