Each kind of signal has a place of its own, and a word to stop waits for nothing

Seen by reading: one channel of four took five signals, and Notify drops what finds no room, so that four waiting SIGUSR1 and SIGHUP, behind a reload that waits, cost the SIGTERM (main.go, run and obey). A word to stop waited for a reload, and its plan counted from when it was obeyed, though the kill counts from when it was sent: while a process starts it looks for another one for up to 2 s. Each kind now has its own channel, words to stop have their own goroutine and carry the moment at which they came. A second word goes by the plan of the first, whatever a reload has changed since.

Notify is the first thing in main.

--- a/cmd/plankrouter/bench_test.go
+++ b/cmd/plankrouter/bench_test.go
@@ -21,6 +21,10 @@
 )
 
 func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
 	cost.Serve()
 	os.Exit(m.Run())
 }
--- a/cmd/plankrouter/daily_test.go
+++ b/cmd/plankrouter/daily_test.go
@@ -33,7 +33,7 @@
 	front, desk string
 	file        string
 	set         peers.Sidecar
-	signals     chan os.Signal
+	signals     words
 	ended       chan error
 }
 
@@ -82,12 +82,12 @@
 
 // reload has the program read its file, as it is by now.
 func (s *service) reload() {
-	s.signals <- syscall.SIGHUP
+	s.signals.raise(syscall.SIGHUP)
 	synctest.Wait()
 }
 
 func (s *service) stop() {
-	s.signals <- syscall.SIGTERM
+	s.signals.raise(syscall.SIGTERM)
 	if err := <-s.ended; err != nil {
 		s.Error(err)
 	}
--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -9,14 +9,12 @@
 	"maps"
 	"net"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -44,20 +42,20 @@
 )
 
 func main() {
+	signals := newWords()
+	signals.listen() // before anything else: to start may take a while, and a signal that nobody takes ends the process
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds)
-	if err := run(); err != nil {
+	if err := run(signals); err != nil {
 		log.Printf("state=failed err=%q", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(signals words) error {
 	from, err := handover.Inherited(os.Getenv)
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4) // from now on: to find a running process may take a while
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		if from != nil {
@@ -104,8 +102,8 @@
 
 // program is the running parts.
 type program struct {
-	cfg      *config.Config // as at the start
-	inForce  *config.Config // since the last reload; of obey alone
+	cfg      *config.Config                // as at the start
+	inForce  atomic.Pointer[config.Config] // since the last reload; obey alone changes it
 	numbers  config.Numbering
 	getenv   func(string) string
 	listener net.Listener
@@ -131,12 +129,13 @@
 // serve runs the sidecar, for operators too if there is a listener for them, until a signal ends it and all that it has taken
 // is answered, or until a successor has it all.
 func serve(cfg *config.Config, getenv func(string) string, l, operators net.Listener, dial sockets.Dialer,
-	signals <-chan os.Signal, from *handover.Successor) error {
+	signals words, from *handover.Successor) error {
 	outer, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(outer)
-	p := program{cfg: cfg, inForce: cfg, getenv: getenv, listener: l, stop: stop, line: handover.Handover{From: from},
+	p := program{cfg: cfg, getenv: getenv, listener: l, stop: stop, line: handover.Handover{From: from},
 		budget: sockets.NewBudget(places(cfg), dial), places: places(cfg), bans: bansFor(cfg, getenv)}
+	p.inForce.Store(cfg)
 	var leaving context.CancelFunc
 	p.told, leaving = context.WithCancel(ctx)
 	defer leaving()
@@ -194,51 +193,14 @@
 		defer p.lastSnapshot() // which the core still has to give
 		return p.front.Serve(ctx, l)
 	})
-	group.Go(func() error { p.obey(ctx, leaving, group, signals); return nil })
+	group.Go(func() error { p.stopping(ctx, leaving, signals.stop); return nil })
+	group.Go(func() error { p.obey(ctx, group, signals); return nil })
 	log.Printf("name=%s state=started listen=%s providers=%d", cfg.Name, l.Addr(), len(known.Members))
 	err = group.Wait()
 	p.report()
 	return err
 }
 
-// obey acts on signals until ctx ends.
-func (p *program) obey(ctx context.Context, leaving context.CancelFunc, group *errgroup.Group, signals <-chan os.Signal) {
-	var leave <-chan time.Time
-	var stopAt time.Time
-	defer leaving()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case s := <-signals:
-			switch {
-			case s == syscall.SIGUSR1:
-				p.report()
-			case s == syscall.SIGHUP:
-				p.reload(time.Now())
-			case s == syscall.SIGUSR2 && leave == nil:
-				group.Go(func() error { p.handOver(p.told); return nil })
-			case s == syscall.SIGUSR2:
-				log.Printf("name=%s handover=refused err=%q", p.cfg.Name, "this process has been told to stop")
-			case leave == nil:
-				plan := p.inForce.StopPlan
-				log.Printf("name=%s state=stopping signal=%q last_request_after=%s", p.cfg.Name, s, plan.Last)
-				leaving()
-				notify("STOPPING=1")
-				p.core.Stopping(plan)
-				p.front.Stay()
-				stopAt, leave = time.Now(), time.After(plan.Last)
-			default: // told twice: as soon as the first word's new connections have come in
-				leave = time.After(max(0, min(hasten, p.inForce.StopPlan.Last)-time.Since(stopAt)))
-			}
-		case <-leave:
-			log.Printf("name=%s state=leaving sockets=%d", p.cfg.Name, p.budget.Used())
-			go p.lastSnapshot() // while there is time: what is still under way matters less than that it is there
-			p.front.Drain(p.listener)
-		}
-	}
-}
-
 // report prints the counters.
 func (p *program) report() {
 	c, f, w, now := p.core.Counts(), p.front, p.watch, p.book.Read()
--- a/cmd/plankrouter/play_test.go
+++ b/cmd/plankrouter/play_test.go
@@ -199,7 +199,7 @@
 		conns: make(chan net.Conn), shut: make(chan struct{})}
 	set := map[string]string{"sockets": "64", "probes": "false", "quota": "1000", "providers": "p1", "connect": "150",
 		"discovery": "dir:1"}
-	var signals chan os.Signal
+	var signals words
 	var result chan error
 	path := filepath.Join(t.TempDir(), "config.json")
 	write := func() {
@@ -233,7 +233,7 @@
 			}
 			if word[0] == "reload" {
 				write()
-				signals <- syscall.SIGHUP
+				signals.raise(syscall.SIGHUP)
 			}
 		case word[0] == "wait":
 			d, err := time.ParseDuration(word[1])
@@ -246,7 +246,7 @@
 			g.dials[word[1]] = word[2]
 			g.mu.Unlock()
 		case word[0] == "signal":
-			signals <- syscall.SIGTERM
+			signals.raise(syscall.SIGTERM)
 		case word[0] == "exits":
 			if err := <-result; err != nil {
 				t.Errorf("exit: %v", err)
@@ -285,7 +285,7 @@
 		}
 		out = append(out, part)
 	}
-	signals <- syscall.SIGTERM
+	signals.raise(syscall.SIGTERM)
 	<-result
 	for _, e := range g.ends {
 		e.Close()
--- a/cmd/plankrouter/program_test.go
+++ b/cmd/plankrouter/program_test.go
@@ -2,23 +2,42 @@
 
 import (
 	"net"
-	"os"
+	"syscall"
 	"testing"
+	"time"
 
 	"plankrouter/internal/config"
 	"plankrouter/internal/sockets"
 )
 
+// raise sends the program a signal.
+func (w words) raise(s syscall.Signal) {
+	switch s {
+	case syscall.SIGHUP:
+		w.reload <- s
+	case syscall.SIGUSR1:
+		w.report <- s
+	case syscall.SIGUSR2:
+		w.handOver <- s
+	default:
+		w.stop <- word{s, time.Now()}
+	}
+}
+
 // launch runs the program in the test's own process, with these variables alone as its environment. What it returns sends it
 // signals, and tells how it has ended.
-func launch(t *testing.T, env map[string]string, front, desk net.Listener, dial sockets.Dialer) (chan os.Signal, chan error) {
+func launch(t *testing.T, env map[string]string, front, desk net.Listener, dial sockets.Dialer) (words, chan error) {
+	t.Helper()
+	return launchBy(t, func(key string) string { return env[key] }, front, desk, dial)
+}
+
+func launchBy(t *testing.T, getenv func(string) string, front, desk net.Listener, dial sockets.Dialer) (words, chan error) {
 	t.Helper()
-	getenv := func(key string) string { return env[key] }
 	cfg, err := config.Load(getenv)
 	if err != nil {
 		t.Fatal(err)
 	}
-	signals, ended := make(chan os.Signal, 4), make(chan error, 1)
+	signals, ended := newWords(), make(chan error, 1)
 	go func() { ended <- serve(cfg, getenv, front, desk, dial, signals, nil) }()
 	return signals, ended
 }
--- a/cmd/plankrouter/recovery_test.go
+++ b/cmd/plankrouter/recovery_test.go
@@ -278,7 +278,7 @@
 	w.tries = peers.NewConsumers(peers.Load{Network: w.net, Address: front.Addr().String(), Seed: 1, For: lasts,
 		Retry: peers.Retry{Wait: 50 * time.Millisecond, Most: 2},
 		Flows: []peers.Flow{{Class: peers.Tile(), Rate: 120}, {Class: peers.Order(), Rate: 24}}}).Run(t.Context())
-	signals <- syscall.SIGTERM
+	signals.raise(syscall.SIGTERM)
 	if err := <-ended; err != nil {
 		t.Error(err)
 	}
--- a/cmd/plankrouter/reload.go
+++ b/cmd/plankrouter/reload.go
@@ -21,13 +21,14 @@
 	for _, key := range fixed {
 		log.Printf("name=%s state=reload key=%s err=%q", p.cfg.Name, key, "takes effect at the next start")
 	}
-	log.Printf("name=%s state=reloaded discovery=%s classes=%v", p.cfg.Name, p.inForce.Discovery, p.inForce.Settings.ClassNames())
+	is := p.inForce.Load()
+	log.Printf("name=%s state=reloaded discovery=%s classes=%v", p.cfg.Name, is.Discovery, is.Settings.ClassNames())
 }
 
 // change applies a file that has been checked whole: first what decides and calls, then the front, so that no request comes
 // in under a number that is not known yet.
 func (p *program) change(now time.Time) (fixed []string, err error) {
-	next, fixed, err := p.inForce.Reload(p.getenv)
+	next, fixed, err := p.inForce.Load().Reload(p.getenv)
 	if err != nil {
 		return nil, err
 	}
@@ -44,7 +45,7 @@
 	p.front.Reconfigure(&next.Settings)
 	p.watch.Move(next.Discovery)
 	p.moved.Store(true)
-	p.inForce = next
+	p.inForce.Store(next)
 	return fixed, nil
 }
 
--- /dev/null
+++ b/cmd/plankrouter/signals_test.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"plankrouter/internal/lab/peers"
+)
+
+// However many others wait, each kind of signal finds a place.
+func TestNoSignalIsLost(t *testing.T) {
+	w, seen := newWords(), make(chan os.Signal, 1)
+	w.listen()
+	all := []os.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGTERM, syscall.SIGINT}
+	defer signal.Reset(all...)
+	signal.Notify(seen, all...)
+	for i := range 12 {
+		syscall.Kill(os.Getpid(), all[i%3].(syscall.Signal))
+		<-seen // the kernel keeps one of a kind that waits
+	}
+	for _, s := range all[3:] {
+		syscall.Kill(os.Getpid(), s.(syscall.Signal))
+		<-seen
+		select {
+		case got := <-w.stop:
+			if got.Signal != s || time.Since(got.at) > time.Minute {
+				t.Errorf("%v, want %s", got, s)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%s is lost", s)
+		}
+	}
+	if len(w.reload) != 1 || len(w.report) != 1 || len(w.handOver) != 1 {
+		t.Errorf("waiting: %d, %d, %d", len(w.reload), len(w.report), len(w.handOver))
+	}
+}
+
+// A word to stop counts from when it came: while the program starts, and during a reload that does not end. Others that come
+// after it do not keep it.
+func TestStopWaitsForNothing(t *testing.T) {
+	for _, key := range []string{"TMPDIR", "GW_CONFIG"} { // read at the start, and by a reload
+		t.Run(key, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := peers.NewMemory()
+				_, directory := hands(t, m, 1, nil)
+				front, err := m.Listen("")
+				if err != nil {
+					t.Fatal(err)
+				}
+				desk, err := m.Listen("")
+				if err != nil {
+					t.Fatal(err)
+				}
+				s := service{T: t, file: filepath.Join(t.TempDir(), "config.json"),
+					set: peers.Sidecar{Name: "n1", Listen: front.Addr().String(), Seed: 1, Directory: directory.Address()}}
+				s.write()
+				var loaded atomic.Bool
+				hold := make(chan bool)
+				signals, ended := launchBy(t, func(name string) string {
+					if name == key && (key == "TMPDIR" || loaded.Load()) {
+						<-hold
+					}
+					return map[string]string{"GW_CONFIG": s.file, "GW_ADMIN_ADDR": desk.Addr().String()}[name]
+				}, front, desk, m.Dial)
+				synctest.Wait()
+				loaded.Store(true)
+				signals.raise(syscall.SIGHUP)
+				synctest.Wait()
+				began := time.Now()
+				for _, one := range []syscall.Signal{syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGUSR2} {
+					signals.raise(one)
+				}
+				if time.Sleep(time.Second); key == "TMPDIR" {
+					close(hold)
+				}
+				time.Sleep(2*time.Second + 49*time.Millisecond) // the longest deadline is 2.5 s
+				c, err := m.Dial(t.Context(), s.set.Listen)
+				if err != nil {
+					t.Fatalf("%s after the word: %v", time.Since(began), err)
+				}
+				c.Close()
+				time.Sleep(20 * time.Millisecond)
+				if c, err := m.Dial(t.Context(), s.set.Listen); err == nil {
+					c.Close()
+					t.Errorf("it still listens %s after the word", time.Since(began))
+				}
+				if key != "TMPDIR" {
+					close(hold)
+				}
+				if err := <-ended; err != nil || time.Since(began) > 3200*time.Millisecond {
+					t.Errorf("ended after %s: %v", time.Since(began), err)
+				}
+			})
+		})
+	}
+}
+
+const asProgram = "PLANKROUTER_TEST_PROGRAM"
+
+// Started as the deploy file says, the program survives any SIGHUP from the start on, reloads on one that comes once it serves,
+// and so does its successor.
+func TestSignalsFromTheStart(t *testing.T) {
+	deploy, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	run := regexp.MustCompile(`(?m)^run = "(.*?)"`).FindSubmatch(deploy)
+	if run == nil {
+		t.Fatal("the deploy file has no run")
+	}
+	directory, err := peers.NewDirectory(peers.Loopback(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer directory.Close()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	f, err := l.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	s := service{T: t, file: filepath.Join(t.TempDir(), "config.json"),
+		set: peers.Sidecar{Name: "n1", Listen: l.Addr().String(), Seed: 1, Directory: directory.Address()}}
+	s.write()
+	line := "LISTEN_FDS=1 LISTEN_PID=$$; export LISTEN_FDS LISTEN_PID; " +
+		strings.NewReplacer("exec ", "echo at the start >&2; exec ", "bin/plankrouter", `"$0"`).Replace(string(run[1]))
+	cmd := exec.Command("/bin/sh", "-c", line, os.Args[0])
+	cmd.Env, cmd.ExtraFiles = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+s.file, "TMPDIR="), []*os.File{f}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // it and its successor can be ended together
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out.(*os.File).SetReadDeadline(time.Now().Add(time.Minute))
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL); cmd.Wait() }()
+	said, lines := bufio.NewScanner(out), []string(nil)
+	says := func(what string) (after string) {
+		t.Helper()
+		for said.Scan() {
+			lines = append(lines, said.Text())
+			if _, after, is := strings.Cut(said.Text(), what); is {
+				return after
+			}
+		}
+		t.Fatalf("it does not say %q, but %q", what, lines)
+		return ""
+	}
+	says("at the start")
+	up := make(chan bool)
+	burst := make(chan bool)
+	go func() {
+		defer close(burst)
+		for range 10000 {
+			syscall.Kill(cmd.Process.Pid, syscall.SIGHUP)
+			select {
+			case <-up:
+				return
+			case <-time.After(100 * time.Microsecond):
+			}
+		}
+	}()
+	says("state=started")
+	close(up)
+	<-burst
+	pid := cmd.Process.Pid
+	for _, name := range []string{"first", "second"} {
+		for i := range 2 { // one that waits covers those that come after it
+			set := peers.Tile()
+			set.Name = fmt.Sprint(name, i)
+			s.set.Classes = []peers.Class{set}
+			s.write()
+			syscall.Kill(pid, syscall.SIGHUP)
+			says("classes=[" + set.Name + "]")
+		}
+		if name == "first" {
+			syscall.Kill(pid, syscall.SIGUSR2)
+			next, _, _ := strings.Cut(says("handover=passing successor="), " ")
+			if pid, err = strconv.Atoi(next); err != nil {
+				t.Fatal(err)
+			}
+			says("handover=complete")
+		}
+	}
+	syscall.Kill(pid, syscall.SIGTERM)
+	says("state=stopping")
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -165,7 +165,10 @@
 	}
 	trusting freshness.Trust
 	taking   struct{ to chan<- *snapshot.Snapshot }
-	stopNow  struct{ plan stopping.Plan }
+	stopNow  struct {
+		plan stopping.Plan
+		at   time.Time
+	}
 	changing struct {
 		Change
 		done chan<- error
@@ -331,11 +334,11 @@
 	return cfg
 }
 
-// Stopping says that the process has been told to stop: what comes in from now on is answered in time for that.
-func (s *Pool) Stopping(plan stopping.Plan) { s.send(stopNow{plan}) }
+// Stopping says that the process was told to stop, at that moment: what comes in from then on is answered in time for that.
+func (s *Pool) Stopping(plan stopping.Plan, at time.Time) { s.send(stopNow{plan, at}) }
 
 func (e stopNow) apply(s *Pool) {
-	s.stopAt, s.stopPlan = time.Now(), e.plan
+	s.stopAt, s.stopPlan = e.at, e.plan
 	if e.plan.Early == 0 {
 		for id, h := range s.held {
 			if !h.answered {
