What would be answered after the kill is given up before it, whenever it came

Seen by reading, then by the test: what came before 0.7 s after SIGTERM kept its own deadline even where that ended after the kill: in a class of 8 s the kill comes 3.7 s after the word and the request got no answer at all; likewise what was open when a SIGHUP made the deadlines shorter. A body that flowed on had ten minutes, whatever the plan (stopping.Patience, core's stopNow and left). Now what ends by itself before the kill keeps its deadline, and all else is answered by Plan.Answer; the core sets that for what it holds, and for bodies that come later.

Ruled out: a change for the platform's usual deadlines. Up to 3 s what comes in the first 0.7 s ends before the kill, and the rows of the table that were there are unchanged.

Without it TestPatience and all rows of TestStopAnswersAllBeforeTheKill but the later request fail (seen).

--- a/cmd/plankrouter/signals_test.go
+++ b/cmd/plankrouter/signals_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -108,6 +110,70 @@
 	}
 }
 
+// What would be answered after the kill is given up before it: where the longest deadline is beyond what the platform counts
+// of it, where a reload has made it shorter, and a body that flows on.
+func TestStopAnswersAllBeforeTheKill(t *testing.T) {
+	for what, tc := range map[string]struct {
+		shortened bool
+		after     time.Duration // of the word, that the request comes
+		rest      bool
+		want      time.Duration // after the word
+	}{
+		"before":             {false, -2 * sec, false, 3600 * time.Millisecond},
+		"soon after":         {false, 500 * time.Millisecond, false, 3600 * time.Millisecond},
+		"later":              {false, sec, false, 3600 * time.Millisecond},
+		"before a reload":    {true, -2 * sec, false, 1600 * time.Millisecond},
+		"a body, before":     {false, -2 * sec, true, 3600 * time.Millisecond},
+		"a body, soon after": {false, 500 * time.Millisecond, true, 3600 * time.Millisecond},
+	} {
+		t.Run(what, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := peers.NewMemory()
+				_, directory := hands(t, m, 2, func(_ http.ResponseWriter, r *http.Request) {
+					io.Copy(io.Discard, r.Body)
+					<-r.Context().Done()
+				})
+				long := peers.Order()
+				long.Deadline = 8 * sec
+				s := start(t, m, directory, func(c *peers.Sidecar) { c.Classes = []peers.Class{long} })
+				at := time.Now().Add(3 * sec)
+				got := make(chan time.Duration, 1)
+				time.AfterFunc(time.Until(at.Add(tc.after)), func() {
+					c, err := m.Dial(t.Context(), s.front)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					defer c.Close()
+					length := 0
+					if tc.rest {
+						length = 300000
+						go slowly(c, make([]byte, length), 8000, 200*time.Millisecond)
+					}
+					fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nContent-Length: %d\r\n\r\n", length)
+					resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+					if err != nil || resp.StatusCode < 500 {
+						t.Errorf("%v, %v", resp, err)
+					}
+					got <- time.Since(at)
+				})
+				time.Sleep(time.Until(at) - 10*time.Millisecond)
+				if tc.shortened {
+					s.set.Classes[0].Deadline = sec
+					s.write()
+					s.reload()
+				}
+				time.Sleep(time.Until(at))
+				s.stop()
+				time.Sleep(sec) // for the rest of a body
+				if took := <-got; took < tc.want-20*time.Millisecond || took > tc.want+20*time.Millisecond {
+					t.Errorf("answered after %s, want %s", took, tc.want)
+				}
+			})
+		})
+	}
+}
+
 const asProgram = "PLANKROUTER_TEST_PROGRAM"
 
 // Started as the deploy file says, the program survives any SIGHUP from the start on, reloads on one that comes once it serves,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -339,11 +339,13 @@
 
 func (e stopNow) apply(s *Pool) {
 	s.stopAt, s.stopPlan = e.at, e.plan
-	if e.plan.Early == 0 {
-		for id, h := range s.held {
-			if !h.answered {
-				heap.Push(&s.timers, &timer{at: s.stopAt.Add(e.plan.Answer), handle: uint64(id)}) // as its own deadline would
-			}
+	for id, h := range s.held {
+		end := h.inv.SentAt.Add(s.patience(h.inv))
+		if h.inv.Rest != nil { // its body may flow on: then its own deadline is not set yet
+			end = s.stopAt.Add(e.plan.Answer)
+		}
+		if !h.answered && (h.inv.Rest != nil || end.Before(h.inv.SentAt.Add(h.inv.Patience))) {
+			heap.Push(&s.timers, &timer{at: end, handle: uint64(id)}) // as its own deadline would
 		}
 	}
 }
@@ -393,8 +395,10 @@
 
 // left is how long the invocation's consumer still waits. What it still sends it does not wait for yet: see flowed.
 func (s *Pool) left(inv *invocation.Invocation) time.Duration {
-	if inv.Rest != nil {
+	if inv.Rest != nil && s.stopAt.IsZero() {
 		return flowMost
+	} else if inv.Rest != nil {
+		return s.stopPlan.Answer - time.Since(s.stopAt)
 	}
 	return s.patience(inv) - time.Since(inv.SentAt)
 }
@@ -404,7 +408,7 @@
 	if s.stopAt.IsZero() {
 		return inv.Patience
 	}
-	return s.stopPlan.Patience(max(0, inv.SentAt.Sub(s.stopAt)), inv.Patience)
+	return s.stopPlan.Patience(inv.SentAt.Sub(s.stopAt), inv.Patience)
 }
 
 func (e flowed) apply(s *Pool) {
--- a/internal/stopping/stopping.go
+++ b/internal/stopping/stopping.go
@@ -5,7 +5,7 @@
 // 3 s where that is longer:
 //
 //	0 to 0.4 s    new connections still come in
-//	0.7 s         what is taken from here on must be answered before the kill; before, its deadline ends by itself in time
+//	0.7 s         what is taken from here on must be answered before the kill; before, its deadline may end by itself in time
 //	L + 0.7 s     the kill may come
 //
 // The successor starts only after the kill, however early this process ends, and consumers go on using the connections that
@@ -32,7 +32,7 @@
 	Last   time.Duration // then nothing more is taken: the listener and idle connections are closed
 	Answer time.Duration // by then all that was taken is answered
 	Kill   time.Duration // then the process may be killed
-	Early  time.Duration // what is taken before keeps its own deadline, which ends before the kill
+	Early  time.Duration // what is taken before keeps its own deadline if that ends before the kill
 }
 
 // For returns the plan for classes whose longest deadline is longest and a kill that comes no sooner than kill after the
@@ -57,10 +57,11 @@
 	return nil
 }
 
-// Patience is how long an invocation may take that comes in at since and whose consumer waits for patience. One that comes
-// so early that its own deadline ends before the kill keeps that.
+// Patience is how long an invocation may take that comes in at since, which is negative before the word, and whose consumer
+// waits for patience. One that comes so early that its own deadline ends before the kill keeps that; any other is answered by
+// Answer, also where a deadline is beyond what the platform counts of it, or was before the settings changed.
 func (p Plan) Patience(since, patience time.Duration) time.Duration {
-	if since < p.Early {
+	if since < p.Early && since+patience <= p.Kill {
 		return patience
 	}
 	return min(patience, max(0, p.Answer-since))
--- a/internal/stopping/stopping_test.go
+++ b/internal/stopping/stopping_test.go
@@ -33,7 +33,11 @@
 func TestPatience(t *testing.T) {
 	p := For(2500*ms, 0)
 	for _, c := range []struct{ since, patience, want time.Duration }{
+		{-2 * time.Second, 8 * time.Second, 5100 * ms}, // of a class that was dropped since
+		{-time.Second, 4200 * ms, 4200 * ms},
+		{-time.Second, 4201 * ms, 4100 * ms},
 		{0, 2500 * ms, 2500 * ms},
+		{650 * ms, 8 * time.Second, 2450 * ms},
 		{699 * ms, 2500 * ms, 2500 * ms},
 		{700 * ms, 2500 * ms, 2400 * ms},
 		{time.Second, 400 * ms, 400 * ms},
@@ -46,8 +50,8 @@
 	}
 	for longest := 100 * ms; longest < 6*time.Second; longest += 170 * ms {
 		p := For(longest, []time.Duration{0, 500 * ms, time.Second, 3 * time.Second}[longest/(170*ms)%4])
-		for since := time.Duration(0); since <= p.Last; since += 10 * ms {
-			for _, patience := range []time.Duration{10 * ms, longest / 2, min(longest, deadlineMost)} {
+		for since := -longest; since <= p.Last; since += 10 * ms {
+			for _, patience := range []time.Duration{10 * ms, longest / 2, longest, 2 * longest} {
 				if end := since + p.Patience(since, patience); end > p.Kill {
 					t.Fatalf("longest %s: taken at %s for %s, answered by %s, killed at %s", longest, since, patience, end, p.Kill)
 				}
