What the kernel has accepted when the front is closed is still taken

Seen by reading, then by the test: Drain closed the listener, and the kernel resets what lies in its backlog with it: connections that Serve had not come to, since Accept was about to be called or Reserve waited for room, with requests whose last byte was written and which count as taken. Now Drain gives the listener 10 ms, Serve accepts until then, looks once more at what is there (Go's Accept does not look once its deadline has passed, so a Serve that is late would miss it) and closes it. A wait for room ends by then too, and the limit on sockets holds.

The end of the core closes the listener at once, as before. A handover pauses the listener by a deadline too: the two are told apart by the front's own state, and a Drain during a handover closes this copy alone, since the successor holds the backlog. A HandOver after Drain ends Serve as its pause does; a Resume after Drain finds Serve gone.

--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -36,6 +36,8 @@
 	floodFor    = 100 * time.Millisecond
 	closingFor  = 50 * time.Millisecond // instead of lingerFor, once the front is being closed: the process may be killed soon
 	acceptPause = 5 * time.Millisecond
+	acceptLast  = 10 * time.Millisecond // for what has knocked before Drain and could not be accepted yet
+	lastLook    = time.Millisecond      // at the kernel's backlog, once that has passed
 
 	// A consumer opens a connection when all it has are busy. One that has just been answered is thus about to carry a
 	// request, which would be lost if the connection were closed to make room. But a new one waits to carry one now:
@@ -68,6 +70,7 @@
 	running errgroup.Group               // the connections' goroutines
 	serving bool                         // Serve has been called
 	closing bool
+	closeAt time.Time // then the listener is closed, unless more lies in its backlog
 	endings ending.Counts
 }
 
@@ -89,11 +92,15 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	defer context.AfterFunc(ctx, func() { s.hangUp(l) })()
 	defer s.running.Wait()
+	defer l.Close()
 	s.mu.Lock()
 	s.serving = true
 	s.mu.Unlock()
 	for {
 		for !s.budget.Reserve(sockets.Inward) { // the kernel's backlog holds the consumer until there is room
+			if s.isLast() {
+				return nil
+			}
 			select {
 			case <-s.budget.Freed():
 			case <-time.After(acceptPause): // some connection may have been idle for long enough now
@@ -101,6 +108,10 @@
 				return nil
 			}
 		}
+		last := s.isLast() // its deadline has passed, perhaps before anybody looked
+		if d, ok := l.(deadliner); ok && last {
+			d.SetDeadline(time.Now().Add(lastLook))
+		}
 		nc, err := l.Accept()
 		if err != nil {
 			s.budget.Release(sockets.Inward)
@@ -113,8 +124,11 @@
 				}
 				return nil
 			}
-			if errors.Is(err, net.ErrClosed) {
+			switch {
+			case last || errors.Is(err, net.ErrClosed):
 				return nil
+			case s.isClosing() && errors.Is(err, os.ErrDeadlineExceeded):
+				continue
 			}
 			log.Printf("listen=%s state=accept_failed err=%q", l.Addr(), err)
 			select {
@@ -144,7 +158,7 @@
 	case s.closing && note != "": // between two messages, as those that Drain closes
 		c.wind(0)
 	case s.closing: // accepted at the last moment: it may still bring one request
-		c.wind(closingFor)
+		c.wind(time.Until(s.closeAt) + closingFor - acceptLast)
 	case s.pass != nil:
 		c.wind(0)
 	default:
@@ -234,16 +248,29 @@
 	}
 }
 
-// Drain closes the listener and the connections that are between two messages. The others end with their
-// answer.
+// deadliner is a listener that can be told until when it accepts.
+type deadliner interface{ SetDeadline(time.Time) error }
+
+// isLast reports whether what lies in the backlog by now is the last that is accepted.
+func (s *Server) isLast() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing && !time.Now().Before(s.closeAt)
+}
+
+// Drain closes the listener and the connections that are between two messages. The others end with their answer. What the
+// kernel has accepted by then would be lost with the listener, with requests that count as taken: Serve takes that in first,
+// and closes the listener. During a handover the successor holds the backlog too.
 func (s *Server) Drain(l net.Listener) {
-	l.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.closing {
-		s.closing = true
+		s.closing, s.closeAt = true, time.Now().Add(acceptLast)
 		close(s.closed)
 	}
+	if d, ok := l.(deadliner); !ok || s.pass != nil || d.SetDeadline(s.closeAt) != nil {
+		l.Close()
+	}
 	for c, busy := range s.conns {
 		if !busy {
 			c.wind(0)
@@ -253,6 +280,7 @@
 
 // hangUp ends all at once: the core has stopped and answers no more.
 func (s *Server) hangUp(l net.Listener) {
+	l.Close()
 	s.Drain(l)
 	close(s.hung)
 	s.mu.Lock()
