An operators' address that is taken no longer keeps the program from starting

Seen by reading: main.go ended the start where net.Listen failed for the operators' address, though no request needs it. Any error of the system (in use, not available) is logged as state=operators_wait now and the address tried again, as a successor does; an address that is none stays an error that names the key. Ruled out: an error of its listener ending the errgroup. Serve of the operators' front returns nil alone, it logs a failed Accept and goes on.

Without it TestSignalsFromTheStart finds state=failed, address already in use (seen).

--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log"
 	"maps"
@@ -15,6 +16,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -75,7 +77,9 @@
 		return err
 	}
 	operators, err := listenForOperators(cfg)
-	if err != nil && (from == nil || from.Met()) {
+	if taken := syscall.Errno(0); errors.As(err, &taken) { // a predecessor has it, or a stranger: requests come first
+		log.Printf("name=%s state=operators_wait err=%q", cfg.Name, err)
+	} else if err != nil {
 		return err
 	}
 	return serve(cfg, os.Getenv, l, operators, sockets.TCP, signals, from)
--- a/cmd/plankrouter/operators.go
+++ b/cmd/plankrouter/operators.go
@@ -14,7 +14,7 @@
 	"plankrouter/internal/figures"
 )
 
-const listenAgain = 20 * time.Millisecond // for operators, while a predecessor does
+const listenAgain = 20 * time.Millisecond // for operators, while another process does
 
 // listenForOperators returns the listener for operators, nil where they have no address.
 func listenForOperators(cfg *config.Config) (net.Listener, error) {
@@ -28,8 +28,8 @@
 	return l, nil
 }
 
-// serveOperators answers operators until ctx ends. A successor that its predecessor has started has no listener before that one
-// has ended, since both are told the same address.
+// serveOperators answers operators until ctx ends. A process that finds their address taken has no listener before the other has
+// ended, as a successor that its predecessor has started: both are told the same address. It serves requests meanwhile.
 func (p *program) serveOperators(ctx context.Context, l net.Listener) error {
 	for l == nil {
 		select {
--- a/cmd/plankrouter/signals_test.go
+++ b/cmd/plankrouter/signals_test.go
@@ -177,7 +177,7 @@
 const asProgram = "PLANKROUTER_TEST_PROGRAM"
 
 // Started as the deploy file says, the program survives any SIGHUP from the start on, reloads on one that comes once it serves,
-// and so does its successor.
+// and so does its successor. An operators' address that is taken keeps neither from starting, and is used once it is free.
 func TestSignalsFromTheStart(t *testing.T) {
 	deploy, err := os.ReadFile("../../deploy/balancer.toml")
 	if err != nil {
@@ -202,13 +202,18 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
+	desk, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer desk.Close()
 	s := service{T: t, file: filepath.Join(t.TempDir(), "config.json"),
 		set: peers.Sidecar{Name: "n1", Listen: l.Addr().String(), Seed: 1, Directory: directory.Address()}}
 	s.write()
 	line := "LISTEN_FDS=1 LISTEN_PID=$$; export LISTEN_FDS LISTEN_PID; " +
 		strings.NewReplacer("exec ", "echo at the start >&2; exec ", "bin/plankrouter", `"$0"`).Replace(string(run[1]))
 	cmd := exec.Command("/bin/sh", "-c", line, os.Args[0])
-	cmd.Env, cmd.ExtraFiles = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+s.file, "TMPDIR="), []*os.File{f}
+	cmd.Env, cmd.ExtraFiles = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+s.file, "TMPDIR=", "GW_ADMIN_ADDR="+desk.Addr().String()), []*os.File{f}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // it and its successor can be ended together
 	out, err := cmd.StderrPipe()
 	if err != nil {
@@ -267,6 +272,14 @@
 			says("handover=complete")
 		}
 	}
+	desk.Close()
+	var resp *http.Response
+	for until := time.Now().Add(30 * time.Second); resp == nil && time.Now().Before(until); {
+		resp, _ = http.Get("http://" + desk.Addr().String() + "/nowhere")
+	}
+	if resp == nil || resp.StatusCode != 404 {
+		t.Errorf("operators get %v", resp)
+	}
 	syscall.Kill(pid, syscall.SIGTERM)
 	says("state=stopping")
 }
