Reloads and a handover after SIGTERM are tested: the plan stays, a handover is refused

What was there holds; no line of the program changed. A reload after the word moves nothing of its plan, SIGUSR2 is turned away, SIGHUP is obeyed, and a second word ends the wait; the tests force each.

--- a/cmd/plankrouter/signals_test.go
+++ b/cmd/plankrouter/signals_test.go
@@ -114,17 +114,18 @@
 // of it, where a reload has made it shorter, and a body that flows on.
 func TestStopAnswersAllBeforeTheKill(t *testing.T) {
 	for what, tc := range map[string]struct {
-		shortened bool
-		after     time.Duration // of the word, that the request comes
-		rest      bool
-		want      time.Duration // after the word
+		reload time.Duration // of a shorter deadline, after the word; 0 = none
+		after  time.Duration // of the word, that the request comes
+		rest   bool
+		want   time.Duration // after the word
 	}{
-		"before":             {false, -2 * sec, false, 3600 * time.Millisecond},
-		"soon after":         {false, 500 * time.Millisecond, false, 3600 * time.Millisecond},
-		"later":              {false, sec, false, 3600 * time.Millisecond},
-		"before a reload":    {true, -2 * sec, false, 1600 * time.Millisecond},
-		"a body, before":     {false, -2 * sec, true, 3600 * time.Millisecond},
-		"a body, soon after": {false, 500 * time.Millisecond, true, 3600 * time.Millisecond},
+		"before":               {0, -2 * sec, false, 3600 * time.Millisecond},
+		"soon after":           {0, 500 * time.Millisecond, false, 3600 * time.Millisecond},
+		"later":                {0, sec, false, 3600 * time.Millisecond},
+		"before a reload":      {-sec, -2 * sec, false, 1600 * time.Millisecond},
+		"a reload comes later": {sec, -2 * sec, false, 3600 * time.Millisecond},
+		"a body, before":       {0, -2 * sec, true, 3600 * time.Millisecond},
+		"a body, soon after":   {0, 500 * time.Millisecond, true, 3600 * time.Millisecond},
 	} {
 		t.Run(what, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -157,11 +158,12 @@
 					}
 					got <- time.Since(at)
 				})
-				time.Sleep(time.Until(at) - 10*time.Millisecond)
-				if tc.shortened {
-					s.set.Classes[0].Deadline = sec
-					s.write()
-					s.reload()
+				if tc.reload != 0 {
+					time.AfterFunc(time.Until(at.Add(tc.reload)), func() {
+						s.set.Classes[0].Deadline = sec
+						s.write()
+						s.signals.raise(syscall.SIGHUP)
+					})
 				}
 				time.Sleep(time.Until(at))
 				s.stop()
@@ -282,4 +284,9 @@
 	}
 	syscall.Kill(pid, syscall.SIGTERM)
 	says("state=stopping")
+	for sig, want := range map[syscall.Signal]string{syscall.SIGUSR2: "handover=refused", syscall.SIGHUP: "state=reloaded",
+		syscall.SIGINT: "state=leaving"} {
+		syscall.Kill(pid, sig)
+		says(want)
+	}
 }
