--- a/cmd/plankrouter/crossings_test.go
+++ b/cmd/plankrouter/crossings_test.go
@@ -35,7 +35,7 @@
 	pass    chan net.Conn
 	closed  chan struct{} // one word for each consumer's connection that the program has closed
 	asked   chan struct{} // and for each probe that a provider has got
-	signals chan os.Signal
+	signals words
 	ended   chan error
 	file    string
 
@@ -231,7 +231,7 @@
 // end stops the program, and returns what it has counted. All that was under way has ended by then.
 func (r *rig) end(words int) string {
 	for range words {
-		r.signals <- syscall.SIGTERM
+		r.signals.raise(syscall.SIGTERM)
 	}
 	if err := wait(r, "the end", r.ended); err != nil {
 		r.Error(err)
--- a/cmd/plankrouter/names_test.go
+++ b/cmd/plankrouter/names_test.go
@@ -27,12 +27,12 @@
 }
 
 var (
-	word   = regexp.MustCompile(`"\w"|[\w-]+`)
+	aWord  = regexp.MustCompile(`"\w"|[\w-]+`)
 	nameOf = regexp.MustCompile(`(?m)^\[\[(class|tenant)\]\].*\n(?:\n|[^\[\n].*\n)*?name\s*=\s*"([^"]+)"`) // in a site's file
 )
 
 func rename(text string, names map[string]string) string {
-	return word.ReplaceAllStringFunc(text, func(w string) string {
+	return aWord.ReplaceAllStringFunc(text, func(w string) string {
 		if other, named := names[w]; named {
 			return other
 		}
--- a/cmd/plankrouter/play_test.go
+++ b/cmd/plankrouter/play_test.go
@@ -202,7 +202,7 @@
 		conns: make(chan net.Conn), shut: make(chan struct{})}
 	set := map[string]string{"sockets": "64", "probes": "false", "quota": "1000", "providers": "p1", "connect": "150",
 		"discovery": "dir:1"}
-	var signals chan os.Signal
+	var signals words
 	var result chan error
 	path := filepath.Join(t.TempDir(), "config.json")
 	write := func() {
@@ -236,7 +236,7 @@
 			}
 			if word[0] == "reload" {
 				write()
-				signals <- syscall.SIGHUP
+				signals.raise(syscall.SIGHUP)
 			}
 		case word[0] == "wait":
 			d, err := time.ParseDuration(word[1])
@@ -249,7 +249,7 @@
 			g.dials[word[1]] = word[2]
 			g.mu.Unlock()
 		case word[0] == "signal":
-			signals <- syscall.SIGTERM
+			signals.raise(syscall.SIGTERM)
 		case word[0] == "exits":
 			if err := <-result; err != nil {
 				t.Errorf("exit: %v", err)
@@ -288,7 +288,7 @@
 		}
 		out = append(out, part)
 	}
-	signals <- syscall.SIGTERM
+	signals.raise(syscall.SIGTERM)
 	<-result
 	for _, e := range g.ends {
 		e.Close()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -165,7 +165,10 @@
 	}
 	trusting freshness.Trust
 	taking   struct{ to chan<- *snapshot.Snapshot }
-	stopNow  struct{ plan stopping.Plan }
+	stopNow  struct {
+		plan stopping.Plan
+		at   time.Time
+	}
 	changing struct {
 		Change
 		done chan<- error
@@ -334,16 +337,18 @@
 	return cfg
 }
 
-// Stopping says that the process has been told to stop: what comes in from now on is answered in time for that.
-func (s *Pool) Stopping(plan stopping.Plan) { s.send(stopNow{plan}) }
+// Stopping says that the process was told to stop, at that moment: what comes in from then on is answered in time for that.
+func (s *Pool) Stopping(plan stopping.Plan, at time.Time) { s.send(stopNow{plan, at}) }
 
 func (e stopNow) apply(s *Pool) {
-	s.stopAt, s.stopPlan = time.Now(), e.plan
-	if e.plan.Early == 0 {
-		for id, h := range s.held {
-			if !h.answered {
-				heap.Push(&s.timers, &timer{at: s.stopAt.Add(e.plan.Answer), handle: uint64(id)}) // as its own deadline would
-			}
+	s.stopAt, s.stopPlan = e.at, e.plan
+	for id, h := range s.held {
+		end := h.inv.SentAt.Add(s.patience(h.inv))
+		if h.inv.Rest != nil { // its body may flow on: then its own deadline is not set yet
+			end = s.stopAt.Add(e.plan.Answer)
+		}
+		if !h.answered && (h.inv.Rest != nil || end.Before(h.inv.SentAt.Add(h.inv.Patience))) {
+			heap.Push(&s.timers, &timer{at: end, handle: uint64(id)}) // as its own deadline would
 		}
 	}
 }
@@ -393,8 +398,10 @@
 
 // left is how long the invocation's consumer still waits. What it still sends it does not wait for yet: see flowed.
 func (s *Pool) left(inv *invocation.Invocation) time.Duration {
-	if inv.Rest != nil {
+	if inv.Rest != nil && s.stopAt.IsZero() {
 		return flowMost
+	} else if inv.Rest != nil {
+		return s.stopPlan.Answer - time.Since(s.stopAt)
 	}
 	return s.patience(inv) - time.Since(inv.SentAt)
 }
@@ -404,7 +411,7 @@
 	if s.stopAt.IsZero() {
 		return inv.Patience
 	}
-	return s.stopPlan.Patience(max(0, inv.SentAt.Sub(s.stopAt)), inv.Patience)
+	return s.stopPlan.Patience(inv.SentAt.Sub(s.stopAt), inv.Patience)
 }
 
 func (e flowed) apply(s *Pool) {
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -79,7 +79,7 @@
 		}, []string{"start p:1", "withdraw p:1 withdrawn"}, nil, 1},
 		"a word to stop that leaves less time than the attempt has": {[]members.Member{serving("s", "p:1", 0)},
 			func(s *Pool, inv *invocation.Invocation, c *slow) {
-				stopNow{stopping.For(time.Minute, time.Second)}.apply(s)
+				stopNow{plan: stopping.For(time.Minute, time.Second), at: time.Now()}.apply(s)
 				time.Sleep(time.Second)
 				s.due()
 			}, []string{"start p:1", "withdraw p:1 withdrawn"}, []invocation.Answer{{Kind: invocation.Failed}}, 0},
