The front's reader no longer asks for an ending that invoke does not return any more

Seen on the last read of the whole change: since await leaves a handover to next, invoke never returns HandedOver; read still asked for it. Checked: errHandedOver is returned by next alone, and read takes it there. No behaviour changes.

--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -378,7 +378,7 @@
 		case turned != nil:
 			e = c.writeOne(turned)
 		default:
-			if e = c.invoke(inv); e == ending.ConsumerGone || e == ending.Stopped || e == ending.HandedOver {
+			if e = c.invoke(inv); e == ending.ConsumerGone || e == ending.Stopped {
 				return e
 			}
 		}
