A further attempt of a keyed request expires with the window of its first one

Ruled out: the module's own count. firstRan is the moment of the decision on the first attempt that may have run, before its first byte, so that it errs to the safe side; a server that is gone as its attempt ends leaves firstRan at 0, which forbids repeats; rewinding a call writes nothing whole before.

Change: the core tells the caller when an attempt expires (first such attempt + Window, less the module's margin); the caller looks at it at the first byte and as the last one is released, and the core withdraws what is not written whole by then, so that the final answer is not held back. Ending "expired" has the status NotSent: it is no sign against the server, and no attempt follows.

Tests of core, provider, caller, ending, consumer and the library pass with -race.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -40,6 +40,7 @@
 	Invocation *invocation.Invocation
 	Wait       time.Duration // after which the attempt is going to be stopped, for the provider to know
 	NotAfter   time.Time     // no first byte later than this; zero = any time
+	Expires    time.Time     // neither the first nor the last byte later than this; zero = any time
 	Flowed     func()        // with a Source: called when its last byte is written; nil = nobody asks
 	Ended      func(Result)  // called once from any goroutine, unless Stop returned true; may wait for the pool's goroutine
 }
--- a/internal/caller/callertest/callertest.go
+++ b/internal/caller/callertest/callertest.go
@@ -73,7 +73,12 @@
 
 // start begins an attempt by its number; 0 is a probe.
 func (s *stage) start(number int, notAfter time.Time) caller.Call {
-	task := caller.Task{Wait: time.Second, NotAfter: notAfter, Ended: func(r caller.Result) { s.reports <- report{number, r} }}
+	return s.begin(number, notAfter, time.Time{})
+}
+
+// begin is start for an attempt that expires.
+func (s *stage) begin(number int, notAfter, expires time.Time) caller.Call {
+	task := caller.Task{Wait: time.Second, NotAfter: notAfter, Expires: expires, Ended: func(r caller.Result) { s.reports <- report{number, r} }}
 	if number > 0 {
 		s.last = &invocation.Invocation{ID: fmt.Sprint("id", number), Verb: "POST", Target: "/order/1", Body: []byte("x")}
 		task.Invocation = s.last
@@ -242,6 +247,21 @@
 		s.settle()
 		s.read(0)
 	}, seen{[]string{"1 drained"}, []string{"nothing "}}},
+	"expired while connecting": {func(s *stage) {
+		s.dialed = "late"
+		s.begin(1, time.Time{}, time.Now().Add(50*time.Millisecond))
+		time.Sleep(time.Second)
+		s.settle()
+		s.read(0)
+	}, seen{[]string{"1 expired"}, []string{"nothing "}}},
+	"sent before it expires": {func(s *stage) {
+		s.dialed = "late"
+		s.begin(1, time.Time{}, time.Now().Add(150*time.Millisecond))
+		time.Sleep(time.Second)
+		s.read(0)
+		s.write(0, s.h.Served)
+		s.settle()
+	}, seen{[]string{"1 served ok"}, []string{"id1 "}}},
 	"silence": {func(s *stage) {
 		c := s.start(1, time.Time{})
 		s.read(0)
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -52,7 +52,19 @@
 	s.counts.Sent++
 	wait := duration(a.After)
 	h.attempts++
-	h.call = s.start(k, h.inv, &attempt{request: a.Request, number: h.attempts - 1, server: a.Server}, wait)
+	h.sentAt = s.now
+	h.call = s.start(k, h.inv, &attempt{request: a.Request, number: h.attempts - 1, server: a.Server, expires: s.expires(h)}, wait)
+}
+
+// expires is when the providers no longer drop a repeat of the invocation, with the module's own margin: no byte of a further
+// attempt counts as one of the same request after that. The module has looked at it as it decided, but a connection may come up
+// long after that, and a provider begins with the last byte. Zero = never.
+func (s *Pool) expires(h *held) time.Time {
+	class := s.set.Logic.Classes[h.inv.Class]
+	if !h.mayRun || class.Repeat != logic.Keyed {
+		return time.Time{}
+	}
+	return h.firstRan.Add(duration(class.Window - 2*s.set.Logic.Round - 1))
 }
 
 // start begins an attempt, for an invocation or a probe, gives it up after wait, and returns its number.
@@ -69,6 +81,9 @@
 		s.uploads[number] = a
 		wait = s.patience(inv)
 	}
+	if !a.expires.IsZero() && a.expires.Before(a.end.at) { // else its consumer would wait for what will not be sent
+		heap.Push(&s.timers, &timer{at: a.expires, call: number, expires: true})
+	}
 	s.calls[number] = a
 	k.calls++
 	a.began, a.at = time.Now(), k.at
@@ -77,7 +92,7 @@
 	if t := s.trust.NotAfter(k.proof, s.set.DrainGrace); inv != nil && !t.IsZero() && (notAfter.IsZero() || t.Before(notAfter)) {
 		notAfter = t
 	}
-	a.call = k.at.Start(caller.Task{Invocation: inv, Wait: wait, NotAfter: notAfter,
+	a.call = k.at.Start(caller.Task{Invocation: inv, Wait: wait, NotAfter: notAfter, Expires: a.expires,
 		Flowed: func() { s.send(flowed{number}) },
 		Ended: func(r caller.Result) {
 			if !s.send(callEnded{number, r}) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -117,6 +117,8 @@
 	call     uint64 // under way; 0 = none
 	mayRun   bool   // an attempt that has ended may have run
 	answered bool
+	sentAt   time.Time // when the last attempt was asked for,
+	firstRan time.Time // and the first of those that have ended and may have run; zero = none
 }
 
 // known is a provider that the directory has named.
@@ -143,6 +145,7 @@
 	server  logic.ServerID
 	at      caller.Endpoint // the process that it went to
 	end     *timer          // of its time
+	expires time.Time       // no byte of it later than this; zero = any time
 }
 
 // event is something that another goroutine has seen.
@@ -527,7 +530,9 @@
 	s.counts.Calls[r.Ending]++
 	h := s.held[a.request]
 	h.call = 0
-	h.mayRun = h.mayRun || !r.Ending.Status().NeverRan()
+	if !h.mayRun && !r.Ending.Status().NeverRan() {
+		h.mayRun, h.firstRan = true, h.sentAt
+	}
 	if !h.answered && h.inv.Left() { // the word of it is still on its way
 		s.leave(a.request, h)
 	}
@@ -590,9 +595,12 @@
 func (s *Pool) due() {
 	for len(s.timers) > 0 && !time.Now().Before(s.timers[0].at) {
 		t := heap.Pop(&s.timers).(*timer)
-		if t.call == 0 {
+		switch {
+		case t.call == 0:
 			s.step(logic.Event{Kind: logic.TimerDue, Timer: t.handle})
-		} else {
+		case t.expires:
+			s.withdraw(t.call, ending.Expired)
+		default:
 			s.stop(t.call, ending.TimedOut)
 		}
 	}
--- /dev/null
+++ b/internal/core/expiry_test.go
@@ -0,0 +1,92 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"plankrouter/internal/caller"
+	"plankrouter/internal/ending"
+	"plankrouter/internal/invocation"
+	"plankrouter/internal/members"
+	"plankrouter/logic"
+)
+
+// Providers drop a repeat of a keyed request for 3 s after its first attempt that may have run was sent. Each further attempt is
+// told the last moment for its bytes, less the module's margin of 11 ms, and is withdrawn then if it is not written whole: its
+// consumer is answered at once.
+func TestFurtherAttemptsExpire(t *testing.T) {
+	const never, second = time.Duration(-1), time.Second
+	gone := []string{"withdraw p:1 expired"}
+	for name, tc := range map[string]struct {
+		repeat  logic.Repeat
+		ends    []ending.Ending // of its attempts, a second after each was sent; the last one's connection does not come up
+		written bool            // or does
+		expires []time.Duration // of each attempt, from the first one on
+		did     []string        // to the last attempt within 3 s of the first
+		answers []invocation.Kind
+	}{
+		"what may run twice": {repeat: logic.Safe, ends: []ending.Ending{ending.ResetByPeer}, expires: []time.Duration{never, never}},
+		"the first may have run": {repeat: logic.Keyed, ends: []ending.Ending{ending.ResetByPeer},
+			expires: []time.Duration{never, 3*second - 11*time.Millisecond}, did: gone, answers: []invocation.Kind{invocation.Refused}},
+		"the first has timed out": {repeat: logic.Keyed, ends: []ending.Ending{ending.TimedOut},
+			expires: []time.Duration{never, 3*second - 11*time.Millisecond}, did: gone, answers: []invocation.Kind{invocation.Refused}},
+		"the second is written": {repeat: logic.Keyed, ends: []ending.Ending{ending.ResetByPeer}, written: true,
+			expires: []time.Duration{never, 3*second - 11*time.Millisecond}},
+		"the first never ran": {repeat: logic.Keyed, ends: []ending.Ending{ending.Declined}, expires: []time.Duration{never, never}},
+		"the second may have run": {repeat: logic.Keyed, ends: []ending.Ending{ending.Declined, ending.ResetByPeer},
+			expires: []time.Duration{never, never, 4*second - 11*time.Millisecond}},
+		"the first two may have run": {repeat: logic.Keyed, ends: []ending.Ending{ending.ServerError, ending.ResetByPeer},
+			expires: []time.Duration{never, 3*second - 11*time.Millisecond, 3*second - 11*time.Millisecond},
+			did:     gone, answers: []invocation.Kind{invocation.Refused}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := new(slow)
+				s, err := New(Options{Logic: logic.Config{MaxAttempts: 4, Round: 5, Classes: []logic.Class{{Aim: 2e4, Deadline: 6e4,
+					Repeat: tc.repeat, Window: 3000}}}, Caller: c, DrainGrace: time.Minute})
+				if err != nil {
+					t.Fatal(err)
+				}
+				list := members.List{}
+				for i := range 4 {
+					list.Members = append(list.Members, members.Member{ID: fmt.Sprint(i), Address: "p:1", Phase: members.Serving})
+				}
+				s.list(list)
+				var got []invocation.Kind
+				inv := &invocation.Invocation{ID: "a", SentAt: time.Now(), Patience: time.Minute,
+					Answer: func(a invocation.Answer) { got = append(got, a.Kind) }}
+				first := time.Now()
+				arrived{inv}.apply(s)
+				s.retryFreely()
+				for i, end := range tc.ends {
+					time.Sleep(second)
+					s.due()
+					c.calls[i].over = true
+					s.ended(s.held[s.byInv[inv]].call, caller.Result{Ending: end})
+				}
+				if tc.written {
+					c.calls[len(c.calls)-1].over = true
+				}
+				var expires []time.Duration
+				for _, call := range c.calls {
+					expires = append(expires, never)
+					if !call.Expires.IsZero() {
+						expires[len(expires)-1] = call.Expires.Sub(first)
+					}
+				}
+				c.did = nil
+				time.Sleep(time.Until(first.Add(3*second - 12*time.Millisecond)))
+				s.due()
+				before := len(c.did) + len(got)
+				time.Sleep(time.Millisecond)
+				s.due()
+				if !slices.Equal(expires, tc.expires) || !slices.Equal(c.did, tc.did) || !slices.Equal(got, tc.answers) || before > 0 {
+					t.Errorf("expire %v, did %q, answers %v, %d too early", expires, c.did, got, before)
+				}
+			})
+		})
+	}
+}
--- a/internal/core/time.go
+++ b/internal/core/time.go
@@ -27,6 +27,8 @@
 	handle uint64
 	call   uint64 // 0 = the module's
 	index  int    // in timers
+
+	expires bool // with call: it ends only what is not written whole
 }
 
 // timers is a heap, the earliest first.
--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -41,6 +41,7 @@
 	Refused        // the connection was refused or came to nothing
 	ConnectTimeout // the connection did not come up in time
 	Drained        // the provider was draining or gone before the first byte was written
+	Expired        // the time in which it could be repeated was over before the last byte was written
 	Unwritten      // the connection broke, or time was up, before the last byte was written
 	Withdrawn      // called off before the last byte was written
 
@@ -77,6 +78,7 @@
 	Refused:        {"refused", logic.NoConnection},
 	ConnectTimeout: {"connect_timeout", logic.NoConnection},
 	Drained:        {"drained", logic.NoConnection},
+	Expired:        {"expired", logic.NotSent},
 	Unwritten:      {"unwritten", logic.NoConnection},
 	Withdrawn:      {"withdrawn", logic.NotSent},
 	ResetByPeer:    {"reset", logic.Reset},
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -56,6 +56,7 @@
 	stage    stage
 	conn     *conn
 	notAfter time.Time // no first byte later than this; zero = any time
+	expires  time.Time // nor any first or last byte later than this; zero = any time
 }
 
 // result is how a carried call ended.
@@ -68,7 +69,7 @@
 
 // word words the task for the endpoint.
 func (e *endpoint) word(t caller.Task) *call {
-	c := &call{at: e, done: t.Ended, notAfter: t.NotAfter, inv: t.Invocation}
+	c := &call{at: e, done: t.Ended, notAfter: t.NotAfter, expires: t.Expires, inv: t.Invocation}
 	if inv := t.Invocation; inv != nil {
 		fields := append([]invocation.Field{{Name: http1.HeaderID, Value: inv.ID},
 			{Name: http1.HeaderDeadline, Value: strconv.FormatFloat(t.Wait.Seconds(), 'f', 3, 64)}}, inv.Fields...)
@@ -152,7 +153,7 @@
 				conn.close()
 				return nil
 			}
-		default: // nobody waits for it, or it is too late for its provider: another call may use the connection
+		default: // nobody waits for it, or it is too late: another call may use the connection
 			v.end(c, result{Result: caller.Result{Ending: e}})
 		}
 		v.keep(conn)
@@ -190,11 +191,11 @@
 func (c *call) begin(conn *conn) ending.Ending {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case c.over():
-		return ending.Withdrawn
-	case !c.notAfter.IsZero() && time.Now().After(c.notAfter):
-		// The list said so while the connection came up: a drain counts from the first byte of a send.
+	now := time.Now()
+	if e := c.barred(now); e != ending.Open {
+		return e
+	}
+	if isPast(c.notAfter, now) { // the list said so while the connection came up: a drain counts from the first byte of a send
 		return ending.Drained
 	}
 	c.conn, c.use = conn, conn.use
@@ -210,18 +211,32 @@
 // over reports whether nothing of the call may be written any more. It is called with mu held.
 func (c *call) over() bool { return c.stage == ended || c.inv != nil && c.inv.Left() }
 
+// barred says why neither the first nor the last byte of the call may be written; Open = it may. It is called with mu held.
+func (c *call) barred(now time.Time) ending.Ending {
+	switch {
+	case c.over():
+		return ending.Withdrawn
+	case isPast(c.expires, now):
+		return ending.Expired
+	}
+	return ending.Open
+}
+
+// isPast reports whether a limit is there and over.
+func isPast(limit, now time.Time) bool { return !limit.IsZero() && now.After(limit) }
+
 // inParts reports whether the last byte is written by itself, so that what comes in before it is seen to.
 func (c *call) inParts() bool { return len(c.message) > lump || c.hold > 0 || c.upload != nil }
 
-// release reports whether the last byte may be written.
-func (c *call) release() bool {
+// release moves the call to its last byte, or says why that may not be written.
+func (c *call) release() ending.Ending {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.over() {
-		return false
+	e := c.barred(time.Now())
+	if e == ending.Open {
+		c.stage = writing
 	}
-	c.stage = writing
-	return true
+	return e
 }
 
 // rewind takes the call back to where it has no connection, unless it has ended meanwhile or lost one before. The next one
--- a/internal/provider/conn.go
+++ b/internal/provider/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -111,27 +110,27 @@
 	early := func() (result, bool) { // a part of a request can't have run
 		return result{Result: caller.Result{Ending: ending.Unwritten}, early: true, took: time.Since(sent)}, false
 	}
-	withdrawn := func() (result, bool) { // nobody waits for it, and its last byte is not written
-		return result{Result: caller.Result{Ending: ending.Withdrawn}}, false
+	unsent := func(e ending.Ending) (result, bool) { // nobody waits for it, or it is too late, and its last byte is not written
+		return result{Result: caller.Result{Ending: e}}, false
 	}
 	rest := call.message
 	if call.upload != nil {
 		var consumer error
 		if rest, consumer = c.pump(call); rest == nil && consumer != nil { // who sends it has ended: so has the attempt, unsent
-			return withdrawn()
+			return unsent(ending.Withdrawn)
 		}
 		if rest == nil {
 			return early()
 		}
-		if !call.release() {
-			return withdrawn()
-		}
 	} else if call.inParts() {
 		if _, err := c.socket.Write(rest[:len(rest)-1]); err != nil || !c.quietFor(call.hold) {
 			return early()
 		}
-		if rest = rest[len(rest)-1:]; !call.release() {
-			return withdrawn()
+		rest = rest[len(rest)-1:]
+	}
+	if call.inParts() {
+		if e := call.release(); e != ending.Open {
+			return unsent(e)
 		}
 	}
 	if _, err := c.socket.Write(rest); err != nil {
@@ -179,8 +178,8 @@
 	})
 }
 
-// pump writes the request up to its last piece, which it returns: that may not be written before the call is released.
-// Without a piece the connection has failed, or the consumer has, with an error.
+// pump writes the request up to its last byte, which it returns: that may not be written before the call is released. Without
+// it the connection has failed, or the consumer has, with an error.
 func (c *conn) pump(call *call) (last []byte, consumer error) {
 	buf, free := call.at.of.set.Bounds.Buffer()
 	defer free()
@@ -193,6 +192,13 @@
 	if !write(call.message) {
 		return nil, nil
 	}
+	allBut := func(piece []byte) (last []byte, consumer error) {
+		at := max(0, len(piece)-1)
+		if at > 0 && !write(piece[:at]) {
+			return nil, nil
+		}
+		return append([]byte{}, piece[at:]...), nil
+	}
 	chunked := call.upload.Length() < 0
 	for {
 		n, err := call.upload.Read(buf)
@@ -201,10 +207,10 @@
 		case chunked:
 			piece = http1.AppendChunk(nil, piece)
 			if err == io.EOF {
-				return append(piece, http1.LastChunk...), nil
+				return allBut(append(piece, http1.LastChunk...))
 			}
 		case call.upload.Length() == 0 && (err == nil || err == io.EOF):
-			return bytes.Clone(piece), nil
+			return allBut(piece)
 		}
 		if err != nil {
 			return nil, err
--- a/internal/provider/dead_test.go
+++ b/internal/provider/dead_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +45,8 @@
 		stop     time.Duration
 		leave    bool // what happens then is that the consumer leaves, or, if the call is withdrawn, that it is
 		withdraw bool
+		expires  time.Duration // after its start; 0 = never
+		late     bool          // a new connection takes a second to come up
 		want     seen
 	}{
 		"alive":                     {hold: hold, want: seen{Ending: ending.Served, Whole: 2}},
@@ -53,18 +56,24 @@
 		"stopped while held back":   {hold: hold, stop: hold / 2, want: seen{Ending: ending.Unwritten, Whole: 1}},
 		"left while held back":      {hold: hold, stop: hold / 2, leave: true, want: seen{Ending: ending.Withdrawn, Whole: 1}},
 		"withdrawn while held back": {hold: hold, stop: hold / 2, withdraw: true, want: seen{Ending: ending.Withdrawn, Whole: 1}},
-		"stopped after that":        {hold: hold, stop: 2 * hold, want: seen{Ending: ending.TimedOut, Whole: 2}},
-		"stopped, not held back":    {stop: hold / 2, want: seen{Ending: ending.TimedOut, Whole: 2}},
-		"dead, stopped on the new":  {hold: hold, early: true, stop: 2 * hold, want: seen{Ending: ending.TimedOut, Dead: true, Whole: 2}},
+		"expired while held back":   {hold: hold, expires: hold / 2, want: seen{Ending: ending.Expired, Whole: 1}},
+		"expired after that":        {hold: hold, expires: 2 * hold, want: seen{Ending: ending.Served, Whole: 2}},
+		"dead, expired on the new": {hold: hold, early: true, expires: time.Second / 2, late: true,
+			want: seen{Ending: ending.Expired, Dead: true, Whole: 1}},
+		"stopped after that":       {hold: hold, stop: 2 * hold, want: seen{Ending: ending.TimedOut, Whole: 2}},
+		"stopped, not held back":   {stop: hold / 2, want: seen{Ending: ending.TimedOut, Whole: 2}},
+		"dead, stopped on the new": {hold: hold, early: true, stop: 2 * hold, want: seen{Ending: ending.TimedOut, Dead: true, Whole: 2}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				opened := make(chan net.Conn, 4)
+				opened, opens := make(chan net.Conn, 4), atomic.Int32{}
 				budget := sockets.NewBudget(8, func(context.Context, string) (net.Conn, error) {
 					mine, theirs := net.Pipe()
-					opened <- theirs
+					if opened <- theirs; opens.Add(1) > 1 && c.late {
+						time.Sleep(time.Second)
+					}
 					return mine, nil
 				})
 				v, err := New(ctx, budget, Settings{Figures: Figures{Connect: time.Second, ConnIdle: time.Hour}})
@@ -90,11 +99,17 @@
 						task.Invocation = &invocation.Invocation{ID: "a", Verb: "POST", Target: "/order/1", Body: []byte("x")}
 						task.Wait = time.Second
 					}
+					if c.expires > 0 {
+						task.Expires = time.Now().Add(c.expires)
+					}
 					one := at.word(task)
 					v.start(one, fixed(c.hold))
 					return one
 				}
+				expires := c.expires
+				c.expires = 0
 				first := start()
+				c.expires = expires
 				kept := <-opened
 				whole(kept, first.message)
 				kept.Write([]byte(answer))
@@ -128,6 +143,9 @@
 					synctest.Wait()
 					select {
 					case again := <-opened:
+						if c.late {
+							time.Sleep(time.Second)
+						}
 						whole(again, second.message)
 						if c.stop == 0 {
 							again.Write([]byte(answer))
--- /dev/null
+++ b/internal/provider/lastbyte_test.go
@@ -0,0 +1,93 @@
+package provider
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"plankrouter/internal/caller"
+	"plankrouter/internal/ending"
+	"plankrouter/internal/flow"
+	"plankrouter/internal/invocation"
+	"plankrouter/internal/sockets"
+)
+
+// body is what a consumer still sends.
+type body struct{ *strings.Reader }
+
+func (b body) Length() int64 { return int64(b.Len()) }
+func (b body) Spent() bool   { return b.Len() < int(b.Size()) }
+
+func (b body) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == nil && b.Len() == 0 {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// A provider reads a long request so slowly that something has come by the time at which all but its last byte is written: that
+// byte is not written, and what the provider has got can't run.
+func TestLastByteOfLongRequest(t *testing.T) {
+	const size = 20 << 10
+	for name, c := range map[string]struct {
+		flows   bool          // the consumer still sends it
+		expires time.Duration // after its start; 0 = never
+		want    ending.Ending
+	}{
+		"here, in time":    {want: ending.Served, expires: 2 * time.Second},
+		"here, expired":    {want: ending.Expired, expires: time.Second / 2},
+		"flowing, in time": {want: ending.Served, flows: true, expires: 2 * time.Second},
+		"flowing, expired": {want: ending.Expired, flows: true, expires: time.Second / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				mine, theirs := net.Pipe()
+				budget := sockets.NewBudget(8, func(context.Context, string) (net.Conn, error) { return mine, nil })
+				v, err := New(ctx, budget, Settings{Figures: Figures{Connect: time.Second, ConnIdle: time.Hour},
+					Bounds: flow.New(1<<20, 8)})
+				if err != nil {
+					t.Fatal(err)
+				}
+				inv := &invocation.Invocation{ID: "a", Verb: "POST", Target: "/order/1"}
+				if content := strings.Repeat("x", size); c.flows {
+					inv.Rest = body{strings.NewReader(content)}
+				} else {
+					inv.Body = []byte(content)
+				}
+				results := make(chan caller.Result, 1)
+				task := caller.Task{Invocation: inv, Wait: time.Minute, Flowed: func() {},
+					Ended: func(r caller.Result) { results <- r }}
+				if c.expires > 0 {
+					task.Expires = time.Now().Add(c.expires)
+				}
+				one := v.Endpoint("p1", "p1:1").(*endpoint).word(task)
+				v.start(one, fixed(0))
+				head := len(one.message) - len(inv.Body)
+				whole := sync.OnceValue(func() bool {
+					io.ReadFull(theirs, make([]byte, head+size/2))
+					time.Sleep(time.Second)
+					io.ReadFull(theirs, make([]byte, size-size/2-1))
+					theirs.SetReadDeadline(time.Now().Add(time.Second))
+					_, err := io.ReadFull(theirs, make([]byte, 1))
+					return err == nil
+				})()
+				if whole {
+					theirs.Write([]byte(answer))
+				}
+				if r := <-results; r.Ending != c.want || whole != (c.want == ending.Served) {
+					t.Errorf("%s, whole=%t, want %s", r.Ending, whole, c.want)
+				}
+				cancel()
+				v.Wait()
+			})
+		})
+	}
+}
