An attempt looks whether its consumer is there at its first and last byte

A consumer whose end lies behind unread bytes was noticed by a look every 100 ms, and the word of it still had to wait for the core and for a turn on a slice of a core, while an attempt that begins 0.1 s after the end is a break. The library's Cancel waits for the core likewise. Forced by tests on sockets with the provider's connection held up: with a blank line or another request behind the first, with a long body half or wholly sent, and between two attempts, all of them were sent.

Ruled out: a shorter tick, which is as late as the process's turn and costs each waiting request.

Change: Invocation.Gone, given by the front (one poll of the consumer's socket) or the library (its context), is asked under the call's lock at the first byte and before the last one, on every connection and for every attempt; what it says is noted (Invocation.Look), so that the core lets go of the request. The tick stays, to end the wait. Cancel now learns from what the core let go of the request with whether it may have run; it was always told yes where the attempt had been quicker.

--- a/balancer.go
+++ b/balancer.go
@@ -173,6 +173,7 @@
 	}
 	answers := make(chan invocation.Answer, 1)
 	inv.Answer = func(a invocation.Answer) { answers <- a }
+	inv.Gone = func() bool { return ctx.Err() != nil }
 	if !b.core.Take(inv) {
 		return nil, ErrClosed
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,6 +70,36 @@
 	})
 }
 
+// A call whose context ends in the moment in which its connection comes up is not sent, wherever the word of that end waits.
+func TestCancelledJustBeforeTheFirstByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var got atomic.Int32
+		b, err := plankrouter.New(plankrouter.Options{Members: []plankrouter.Member{{Address: "s:1"}},
+			Sockets: plankrouter.NewSockets(8, func(context.Context, string) (net.Conn, error) {
+				mine, theirs := net.Pipe()
+				go func() {
+					n, _ := theirs.Read(make([]byte, 1))
+					got.Add(int32(n))
+				}()
+				cancel()
+				return mine, nil
+			})})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var cancelled *plankrouter.CancelledError
+		if _, err := b.Do(ctx, &plankrouter.Request{}); !errors.As(err, &cancelled) {
+			t.Error(err)
+		}
+		synctest.Wait()
+		if got.Load() > 0 {
+			t.Error("it was sent")
+		}
+		b.Close(t.Context())
+	})
+}
+
 // A call whose context ends has its one outcome at once, and that says whether the request may have run.
 func TestCancel(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/cmd/plankrouter/crossings_test.go
+++ b/cmd/plankrouter/crossings_test.go
@@ -354,3 +354,83 @@
 		}
 	}
 }
+
+// A consumer leaves with something unread behind its request, so that its end can't be read, in the very moment before its attempt's
+// connection comes up: the attempt looks once more, and nothing of it is written, however long ago anybody else has looked.
+func TestLeftJustBeforeTheFirstByte(t *testing.T) {
+	const declined = "HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+	long := "POST /order/1 HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nContent-Length: 120000\r\n\r\n"
+	for name, tc := range map[string]struct {
+		message string
+		before  int // requests that are served before; then its first attempt comes to nothing
+	}{
+		"with a blank line behind it":      {get("a") + "\r\n", 0},
+		"with another request behind it":   {get("a") + get("b"), 0},
+		"between two attempts":             {get("a") + "\r\n", 12},
+		"with its long body half sent":     {long + strings.Repeat("x", 90000), 0},
+		"with its long body sent and more": {long + strings.Repeat("x", 120002), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, 2, true, func(settings map[string]any) { settings["Limits"].(map[string]any)["Probes"] = false })
+			accepted := make(chan net.Conn, 64)
+			go func() {
+				for {
+					select {
+					case c := <-r.accepts:
+						accepted <- c
+						r.pass <- c
+					case <-r.Context().Done():
+						return
+					}
+				}
+			}()
+			want := []string{"z"}
+			stop := r.let(tc.before > 0)
+			for i := range tc.before {
+				r.served(fmt.Sprint(i))
+				want = append(want, fmt.Sprint(i))
+				<-accepted
+				wait(r, "the end of a connection", r.closed)
+			}
+			if tc.before > 0 {
+				want = append(want, "a")
+				r.mu.Lock()
+				well := r.answer
+				r.answer = func(n int) string {
+					if n == tc.before+1 {
+						stop() // the next connection is held up
+						return declined
+					}
+					return well(n)
+				}
+				r.mu.Unlock()
+			}
+			c := r.consumer(tc.message)
+			s := sockets.NewBudget(1, nil).Adopt(wait(r, "the connection", accepted), sockets.Inward)
+			held := wait(r, "the connection to a provider", r.dials)
+			c.CloseWrite()
+			for !s.Left() {
+				time.Sleep(time.Millisecond)
+			}
+			close(held)
+			wait(r, "the end of a connection whose consumer has left", r.closed)
+			r.let(true)
+			r.served("z")
+			counts := r.end(2)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			slices.Sort(want)
+			slices.Sort(r.seen)
+			if !slices.Equal(r.seen, want) {
+				t.Errorf("providers got %v, want %v", r.seen, want)
+			}
+			for _, word := range []string{fmt.Sprintf(" taken=%d ", tc.before+2), " consumer_gone=1 ",
+				fmt.Sprintf(" served=%d refused=0 failed=0", tc.before+1), " sockets=0"} {
+				if !strings.Contains(counts, word) {
+					t.Errorf("%q is not in\n%s", word, counts)
+				}
+			}
+		})
+	}
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -35,8 +35,8 @@
 
 // Task is an attempt to be made.
 type Task struct {
-	// Invocation is whom the attempt is for. Once its consumer has left, no byte of the attempt may be written. nil = a probe:
-	// the provider is asked for its load.
+	// Invocation is whom the attempt is for. Once its consumer has left, neither the first nor the last byte of the attempt may be
+	// written; Invocation.Look says so at the moment. nil = a probe: the provider is asked for its load.
 	Invocation *invocation.Invocation
 	Wait       time.Duration // after which the attempt is going to be stopped, for the provider to know
 	NotAfter   time.Time     // no first byte later than this; zero = any time
--- a/internal/caller/callertest/callertest.go
+++ b/internal/caller/callertest/callertest.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,6 +48,7 @@
 	got     seen
 	ended   map[int]bool
 	last    *invocation.Invocation // that was begun
+	gone    atomic.Bool            // its consumer is gone, and nobody has been told
 }
 
 type report struct {
@@ -80,7 +82,8 @@
 func (s *stage) begin(number int, notAfter, expires time.Time) caller.Call {
 	task := caller.Task{Wait: time.Second, NotAfter: notAfter, Expires: expires, Ended: func(r caller.Result) { s.reports <- report{number, r} }}
 	if number > 0 {
-		s.last = &invocation.Invocation{ID: fmt.Sprint("id", number), Verb: "POST", Target: "/order/1", Body: []byte("x")}
+		s.last = &invocation.Invocation{ID: fmt.Sprint("id", number), Verb: "POST", Target: "/order/1", Body: []byte("x"),
+			Gone: s.gone.Load}
 		task.Invocation = s.last
 	}
 	return s.at.Start(task)
@@ -222,6 +225,18 @@
 		s.settle()
 		s.read(0)
 	}, seen{[]string{"1 withdrawn"}, []string{"nothing "}}},
+	"the consumer has left while connecting, and nobody knows": {func(s *stage) {
+		s.dialed = "late"
+		s.start(1, time.Time{})
+		time.Sleep(50 * time.Millisecond)
+		s.gone.Store(true)
+		time.Sleep(time.Second)
+		s.settle()
+		s.read(0)
+		if !s.last.Left() {
+			s.t.Error("it has not been noted that it left")
+		}
+	}, seen{[]string{"1 withdrawn"}, []string{"nothing "}}},
 	"timed out while connecting": {func(s *stage) {
 		s.dialed = "late"
 		c := s.start(1, time.Time{})
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -552,7 +552,7 @@
 	if status != 0 {
 		return nil, c.turn(status, req.Close || status == 400), ending.Open
 	}
-	c.known, c.class = true, words.names[inv.Class]
+	c.known, c.class, inv.Gone = true, words.names[inv.Class], c.socket.Left
 	if c.upload = nil; req.Rest != nil {
 		c.upload = &upload{conn: c, body: req.Rest, pace: c.paced, leave: inv.Leave, done: make(chan struct{})}
 		inv.Rest = c.upload
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -436,9 +436,9 @@
 
 func (e abandoned) apply(s *Pool) {
 	id, waits := s.byInv[e.inv]
-	if !waits { // answered a moment ago
+	if !waits { // answered a moment ago, or found to have left
 		if e.mayRun != nil {
-			e.mayRun <- true
+			e.mayRun <- e.inv.MayHaveRun
 		}
 		return
 	}
@@ -471,7 +471,7 @@
 		s.counts.Failed++
 	}
 	s.close(id, h)
-	a.MayHaveRun = h.mayRun || h.call != 0
+	a.MayHaveRun = h.inv.MayHaveRun
 	h.inv.Answer(a)
 }
 
@@ -482,6 +482,7 @@
 	delete(s.byInv, h.inv)
 	delete(s.open, h.inv.ID)
 	s.withdraw(h.call, ending.CalledOff)
+	h.inv.MayHaveRun = h.mayRun || h.call != 0
 	if h.call == 0 {
 		delete(s.held, id)
 	}
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -149,3 +149,30 @@
 	c := s.set.Caller.(*slow)
 	c.calls, c.did, s.counts.Gone = c.calls[:1], c.did[:1], 0
 }
+
+// Whoever cancels learns whether an attempt may have run, also where an attempt has found before that its consumer had left.
+func TestCancelAfterItWasFoundToHaveLeft(t *testing.T) {
+	for how, want := range map[ending.Ending]bool{ending.Withdrawn: false, ending.Declined: false, ending.ResetByPeer: true} {
+		t.Run(how.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := new(slow)
+				s, err := New(Options{Logic: logic.Config{MaxAttempts: 3, Classes: []logic.Class{{Aim: 1e4, Deadline: 6e4}}}, Caller: c})
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.list(members.List{Members: []members.Member{{ID: "s", Address: "p:1", Phase: members.Serving}}})
+				inv := &invocation.Invocation{ID: "a", SentAt: time.Now(), Patience: time.Minute, Gone: func() bool { return true },
+					Answer: func(a invocation.Answer) { t.Errorf("answered: %+v", a) }}
+				arrived{inv}.apply(s)
+				inv.Look()
+				c.calls[0].over = true
+				s.ended(1, caller.Result{Ending: how})
+				told := make(chan bool, 1)
+				abandoned{inv, told}.apply(s)
+				if got := <-told; got != want || s.counts.Gone != 1 || len(c.calls) != 1 {
+					t.Errorf("may have run: %t, want %t; %d gone, %d attempts", got, want, s.counts.Gone, len(c.calls))
+				}
+			})
+		})
+	}
+}
--- a/internal/invocation/invocation.go
+++ b/internal/invocation/invocation.go
@@ -29,6 +29,10 @@
 
 	// Answer takes the one final answer. It must not block.
 	Answer func(Answer)
+	// Gone looks whether its consumer is gone by now; nil = Leave alone tells. It must not block, and any goroutine may call it.
+	Gone func() bool
+	// MayHaveRun is set by the core as it lets go of it: an attempt may have run, or may yet.
+	MayHaveRun bool
 
 	left atomic.Bool
 }
@@ -37,9 +41,17 @@
 // has to wait.
 func (i *Invocation) Leave() { i.left.Store(true) }
 
-// Left reports whether its consumer is gone.
+// Left reports whether its consumer is known to be gone.
 func (i *Invocation) Left() bool { return i.left.Load() }
 
+// Look is Left as of now: it asks whoever can tell, and notes what it is told.
+func (i *Invocation) Look() bool {
+	if !i.Left() && i.Gone != nil && i.Gone() {
+		i.Leave()
+	}
+	return i.Left()
+}
+
 // Stream is a body that flows.
 type Stream interface {
 	io.Reader      // io.EOF = it was whole
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -208,8 +208,9 @@
 	return ending.Open
 }
 
-// over reports whether nothing of the call may be written any more. It is called with mu held.
-func (c *call) over() bool { return c.stage == ended || c.inv != nil && c.inv.Left() }
+// over reports whether nothing of the call may be written any more: it looks whether its consumer is there at this moment. It is
+// called with mu held.
+func (c *call) over() bool { return c.stage == ended || c.inv != nil && c.inv.Look() }
 
 // barred says why neither the first nor the last byte of the call may be written; Open = it may. It is called with mu held.
 func (c *call) barred(now time.Time) ending.Ending {
--- a/internal/provider/dead_test.go
+++ b/internal/provider/dead_test.go
@@ -45,6 +45,7 @@
 		stop     time.Duration
 		leave    bool // what happens then is that the consumer leaves, or, if the call is withdrawn, that it is
 		withdraw bool
+		gone     bool          // likewise, that the consumer leaves and nobody is told
 		expires  time.Duration // after its start; 0 = never
 		late     bool          // a new connection takes a second to come up
 		want     seen
@@ -56,8 +57,11 @@
 		"stopped while held back":   {hold: hold, stop: hold / 2, want: seen{Ending: ending.Unwritten, Whole: 1}},
 		"left while held back":      {hold: hold, stop: hold / 2, leave: true, want: seen{Ending: ending.Withdrawn, Whole: 1}},
 		"withdrawn while held back": {hold: hold, stop: hold / 2, withdraw: true, want: seen{Ending: ending.Withdrawn, Whole: 1}},
-		"expired while held back":   {hold: hold, expires: hold / 2, want: seen{Ending: ending.Expired, Whole: 1}},
-		"expired after that":        {hold: hold, expires: 2 * hold, want: seen{Ending: ending.Served, Whole: 2}},
+		"gone while held back":      {hold: hold, stop: hold / 2, gone: true, want: seen{Ending: ending.Withdrawn, Whole: 1}},
+		"dead, gone on the new": {hold: hold, early: true, stop: time.Second / 2, gone: true, late: true,
+			want: seen{Ending: ending.Withdrawn, Dead: true, Whole: 1}},
+		"expired while held back": {hold: hold, expires: hold / 2, want: seen{Ending: ending.Expired, Whole: 1}},
+		"expired after that":      {hold: hold, expires: 2 * hold, want: seen{Ending: ending.Served, Whole: 2}},
 		"dead, expired on the new": {hold: hold, early: true, expires: time.Second / 2, late: true,
 			want: seen{Ending: ending.Expired, Dead: true, Whole: 1}},
 		"stopped after that":       {hold: hold, stop: 2 * hold, want: seen{Ending: ending.TimedOut, Whole: 2}},
@@ -69,6 +73,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				opened, opens := make(chan net.Conn, 4), atomic.Int32{}
+				var gone atomic.Bool
 				budget := sockets.NewBudget(8, func(context.Context, string) (net.Conn, error) {
 					mine, theirs := net.Pipe()
 					if opened <- theirs; opens.Add(1) > 1 && c.late {
@@ -96,7 +101,8 @@
 				start := func() *call {
 					task := caller.Task{Ended: func(r caller.Result) { results <- r }}
 					if !c.probe {
-						task.Invocation = &invocation.Invocation{ID: "a", Verb: "POST", Target: "/order/1", Body: []byte("x")}
+						task.Invocation = &invocation.Invocation{ID: "a", Verb: "POST", Target: "/order/1", Body: []byte("x"),
+							Gone: gone.Load}
 						task.Wait = time.Second
 					}
 					if c.expires > 0 {
@@ -122,6 +128,9 @@
 						time.Sleep(c.stop)
 						give, why := second.Stop, ending.TimedOut
 						switch {
+						case c.gone:
+							gone.Store(true)
+							return
 						case c.leave:
 							second.inv.Leave()
 							return
@@ -147,12 +156,12 @@
 							time.Sleep(time.Second)
 						}
 						whole(again, second.message)
-						if c.stop == 0 {
+						if c.stop == 0 || c.gone {
 							again.Write([]byte(answer))
 						}
 					default:
 					}
-				} else if c.stop == 0 {
+				} else if c.stop == 0 || c.gone {
 					kept.Write([]byte(answer))
 				}
 				r := <-results
--- a/internal/provider/lastbyte_test.go
+++ b/internal/provider/lastbyte_test.go
@@ -38,12 +38,15 @@
 	for name, c := range map[string]struct {
 		flows   bool          // the consumer still sends it
 		expires time.Duration // after its start; 0 = never
+		gone    time.Duration // after that its consumer is gone, and nobody is told; 0 = never
 		want    ending.Ending
 	}{
 		"here, in time":    {want: ending.Served, expires: 2 * time.Second},
 		"here, expired":    {want: ending.Expired, expires: time.Second / 2},
 		"flowing, in time": {want: ending.Served, flows: true, expires: 2 * time.Second},
 		"flowing, expired": {want: ending.Expired, flows: true, expires: time.Second / 2},
+		"here, gone":       {want: ending.Withdrawn, gone: time.Second / 2},
+		"flowing, gone":    {want: ending.Withdrawn, flows: true, gone: time.Second / 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -62,6 +65,9 @@
 				} else {
 					inv.Body = []byte(content)
 				}
+				if began := time.Now(); c.gone > 0 {
+					inv.Gone = func() bool { return time.Since(began) > c.gone }
+				}
 				results := make(chan caller.Result, 1)
 				task := caller.Task{Invocation: inv, Wait: time.Minute, Flowed: func() {},
 					Ended: func(r caller.Result) { results <- r }}
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -154,3 +154,29 @@
 		t.Error("9 of 16 are plenty")
 	}
 }
+
+// BenchmarkLeft measures the look at whether a consumer has left, one for each attempt at least.
+func BenchmarkLeft(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	theirs, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer theirs.Close()
+	mine, err := l.Accept()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer mine.Close()
+	s := NewBudget(1, nil).Adopt(mine, Inward)
+	b.ReportAllocs()
+	for b.Loop() {
+		if s.Left() {
+			b.Fatal("it is there")
+		}
+	}
+}
