--- /dev/null
+++ b/internal/provider/bench_test.go
@@ -0,0 +1,75 @@
+package provider
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"plankrouter/internal/caller"
+	"plankrouter/internal/ending"
+	"plankrouter/internal/invocation"
+	"plankrouter/internal/sockets"
+)
+
+// BenchmarkAttempt measures an attempt on a kept loopback connection, with its message in one piece or in two, whose consumer is
+// looked for or not.
+func BenchmarkAttempt(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for br := bufio.NewReader(c); ; {
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					io.WriteString(c, answer)
+				}
+			}()
+		}
+	}()
+	theirs, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer theirs.Close()
+	consumer := sockets.NewBudget(1, nil).Adopt(theirs, sockets.Inward)
+	for _, size := range []int{1, 2 * lump} {
+		for _, gone := range []func() bool{nil, consumer.Left} {
+			b.Run(fmt.Sprintf("pieces=%d/look=%t", 1+size/lump/2, gone != nil), func(b *testing.B) {
+				ctx, cancel := context.WithCancel(b.Context())
+				v, err := New(ctx, sockets.NewBudget(8, sockets.TCP), Settings{Figures: Figures{Connect: time.Minute, ConnIdle: time.Hour}})
+				if err != nil {
+					b.Fatal(err)
+				}
+				at, ended, body := v.Endpoint("p", l.Addr().String()).(*endpoint), make(chan caller.Result), []byte(strings.Repeat("x", size))
+				b.ReportAllocs()
+				for b.Loop() {
+					inv := &invocation.Invocation{ID: "a", Verb: "POST", Target: "/order/1", Body: body, Gone: gone}
+					v.start(at.word(caller.Task{Invocation: inv, Wait: time.Minute, Ended: func(r caller.Result) { ended <- r }}), fixed(0))
+					if r := <-ended; r.Ending != ending.Served {
+						b.Fatal(r.Ending)
+					}
+				}
+				cancel()
+				v.Wait()
+			})
+		}
+	}
+}
