--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -35,11 +35,12 @@
 
 // Task is an attempt to be made.
 type Task struct {
-	// Invocation is whom the attempt is for. Once its consumer has left, no byte of the attempt may be written. nil = a probe:
-	// the provider is asked for its load.
+	// Invocation is whom the attempt is for. Once its consumer has left, neither the first nor the last byte of the attempt may be
+	// written; Invocation.Look says so at the moment. nil = a probe: the provider is asked for its load.
 	Invocation *invocation.Invocation
 	Wait       time.Duration // after which the attempt is going to be stopped, for the provider to know
 	NotAfter   time.Time     // no first byte later than this; zero = any time
+	Expires    time.Time     // neither the first nor the last byte later than this; zero = any time
 	Flowed     func()        // with a Source: called when its last byte is written; nil = nobody asks
 	Ended      func(Result)  // called once from any goroutine, unless Stop returned true; may wait for the pool's goroutine
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -117,6 +117,8 @@
 	call     uint64 // under way; 0 = none
 	mayRun   bool   // an attempt that has ended may have run
 	answered bool
+	sentAt   time.Time // when the last attempt was asked for,
+	firstRan time.Time // and the first of those that have ended and may have run; zero = none
 }
 
 // known is a provider that the directory has named.
@@ -143,6 +145,7 @@
 	server  logic.ServerID
 	at      caller.Endpoint // the process that it went to
 	end     *timer          // of its time
+	expires time.Time       // no byte of it later than this; zero = any time
 }
 
 // event is something that another goroutine has seen.
@@ -433,9 +436,9 @@
 
 func (e abandoned) apply(s *Pool) {
 	id, waits := s.byInv[e.inv]
-	if !waits { // answered a moment ago
+	if !waits { // answered a moment ago, or found to have left
 		if e.mayRun != nil {
-			e.mayRun <- true
+			e.mayRun <- e.inv.MayHaveRun
 		}
 		return
 	}
@@ -468,7 +471,7 @@
 		s.counts.Failed++
 	}
 	s.close(id, h)
-	a.MayHaveRun = h.mayRun || h.call != 0
+	a.MayHaveRun = h.inv.MayHaveRun
 	h.inv.Answer(a)
 }
 
@@ -479,6 +482,7 @@
 	delete(s.byInv, h.inv)
 	delete(s.open, h.inv.ID)
 	s.withdraw(h.call, ending.CalledOff)
+	h.inv.MayHaveRun = h.mayRun || h.call != 0
 	if h.call == 0 {
 		delete(s.held, id)
 	}
@@ -527,7 +531,9 @@
 	s.counts.Calls[r.Ending]++
 	h := s.held[a.request]
 	h.call = 0
-	h.mayRun = h.mayRun || !r.Ending.Status().NeverRan()
+	if !h.mayRun && !r.Ending.Status().NeverRan() {
+		h.mayRun, h.firstRan = true, h.sentAt
+	}
 	if !h.answered && h.inv.Left() { // the word of it is still on its way
 		s.leave(a.request, h)
 	}
@@ -590,9 +596,12 @@
 func (s *Pool) due() {
 	for len(s.timers) > 0 && !time.Now().Before(s.timers[0].at) {
 		t := heap.Pop(&s.timers).(*timer)
-		if t.call == 0 {
+		switch {
+		case t.call == 0:
 			s.step(logic.Event{Kind: logic.TimerDue, Timer: t.handle})
-		} else {
+		case t.expires:
+			s.withdraw(t.call, ending.Expired)
+		default:
 			s.stop(t.call, ending.TimedOut)
 		}
 	}
