Clients no longer wait behind idle servers; all descriptors add up to the limit

Ruled out: closes that come late, dials given up under way, connections accepted and not counted.

The sum by itself was too large as well: L-24 places, 16 being closed, 9 of the process's own, the operators' 18 where 17 were set aside, up to 12 that come and go and whatever the process was started with. The limit is shared out at the start by what is held (divide): 12 for what comes and goes, one for the watch, up to 16 for operators, the rest for the places and those being closed (sockets.Within).

Tests of the packages touched pass, with -race too; the conformance table failed once in two scenarios that wait for connections on a machine with a load of 40 and more (the directory's answers came too late) and passed for these alone.

--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -38,9 +38,8 @@
 )
 
 const (
-	hasten        = 500 * time.Millisecond // after SIGTERM, if it comes twice: consumers are still arriving
-	memoryPart    = 0.7                    // of the limit: beyond it the collector works harder
-	socketReserve = 24                     // descriptors that are not connections, and closes under way
+	hasten     = 500 * time.Millisecond // after SIGTERM, if it comes twice: consumers are still arriving
+	memoryPart = 0.7                    // of the limit: beyond it the collector works harder
 )
 
 func main() {
@@ -82,7 +81,7 @@
 	} else if err != nil {
 		return err
 	}
-	return serve(cfg, os.Getenv, l, operators, sockets.TCP, signals, from)
+	return serve(cfg, os.Getenv, l, operators, sockets.TCP, held(cfg.Limits.Sockets), signals, from)
 }
 
 // listen returns the predecessor's listener, the one that the platform or the service manager holds for this process, or a
@@ -112,7 +111,7 @@
 	getenv   func(string) string
 	listener net.Listener
 	budget   *sockets.Budget
-	places   int             // the sockets that it may have while no other process shares them
+	share    share           // of the descriptors, while no other process shares them
 	told     context.Context // ends with the word to stop
 	caller   *provider.Caller
 	core     *core.Pool
@@ -131,20 +130,28 @@
 }
 
 // serve runs the sidecar, for operators too if there is a listener for them, until a signal ends it and all that it has taken
-// is answered, or until a successor has it all.
-func serve(cfg *config.Config, getenv func(string) string, l, operators net.Listener, dial sockets.Dialer,
+// is answered, or until a successor has it all. So many descriptors are held already, the listeners among them.
+func serve(cfg *config.Config, getenv func(string) string, l, operators net.Listener, dial sockets.Dialer, held int,
 	signals words, from *handover.Successor) error {
 	outer, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(outer)
+	if cfg.AdminAddr != "" && operators == nil { // it comes once the other process has ended
+		held++
+	}
+	shares := divide(cfg.Limits.Sockets, held, cfg.AdminAddr != "")
+	if least := shares.sum(held); least > cfg.Limits.Sockets {
+		log.Printf("name=%s limits.sockets=%d held=%d err=%q", cfg.Name, cfg.Limits.Sockets, held,
+			fmt.Sprintf("the least that serves needs %d: raise limits.sockets", least))
+	}
 	p := program{cfg: cfg, getenv: getenv, listener: l, stop: stop, line: handover.Handover{From: from},
-		budget: sockets.NewBudget(places(cfg), dial), places: places(cfg), bans: bansFor(cfg, getenv)}
+		budget: sockets.NewBudget(shares.places, dial), share: shares, bans: bansFor(cfg, getenv)}
 	p.inForce.Store(cfg)
 	var leaving context.CancelFunc
 	p.told, leaving = context.WithCancel(ctx)
 	defer leaving()
 	if from != nil && from.Met() {
-		p.budget.Limit(p.places / shareIdle)
+		p.budget.Limit(p.share.places / shareIdle)
 	}
 	trace := tracing(ctx, group, getenv)
 	deployment := snapshot.Fingerprint(&cfg.Settings)
@@ -163,7 +170,7 @@
 	}
 	if p.watch, err = directory.New(directory.Options{Address: cfg.Discovery, Watch: cfg.Watch, Seed: cfg.Seed,
 		Known: known, Anew: before != nil, // the directory may count anew by now
-		Most: directory.ListMost(int64(cfg.Limits.MemoryMB) << 20), Budget: p.budget,
+		Most: directory.ListMost(int64(cfg.Limits.MemoryMB) << 20), Budget: sockets.NewBudget(shares.watch, dial),
 		Told:  func(l members.List, at time.Time) { p.core.Told(l, at) },
 		Trust: func(t freshness.Trust) { p.core.Trust(t) }, Logf: log.Printf, Trace: trace}); err != nil {
 		return err
--- a/cmd/plankrouter/operators.go
+++ b/cmd/plankrouter/operators.go
@@ -39,16 +39,7 @@
 		}
 		l, _ = listenForOperators(p.cfg)
 	}
-	return admin.New(p).Serve(ctx, l)
-}
-
-// places are the descriptors for consumers, providers and the directory: what operators need is set aside.
-func places(cfg *config.Config) int {
-	most := cfg.Limits.Sockets - socketReserve
-	if cfg.AdminAddr != "" {
-		most -= min(admin.MostConns+1, most/2)
-	}
-	return most
+	return admin.New(p, p.share.operators).Serve(ctx, l)
 }
 
 // bansFor returns where operators' bans are kept: in the folder that the platform gives the sidecar's processes, where there
--- a/cmd/plankrouter/program_test.go
+++ b/cmd/plankrouter/program_test.go
@@ -10,6 +10,11 @@
 	"plankrouter/internal/sockets"
 )
 
+// usuallyHeld is what a process of its own holds as it begins to serve; a test's has those of the test, too. They are the standard
+// ones, two files by which the runtime sees its share of the processor, two of its poller, the platform's listening socket and
+// the process's copy, and the operators'.
+const usuallyHeld = 10
+
 // raise sends the program a signal.
 func (w words) raise(s syscall.Signal) {
 	switch s {
@@ -38,6 +43,6 @@
 		t.Fatal(err)
 	}
 	signals, ended := newWords(), make(chan error, 1)
-	go func() { ended <- serve(cfg, getenv, front, desk, dial, signals, nil) }()
+	go func() { ended <- serve(cfg, getenv, front, desk, dial, usuallyHeld, signals, nil) }()
 	return signals, ended
 }
--- a/cmd/plankrouter/succession.go
+++ b/cmd/plankrouter/succession.go
@@ -123,7 +123,7 @@
 	log.Printf("name=%s handover=taken_over predecessor=%q", p.cfg.Name, from.Hello().Name)
 	p.core.Elsewhere(from.Open())
 	if from.Met() {
-		p.budget.Limit(p.places - p.places/shareIdle)
+		p.budget.Limit(p.share.places - p.share.places/shareIdle)
 	}
 	done := p.front.Expect()
 	group.Go(func() error {
@@ -176,8 +176,8 @@
 	}
 	log.Printf("name=%s handover=passing successor=%d", p.cfg.Name, to.Pid())
 	if meeting(p.getenv) != "" {
-		p.budget.Limit(p.places / shareIdle)
-		defer p.budget.Limit(p.places) // if it serves on
+		p.budget.Limit(p.share.places / shareIdle)
+		defer p.budget.Limit(p.share.places) // if it serves on
 	}
 	left := p.front.HandOver(func(c net.Conn, note []byte) error { return to.Pass(c.(syscall.Conn), note) })
 	l.SetDeadline(time.Unix(1, 0)) // accepts no more, but keeps the listener
@@ -228,7 +228,7 @@
 
 // succeed makes this process the sidecar's only one, and the one that a second process finds.
 func (p *program) succeed(ctx context.Context, group *errgroup.Group) {
-	p.budget.Limit(p.places)
+	p.budget.Limit(p.share.places)
 	p.core.Elsewhere(nil)
 	folder := meeting(p.getenv)
 	if folder == "" {
@@ -250,10 +250,10 @@
 				live, cancel := context.WithCancel(ctx)
 				defer cancel()
 				defer context.AfterFunc(p.told, cancel)() // a word to stop calls off what is not ready
-				p.budget.Limit(p.places - p.places/shareIdle)
+				p.budget.Limit(p.share.places - p.share.places/shareIdle)
 				to, err := p.line.Meet(live, c, own, o)
 				if err != nil {
-					p.budget.Limit(p.places)
+					p.budget.Limit(p.share.places)
 				}
 				return to, err
 			})
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	// MostConns are the descriptors that this front holds, beside its listener.
+	// MostConns are the connections that this front normally holds, beside its listener.
 	MostConns = 16
 
 	callWithin   = 2 * time.Second        // for the whole call; who sends half of one is owed nothing
@@ -53,9 +53,10 @@
 	running errgroup.Group
 }
 
-// New returns a front for ops.
-func New(ops Operations) *Server {
-	return &Server{ops: ops, most: MostConns, freed: make(chan struct{}, 1)}
+// New returns a front for ops that holds conns connections at most, of which one has just been accepted and waits for the room
+// that another makes; below 2 counts as 2.
+func New(ops Operations, conns int) *Server {
+	return &Server{ops: ops, most: max(2, conns) - 1, freed: make(chan struct{}, 1)}
 }
 
 // Serve answers calls until ctx ends.
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -92,7 +92,11 @@
 	for c != nil {
 		c.hold = c.fresh
 		began := time.Now()
-		socket, err := v.budget.Dial(c.ctx, c.at.address, v.now.Load().Connect)
+		dial := v.budget.Dial
+		if c.probe {
+			dial = v.budget.DialSpare
+		}
+		socket, err := dial(c.ctx, c.at.address, v.now.Load().Connect)
 		if err != nil {
 			how := dialEnding(err)
 			v.trace("trace=dial provider=%s ending=%s took_ms=%.1f", c.at.name, how, time.Since(began).Seconds()*1e3)
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -15,12 +15,25 @@
 )
 
 const (
-	mostLeaving  = 16 // the descriptors that those being closed may hold beyond the limit
+	mostClosing  = 16 // the descriptors that those being closed may hold beyond the limit, at most,
+	closingPart  = 4  // or one in so many of the limit, where that is less
 	inwardPart   = 2  // connections from consumers may hold one in so many of the sockets,
 	easyPart     = 4  // one in so many while some of them are idle,
 	strangerPart = 4  // and strangers among them one in so many
+	callPart     = 8  // one in so many is left to calls: neither consumers nor probes take it while it is free
 )
 
+// Closing is how many connections may be open beyond a limit of most sockets, while those that have made room are being closed.
+func Closing(most int) int { return min(mostClosing, max(1, most/closingPart)) }
+
+// Within is the limit under which so many descriptors suffice, with those that are being closed; 0 = there is none.
+func Within(descriptors int) (most int) {
+	for most+1+Closing(most+1) <= descriptors {
+		most++
+	}
+	return most
+}
+
 // Side says who opened a connection.
 type Side bool
 
@@ -77,7 +90,26 @@
 
 // Dial opens a connection under the limit, or fails with ErrNone.
 func (b *Budget) Dial(ctx context.Context, address string, within time.Duration) (*Socket, error) {
-	if !b.Reserve(Outward) {
+	return b.open(ctx, address, within, b.Reserve(Outward))
+}
+
+// DialSpare is Dial for what can be done without: it leaves the last places to others.
+func (b *Budget) DialSpare(ctx context.Context, address string, within time.Duration) (*Socket, error) {
+	b.mu.Lock()
+	ok := b.used < b.common() || b.takeFrom(&b.strangers, Outward) || b.takeFrom(&b.idle, Outward)
+	if ok {
+		b.count(Outward, 1)
+	}
+	b.mu.Unlock()
+	return b.open(ctx, address, within, ok)
+}
+
+// common is what is used of the limit before some is left to calls alone.
+func (b *Budget) common() int { return b.most - b.most/callPart }
+
+// open opens a connection in a place that has been reserved.
+func (b *Budget) open(ctx context.Context, address string, within time.Duration, reserved bool) (*Socket, error) {
+	if !reserved {
 		return nil, ErrNone
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
@@ -92,7 +124,8 @@
 
 // Reserve takes one place under the limit, if need be that of a stranger or of the idle socket least recently used. The
 // place goes to a Socket by Adopt, or back by Release. Inward connections beyond their part make room for one another
-// alone, and strangers beyond theirs: hundreds that say nothing must not keep out those that have something to say.
+// alone, and strangers beyond theirs: hundreds that say nothing must not keep out those that have something to say. Up to
+// their part they take the places of idle ones to providers, too: a consumer that waits in the kernel's backlog has a request.
 func (b *Budget) Reserve(side Side) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -100,8 +133,10 @@
 	switch {
 	case side == Inward && b.strangers.Len() >= max(1, b.most/strangerPart):
 		ok = b.takeFrom(&b.strangers, side)
-	case b.used >= b.most || side == Inward && b.inward >= b.most/inwardPart:
-		ok = b.takeFrom(&b.strangers, side) || b.takeFrom(&b.idle, side)
+	case side == Inward && b.inward >= b.most/inwardPart:
+		ok = b.takeFrom(&b.strangers, Inward) || b.takeFrom(&b.idle, Inward)
+	case b.used >= b.most || side == Inward && b.used >= b.common():
+		ok = b.takeFrom(&b.strangers, Outward) || b.takeFrom(&b.idle, Outward)
 	case side == Inward && b.inward >= b.most/easyPart:
 		// Consumers have limits too: one whose sockets all hang on to connections that it asked once can't open another
 		// and so can't make the room that it waits for.
@@ -113,10 +148,10 @@
 	return ok
 }
 
-// takeFrom frees the place of the first in the list that may be closed for a socket of that side.
+// takeFrom frees the place of the first in the list that may be closed: for Inward one from a consumer, for Outward any.
 func (b *Budget) takeFrom(l *list.List, side Side) bool {
 	now := time.Now()
-	for e := l.Front(); e != nil && b.leaving < mostLeaving; e = e.Next() {
+	for e := l.Front(); e != nil && b.leaving < Closing(b.most); e = e.Next() {
 		if s := e.Value.(*Socket); !now.Before(s.spare) && (side == Outward || s.side == Inward) {
 			s.leave()
 			return true
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -154,3 +154,52 @@
 		t.Error("9 of 16 are plenty")
 	}
 }
+
+// Idle connections to providers make room for consumers up to these's part, and calls keep the last places: neither consumers nor
+// probes take them. Seen on the bench: providers' idle connections held all places, and consumers waited in the backlog.
+func TestIdleProvidersMakeRoomForConsumers(t *testing.T) {
+	pipe := func(context.Context, string) (net.Conn, error) { c, _ := net.Pipe(); return c, nil }
+	b := NewBudget(16, pipe)
+	var idle []*Socket
+	for range 16 {
+		s, err := b.Dial(t.Context(), "", time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Idle(0)
+		idle = append(idle, s)
+	}
+	for i := range 8 { // half of the places
+		if !b.Reserve(Inward) || !idle[i].Leaving() {
+			t.Fatalf("consumer %d waits for idle connections to providers", i+1)
+		}
+		idle[i].Close()
+	}
+	if b.Reserve(Inward) {
+		t.Error("consumers hold more than half")
+	}
+	for _, s := range idle[8:] {
+		s.Close()
+	}
+	for b.Used() < 14 {
+		if s, err := b.DialSpare(t.Context(), "", time.Hour); err != nil || s.Leaving() {
+			t.Fatal(err)
+		}
+	}
+	b.Release(Inward)
+	b.Reserve(Outward) // in its place
+	if b.Reserve(Inward) {
+		t.Error("a consumer takes a place that is left to calls")
+	}
+	if _, err := b.DialSpare(t.Context(), "", time.Hour); err != ErrNone {
+		t.Errorf("a probe takes a place that is left to calls: %v", err)
+	}
+	for range 2 {
+		if _, err := b.Dial(t.Context(), "", time.Hour); err != nil {
+			t.Errorf("a call finds no place: %v", err)
+		}
+	}
+	if _, err := b.Dial(t.Context(), "", time.Hour); err != ErrNone {
+		t.Errorf("a call beyond the limit: %v", err)
+	}
+}
