Tests of how soon restarted processes are ready, and what that rests on

Nine in ten restarted processes have to be ready within 10 s. Read: GET /up says yes once a server in service is known, so that a process with a list at its start (known) is ready without the directory, whatever that does; a test with a directory that has vanished shows it (under 0.1 s). Without one it needs a first whole list. Nothing had to be mended.

Run: the two tests, with -race.

--- /dev/null
+++ b/cmd/plankrouter/ready_test.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"plankrouter/internal/freshness"
+	"plankrouter/internal/lab/peers"
+)
+
+// turn is a restarted process's next call.
+type turn struct {
+	at   time.Duration
+	who  int
+	call freshness.Call
+}
+
+type turns []turn
+
+func (t turns) Len() int           { return len(t) }
+func (t turns) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t turns) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *turns) Push(x any)        { *t = append(*t, x.(turn)) }
+func (t *turns) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
+
+// firstLists plays so many processes that restart within a second with no list at all, at a directory that makes perSecond whole
+// lists and lets calls wait in turn for queued before it turns them away, and returns when each has its list, sorted.
+func firstLists(t *testing.T, processes, perSecond int, queued time.Duration, seed uint64) (heard []time.Duration) {
+	set := freshness.Default()
+	set.Callers = processes
+	keepers := make([]*freshness.Keeper, processes)
+	all := &turns{}
+	next := func(who int, now time.Duration) {
+		c := keepers[who].Next(time.Unix(1e9, 0).Add(now))
+		heap.Push(all, turn{now + c.After, who, c})
+	}
+	for i := range keepers {
+		k, err := freshness.New(set, seed<<32+uint64(i), true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		keepers[i] = k
+		next(i, time.Duration(i)*time.Second/time.Duration(processes))
+	}
+	each, free := time.Second/time.Duration(perSecond), time.Duration(0)
+	for len(heard) < processes*9/10 {
+		one := heap.Pop(all).(turn)
+		if one.at > time.Minute {
+			return append(heard, one.at)
+		}
+		k, begins := keepers[one.who], max(free, one.at)
+		switch {
+		case begins-one.at > queued:
+			k.TurnedAway()
+			next(one.who, one.at)
+		case begins+each-one.at > one.call.Within: // the directory answers nobody
+			free = begins + each
+			k.Failed()
+			next(one.who, one.at+one.call.Within)
+		default:
+			free = begins + each
+			heard = append(heard, free)
+		}
+	}
+	slices.Sort(heard)
+	return heard
+}
+
+// Nine in ten processes that restart together with no list of their own are ready within 10 s where the directory makes 20 whole
+// lists a second and for a third of them, whether or not it lets calls wait in turn.
+func TestRestartedTogetherAreReady(t *testing.T) {
+	const within = 10 * time.Second
+	for _, c := range []struct{ processes, perSecond int }{{20, 20}, {300, 100}, {300, 1000}, {6000, 2000}, {6000, 5000}} {
+		for _, queued := range []time.Duration{0, 2 * time.Second, time.Minute} {
+			t.Run(fmt.Sprintf("%d, %d a second, queue of %s", c.processes, c.perSecond, queued), func(t *testing.T) {
+				for seed := range uint64(8) {
+					heard := firstLists(t, c.processes, c.perSecond, queued, seed)
+					last := heard[len(heard)-1]
+					t.Logf("half in %.2f s, nine in ten in %.2f s", heard[len(heard)*5/9].Seconds(), last.Seconds())
+					if last > within {
+						t.Errorf("seed %d: nine in ten in %s", seed, last)
+					}
+				}
+			})
+		}
+	}
+}
+
+// A process that is told a list at its start waits for no directory, whatever that does: it is ready at once.
+func TestReadyWithoutTheDirectory(t *testing.T) {
+	daily(t, 2, func(t *testing.T, n *peers.Memory, fleet *peers.Fleet) {
+		if err := fleet.Directory.Vanish(true); err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		s := start(t, n, fleet.Directory, func(c *peers.Sidecar) { c.Balancers = 6000 }) // returns once it is ready
+		if took := time.Since(began); took > 100*time.Millisecond {
+			t.Errorf("ready after %s", took)
+		}
+		s.stop()
+	})
+}
