planklab capacity: what one sidecar costs as its world grows, as least-squares lines

The command starts the program as it is installed between a directory and tile servers that count messages and bytes, changes one size at a time (four sizes each), reads the process's CPU clock, its memory and the stand-ins' counts over a window, and fits a line with its intercept and residual to each figure. The module alone is played in virtual time beside it, by the thread's CPU clock.

A point for which the lab's own timers came over 100 ms late is measured once more, and the run that was held up least is kept and says so. Ruled out: reading /proc/PID/stat, whose ticks of 10 ms are a fifth of what an idle sidecar uses in a window; the process's CPU clock shows the same sum in nanoseconds.

Tests play a small plan against the real program under -race; they assert counts and no times.

--- a/cmd/planklab/main.go
+++ b/cmd/planklab/main.go
@@ -31,6 +31,7 @@
 	Handover handoverCommand `cmd:"" help:"What a long line of handovers to successors costs."`
 	Load     loadCommand     `cmd:"" help:"Sends load that does not wait for answers, and measures it."`
 	Fleet    fleetCommand    `cmd:"" help:"Counts what a whole fleet did to servers and directory, from its sidecars' logs."`
+	Capacity capacityCommand `cmd:"" help:"What a sidecar costs for each server, call, probe, change and connection."`
 	Emulate  emulateCommand  `cmd:"" help:"A fleet in virtual time: troubles, a judge, and policies to compare."`
 }
 
--- a/cmd/planklab/main_test.go
+++ b/cmd/planklab/main_test.go
@@ -46,6 +46,9 @@
 		{"emulate --trouble tea", exitUsage, `"tea"`},
 		{"emulate --for 0s", exitUsage, "seconds"},
 		{"emulate --against-with least --csv x", exitUsage, "--csv"},
+		{"capacity --help", 0, "--quick"},
+		{"capacity --program /nowhere", exitUsage, "/nowhere"},
+		{"capacity --program HERE --most 0s", exitUsage, "--most"},
 		{"handover --program HERE --keep /dev/null/x", exitBroken, "/dev/null"},
 	} {
 		var out bytes.Buffer
--- /dev/null
+++ b/internal/lab/capacity/module.go
@@ -0,0 +1,145 @@
+package capacity
+
+import (
+	"container/heap"
+	"fmt"
+	"runtime"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"plankrouter/logic"
+)
+
+// ModulePoint is what the decision module alone costs, with one size of the list.
+type ModulePoint struct {
+	Servers    int     `json:"servers"`
+	IdleMs     float64 `json:"idle_ms_per_s"`  // CPU of a second without requests: the looks at what moves by itself
+	RequestUs  float64 `json:"us_per_request"` // CPU of a request with its probes and outcomes, beyond that
+	ProbesEach float64 `json:"probes_per_request"`
+}
+
+const (
+	moduleLeft  = 2500 // ms until a client gives up
+	modulePath  = 1    // ms that a probe takes
+	moduleRound = 5    // ms
+)
+
+// module plays a module with so many servers for so long, in virtual time, with requests at an even pace and probes and
+// attempts that are answered after their time.
+func module(of Point, seconds float64) (used time.Duration, probes, requests int, err error) {
+	b, err := logic.New(logic.Config{Classes: []logic.Class{{Aim: 750, Deadline: 2500, Worth: 1}}, Balancers: of.Instances,
+		Probes: true, Cancel: true, MaxAttempts: 3, Round: moduleRound, ColdShare: 0.3, WarmWithin: 8000, TipMultiple: 4,
+		TipWindow: 3000, CrossPrice: 0.01, WastePrice: 0.1, ProbePrice: of.Price, Vouched: 550}, 7)
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	list := make([]logic.ServerInfo, of.Servers)
+	for i := range list {
+		list[i] = logic.ServerInfo{ID: logic.ServerID(i + 1), Health: logic.Ready, Cell: i / 2}
+	}
+	var due agenda
+	const origin = 1e6
+	end := origin + seconds*1000
+	due.at(origin, logic.Event{Kind: logic.Started})
+	due.at(origin, logic.Event{Kind: logic.List, Full: true, Servers: list})
+	for n := 1; of.Rate > 0; n++ {
+		at := origin + float64(n)*1000/of.Rate
+		if at > end {
+			break
+		}
+		requests++
+		due.at(at, logic.Event{Kind: logic.Arrival, Request: logic.RequestID(n), Left: moduleLeft})
+	}
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	var acts []logic.Action
+	began, err := threadCPU()
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	for d, ok := due.next(end); ok; d, ok = due.next(end) {
+		acts = b.Handle(d.when, &d.event, acts[:0])
+		for _, a := range acts {
+			switch report := (logic.Report{HasRIF: true, HasLatency: true, Latency: float64(meanTile) / 1e6}); a.Kind {
+			case logic.SetTimer:
+				due.at(d.when+max(a.After, moduleRound), logic.Event{Kind: logic.TimerDue, Timer: a.Timer})
+			case logic.Probe:
+				probes++
+				due.at(d.when+modulePath, logic.Event{Kind: logic.ProbeDone, Server: a.Server, Took: modulePath, Seen: d.when,
+					Report: report})
+			case logic.Send:
+				took := float64(meanTile) / 1e6
+				due.at(d.when+took, logic.Event{Kind: logic.AttemptDone, Request: a.Request, Attempt: a.Attempt, Server: a.Server,
+					Took: took, Final: true})
+			}
+		}
+	}
+	ended, err := threadCPU()
+	return ended - began, probes, requests, err
+}
+
+// measureModule measures the module at one size, by the difference that requests make.
+func measureModule(of Point, seconds float64) (ModulePoint, error) {
+	quiet := of
+	quiet.Rate = 0
+	idle, _, _, err := module(quiet, seconds)
+	if err != nil {
+		return ModulePoint{}, fmt.Errorf("the module with %d servers: %w", of.Servers, err)
+	}
+	busy, probes, requests, err := module(of, seconds)
+	if err != nil {
+		return ModulePoint{}, fmt.Errorf("the module with %d servers: %w", of.Servers, err)
+	}
+	n := float64(max(1, requests))
+	return ModulePoint{of.Servers, float64(idle.Microseconds()) / 1000 / seconds, float64((busy - idle).Microseconds()) / n,
+		float64(probes) / n}, nil
+}
+
+// threadCPU is the processor time of the calling thread.
+func threadCPU() (time.Duration, error) {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t); err != nil {
+		return 0, err
+	}
+	return time.Duration(t.Nano()), nil
+}
+
+type entry struct {
+	when  float64
+	order int
+	event logic.Event
+}
+
+// agenda is what is to happen, the soonest first and what is due at once in the order in which it was noted.
+type agenda struct {
+	entries []entry
+	noted   int
+}
+
+func (a *agenda) at(when float64, e logic.Event) {
+	a.noted++
+	heap.Push(a, entry{when, a.noted, e})
+}
+
+// next takes the soonest, if it is due by end.
+func (a *agenda) next(end float64) (e entry, ok bool) {
+	if len(a.entries) == 0 || a.entries[0].when > end {
+		return e, false
+	}
+	return heap.Pop(a).(entry), true
+}
+
+func (a *agenda) Len() int { return len(a.entries) }
+func (a *agenda) Less(i, j int) bool {
+	x, y := &a.entries[i], &a.entries[j]
+	return x.when < y.when || x.when == y.when && x.order < y.order
+}
+func (a *agenda) Swap(i, j int) { a.entries[i], a.entries[j] = a.entries[j], a.entries[i] }
+func (a *agenda) Push(x any)    { a.entries = append(a.entries, x.(entry)) }
+func (a *agenda) Pop() any {
+	last := len(a.entries) - 1
+	e := a.entries[last]
+	a.entries = a.entries[:last]
+	return e
+}
--- /dev/null
+++ b/internal/lab/capacity/standins.go
@@ -0,0 +1,239 @@
+package capacity
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"plankrouter/internal/lab/peers"
+)
+
+const (
+	headerID  = "Req-Id:"
+	pathProbe = "/metrics/load"
+	meanTile  = 20 * time.Millisecond // that a call takes at a tile server
+	tileBody  = 512                   // bytes of an answer's body
+)
+
+// tally is what has come over a stand-in's connections.
+type tally struct {
+	messages, bytes atomic.Int64 // of both directions, without TCP's and below
+}
+
+// Traffic is a tally read at one moment, or the difference of two.
+type Traffic struct{ Messages, Bytes int64 }
+
+func (t *tally) add(bytes int) {
+	t.messages.Add(1)
+	t.bytes.Add(int64(bytes))
+}
+
+func (t *tally) read() Traffic { return Traffic{t.messages.Load(), t.bytes.Load()} }
+
+func (t Traffic) since(before Traffic) Traffic {
+	return Traffic{t.Messages - before.Messages, t.Bytes - before.Bytes}
+}
+
+// tiles are many tile servers in this process, each at an address of its own.
+type tiles struct {
+	listeners           []net.Listener
+	probes, calls       tally
+	accepted, open, met atomic.Int64 // connections; met = servers that ever had one
+	took                sync.Map     // string to time.Duration: of calls, by id, from their last byte to their answer
+	mu                  sync.Mutex
+	conns               map[net.Conn]struct{}
+	running             sync.WaitGroup
+}
+
+func newTiles(n peers.Network, servers int) (*tiles, error) {
+	t := &tiles{conns: map[net.Conn]struct{}{}}
+	for range servers {
+		l, err := n.Listen("")
+		if err != nil {
+			t.close()
+			return nil, err
+		}
+		t.listeners = append(t.listeners, l)
+		t.running.Go(func() { t.accept(l) })
+	}
+	return t, nil
+}
+
+// members are the lines of the list.
+func (t *tiles) members() (all []peers.Member) {
+	for i, l := range t.listeners {
+		all = append(all, peers.Member{ID: fmt.Sprintf("tile-server-%05d", i+1), Address: l.Addr().String(), Locality: peers.Here,
+			Phase: peers.Serving})
+	}
+	return all
+}
+
+func (t *tiles) close() {
+	for _, l := range t.listeners {
+		l.Close()
+	}
+	t.mu.Lock()
+	for c := range t.conns {
+		c.Close()
+	}
+	t.mu.Unlock()
+	t.running.Wait()
+}
+
+func (t *tiles) accept(l net.Listener) {
+	var active atomic.Int64
+	met := false
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if !met {
+			met = true
+			t.met.Add(1)
+		}
+		t.accepted.Add(1)
+		t.open.Add(1)
+		t.mu.Lock()
+		t.conns[c] = struct{}{}
+		t.mu.Unlock()
+		t.running.Go(func() {
+			defer func() {
+				c.Close()
+				t.mu.Lock()
+				delete(t.conns, c)
+				t.mu.Unlock()
+				t.open.Add(-1)
+			}()
+			t.serve(c, &active)
+		})
+	}
+}
+
+// serve answers one request after another, probes at once and calls after their time.
+func (t *tiles) serve(c net.Conn, active *atomic.Int64) {
+	br := bufio.NewReader(c)
+	for {
+		target, id, size, err := readHead(br)
+		if err != nil {
+			return
+		}
+		if strings.HasPrefix(target, pathProbe) {
+			body := fmt.Sprintf(`{"active":%d,"avg_ms":%.1f}`, active.Load(), float64(meanTile)/1e6)
+			raw := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			t.probes.add(size + len(raw))
+			if _, err := c.Write([]byte(raw)); err != nil {
+				return
+			}
+			continue
+		}
+		start := time.Now()
+		active.Add(1)
+		time.Sleep(meanTile)
+		active.Add(-1)
+		body := id + "\n" + strings.Repeat("x", max(0, tileBody-len(id)-1))
+		raw := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		t.calls.add(size + len(raw))
+		t.took.Store(id, time.Since(start))
+		if _, err := c.Write([]byte(raw)); err != nil {
+			return
+		}
+	}
+}
+
+// readHead reads a request without a body: its target, its id and its size in bytes.
+func readHead(br *bufio.Reader) (target, id string, size int, err error) {
+	for n := 0; ; n++ {
+		line, err := br.ReadString('\n')
+		if err != nil {
+			return "", "", 0, err
+		}
+		size += len(line)
+		switch line = strings.TrimRight(line, "\r\n"); {
+		case line == "" && n > 0:
+			return target, id, size, nil
+		case n == 0:
+			if words := strings.Fields(line); len(words) == 3 {
+				target = words[1]
+			}
+		case len(line) > len(headerID) && strings.EqualFold(line[:len(headerID)], headerID):
+			id = strings.TrimSpace(line[len(headerID):])
+		}
+	}
+}
+
+// counted is a network whose listeners count the bytes of all that they accept, in both directions.
+type counted struct {
+	peers.Network
+	bytes *atomic.Int64
+}
+
+func (n counted) Listen(address string) (peers.Listener, error) {
+	l, err := n.Network.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return countedListener{l, n.bytes}, nil
+}
+
+type countedListener struct {
+	peers.Listener
+	bytes *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.bytes}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// directory is the scripted one, counted.
+type directory struct {
+	*peers.Directory
+	bytes atomic.Int64
+}
+
+func newDirectory(n peers.Network, members []peers.Member) (*directory, error) {
+	d := &directory{}
+	var err error
+	d.Directory, err = peers.NewDirectory(counted{n, &d.bytes}, "", members...)
+	if err == nil {
+		d.Word(true, false)
+	}
+	return d, err
+}
+
+// lists returns the traffic so far, and how many of its messages asked for the whole list.
+func (d *directory) lists() (t Traffic, whole int64) {
+	for _, c := range d.Calls() {
+		t.Messages++
+		if c.Whole {
+			whole++
+		}
+	}
+	t.Bytes = d.bytes.Load()
+	return t, whole
+}
