Hollow sidecars: real core, module, freshness and watch, with answers in memory

What a fleet of thousands costs, and when a change is in force at the last sidecar, could not be seen: a process for each does not fit a machine. Not for a library's sake: the sidecar is put together as the program does it, less front and connections. No figure of a large fleet is measured yet.

--- /dev/null
+++ b/internal/lab/hollow/discovery.go
@@ -0,0 +1,238 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"plankrouter/internal/lab/peers"
+)
+
+const (
+	queueMost = 2 * time.Second  // for which a call that needs a turn waits for it, before it is turned away
+	holdMost  = 60 * time.Second // for which a call is held
+)
+
+// Traffic is what discovery has seen. Bytes are those of TCP's payload.
+type Traffic struct {
+	Calls, Whole, TurnedAway, Connections int64
+	BytesIn, BytesOut                     int64
+}
+
+func (t Traffic) minus(o Traffic) Traffic {
+	return Traffic{t.Calls - o.Calls, t.Whole - o.Whole, t.TurnedAway - o.TurnedAway, t.Connections - o.Connections,
+		t.BytesIn - o.BytesIn, t.BytesOut - o.BytesOut}
+}
+
+func (t Traffic) plus(o Traffic) Traffic { return t.minus(Traffic{}.minus(o)) }
+
+// discovery is a stand-in: one service for all, or, with several listeners, an agent for each sidecar that the list is pushed
+// to. It speaks the platform's protocol and shares no code with the program.
+type discovery struct {
+	rate float64 // calls a second that get a turn: those for the whole list, and the first of a connection; 0 = all at once
+
+	mu       sync.Mutex
+	revision uint64
+	lines    []line
+	at       map[string]int // in lines
+	changed  chan struct{}  // closed with the next revision
+	whole    []byte         // the whole list as of now; nil = not worded yet
+	next     time.Time      // the next free turn
+
+	server                              http.Server
+	calls, wholes, turnedAway, accepted atomic.Int64
+	bytesIn, bytesOut                   atomic.Int64
+	addresses                           []string
+}
+
+// line is the last that is known of a server.
+type line struct {
+	peers.Member
+	revision uint64
+}
+
+// newDiscovery listens at so many addresses of 127.0.0.0/8 with a first revision.
+func newDiscovery(listeners int, rate float64, members []peers.Member) (*discovery, error) {
+	d := &discovery{rate: rate, at: map[string]int{}, changed: make(chan struct{})}
+	d.change(members)
+	d.server.Handler = d
+	d.server.ConnContext = withFirst
+	network := peers.Loopback()
+	for range listeners {
+		l, err := network.Listen("")
+		if err != nil {
+			d.close()
+			return nil, fmt.Errorf("discovery: %w", err)
+		}
+		d.addresses = append(d.addresses, l.Addr().String())
+		go d.server.Serve(countedListener{l, d})
+	}
+	return d, nil
+}
+
+func (d *discovery) close() { d.server.Close() }
+
+func (d *discovery) traffic() Traffic {
+	return Traffic{d.calls.Load(), d.wholes.Load(), d.turnedAway.Load(), d.accepted.Load(), d.bytesIn.Load(), d.bytesOut.Load()}
+}
+
+// change replaces or adds lines in a new revision, which it returns, and wakes all that wait.
+func (d *discovery) change(members []peers.Member) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision++
+	for _, m := range members {
+		i, known := d.at[m.ID]
+		if !known {
+			i = len(d.lines)
+			d.at[m.ID] = i
+			d.lines = append(d.lines, line{})
+		}
+		d.lines[i] = line{m, d.revision}
+	}
+	d.whole = nil
+	close(d.changed)
+	d.changed = make(chan struct{})
+	return d.revision
+}
+
+// news words what a call gets, and says whether there is any; changed tells when there is.
+func (d *discovery) news(whole bool, after uint64) (raw []byte, is bool, changed <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if whole && d.whole != nil {
+		return d.whole, true, nil
+	}
+	l := peers.List{Revision: d.revision, Complete: whole, Members: []peers.Member{}}
+	for _, e := range d.lines {
+		if whole && e.Phase != peers.Deleted || !whole && e.revision > after {
+			l.Members = append(l.Members, e.Member)
+		}
+	}
+	raw, _ = json.Marshal(l) // plain structs of strings and numbers
+	if whole {
+		d.whole = raw
+	}
+	return raw, whole || d.revision > after, d.changed
+}
+
+// turn is how long a call waits for its turn; false = it is turned away.
+func (d *discovery) turn(now time.Time) (time.Duration, bool) {
+	if d.rate <= 0 {
+		return 0, true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.next.Before(now) {
+		d.next = now
+	}
+	wait := d.next.Sub(now)
+	if wait > queueMost {
+		return 0, false
+	}
+	d.next = d.next.Add(time.Duration(float64(time.Second) / d.rate))
+	return wait, true
+}
+
+// ServeHTTP answers a call.
+func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.calls.Add(1)
+	q := r.URL.Query()
+	whole := !q.Has("index")
+	after, _ := strconv.ParseUint(q.Get("index"), 10, 64)
+	ms, _ := strconv.ParseUint(q.Get("wait"), 10, 32)
+	if first := isFirst(r.Context()); whole || first {
+		wait, ok := d.turn(time.Now())
+		if !ok {
+			d.turnedAway.Add(1)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if wait > 0 && !pause(r, wait) {
+			return
+		}
+	}
+	if whole {
+		d.wholes.Add(1)
+	}
+	until := time.NewTimer(min(holdMost, time.Duration(ms)*time.Millisecond))
+	defer until.Stop()
+	for late := ms == 0; ; {
+		raw, is, changed := d.news(whole, after)
+		if is || late {
+			w.Header().Set("Content-Type", "application/json")
+			w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+			w.Write(raw) // who has hung up asks again
+			return
+		}
+		select {
+		case <-changed:
+		case <-until.C:
+			late = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func pause(r *http.Request, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// countedListener counts connections and what goes over them.
+type countedListener struct {
+	net.Listener
+	d *discovery
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.d.accepted.Add(1)
+	return countedConn{c, l.d}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	d *discovery
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.d.bytesIn.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.d.bytesOut.Add(int64(n))
+	return n, err
+}
+
+type firstKey struct{}
+
+// withFirst marks a connection of which no call has come yet.
+func withFirst(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, firstKey{}, new(atomic.Bool))
+}
+
+// isFirst reports whether it is the first call of its connection.
+func isFirst(ctx context.Context) bool {
+	called, _ := ctx.Value(firstKey{}).(*atomic.Bool)
+	return called != nil && called.CompareAndSwap(false, true)
+}
--- /dev/null
+++ b/internal/lab/hollow/part.go
@@ -0,0 +1,298 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"plankrouter/internal/lab/peers"
+)
+
+const (
+	discoveryMark = "discovery-of-this-one:1" // in a template, for a sidecar's own
+	inForceLook   = 5 * time.Millisecond      // between two looks at whether a revision is in force; its time is noted as it comes
+	startedAtOnce = 64                        // sidecars of a part that read their configuration side by side
+)
+
+// order is one command to a part. Op says which fields count.
+type order struct {
+	Op string
+
+	// listen: a discovery with so many addresses; 0 Rate = no bound.
+	Listeners int
+	Rate      float64
+	Members   []peers.Member // change, too
+
+	// build: hollow sidecars, told by the template. One of their own, or one for all, is each one's discovery.
+	First     int
+	Count     int
+	Template  []byte // prepare, too
+	Discovery []string
+	Cores     int // 0 = as many as there are
+	MemoryMB  int // of the collector's limit, 0 = none
+
+	Known    bool          // start, restart: with the list in the configuration
+	Within   time.Duration // start, restart, await
+	Revision uint64        // await
+	PerS     float64       // calls: of each sidecar
+	Down     bool          // down
+	At       []string      // down: addresses
+}
+
+// reply is a part's answer.
+type reply struct {
+	Error     string
+	Addresses []string
+	Revision  uint64
+	Times     []float64 // by sidecar, in ms: from its start or, of await and reload, Unix time; 0 = not within the time
+	Counts    Counts
+	Sent      map[string]int64 // calls by address
+}
+
+// Counts is what a part has used and done since its start.
+type Counts struct {
+	CPU                        time.Duration
+	MemoryMB, HeapMB           float64 // resident, and what the collector has found in use
+	Calls, Probes, Unreached   int64   // attempts and probes that reached servers, and those of either that were refused there
+	Served, Refused, Failed    int64
+	WatchFailures, WatchDoubts int64
+	Discovery                  Traffic
+}
+
+func (c Counts) minus(o Counts) Counts {
+	c.CPU -= o.CPU
+	c.Calls, c.Probes, c.Unreached = c.Calls-o.Calls, c.Probes-o.Probes, c.Unreached-o.Unreached
+	c.Served, c.Refused, c.Failed = c.Served-o.Served, c.Refused-o.Refused, c.Failed-o.Failed
+	c.WatchFailures, c.WatchDoubts = c.WatchFailures-o.WatchFailures, c.WatchDoubts-o.WatchDoubts
+	c.Discovery = c.Discovery.minus(o.Discovery)
+	return c
+}
+
+// plus adds another part's.
+func (c Counts) plus(o Counts) Counts {
+	c.CPU += o.CPU
+	c.MemoryMB, c.HeapMB = c.MemoryMB+o.MemoryMB, c.HeapMB+o.HeapMB
+	c.Calls, c.Probes, c.Unreached = c.Calls+o.Calls, c.Probes+o.Probes, c.Unreached+o.Unreached
+	c.Served, c.Refused, c.Failed = c.Served+o.Served, c.Refused+o.Refused, c.Failed+o.Failed
+	c.WatchFailures, c.WatchDoubts = c.WatchFailures+o.WatchFailures, c.WatchDoubts+o.WatchDoubts
+	c.Discovery = c.Discovery.plus(o.Discovery)
+	return c
+}
+
+// host is what a part's process has.
+type host struct {
+	dir       string
+	discovery *discovery
+	tiles     *tiles
+	sidecars  []*sidecar
+}
+
+// Serve is the life of a part: it obeys the orders that it reads until they end.
+func Serve(_ context.Context, in io.Reader, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "planklab-hollow-")
+	if err != nil {
+		return err
+	}
+	h := &host{dir: dir, tiles: newTiles()}
+	defer h.close()
+	orders, replies := json.NewDecoder(in), json.NewEncoder(out)
+	for {
+		var o order
+		if err := orders.Decode(&o); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return fmt.Errorf("orders: %w", err)
+		}
+		r, err := h.obey(&o)
+		if err != nil {
+			r.Error = o.Op + ": " + err.Error()
+		}
+		if err := replies.Encode(r); err != nil {
+			return fmt.Errorf("replies: %w", err)
+		}
+	}
+}
+
+func (h *host) close() {
+	for _, s := range h.sidecars {
+		s.end()
+	}
+	if h.discovery != nil {
+		h.discovery.close()
+	}
+	os.RemoveAll(h.dir)
+}
+
+func (h *host) obey(o *order) (r reply, err error) {
+	switch o.Op {
+	case "listen":
+		if h.discovery, err = newDiscovery(o.Listeners, o.Rate, o.Members); err == nil {
+			r.Addresses, r.Revision = h.discovery.addresses, 1
+		}
+	case "change":
+		r.Revision = h.discovery.change(o.Members)
+	case "build":
+		return r, h.build(o)
+	case "prepare":
+		return r, h.each(len(h.sidecars), func(_ int, s *sidecar) error { return s.write(o.Template) })
+	case "start":
+		r.Times, err = h.start(len(h.sidecars), o)
+	case "restart":
+		count := min(o.Count, len(h.sidecars))
+		if err = h.each(count, func(_ int, s *sidecar) error { s.end(); return nil }); err == nil {
+			r.Times, err = h.start(count, o)
+		}
+	case "await":
+		r.Times = h.await(o.Revision, o.Within)
+	case "reload":
+		r.Times = make([]float64, len(h.sidecars))
+		err = h.each(len(h.sidecars), func(i int, s *sidecar) error {
+			err := s.reload()
+			r.Times[i] = unixMs(time.Now())
+			return err
+		})
+	case "calls":
+		for _, s := range h.sidecars {
+			s.rate.Store(uint64(o.PerS * 1e3))
+		}
+	case "down":
+		for _, address := range o.At {
+			h.tiles.at(address).down.Store(o.Down)
+		}
+	case "count":
+		r.Counts, err = h.counts()
+	case "sent":
+		r.Sent = h.tiles.sent()
+	default:
+		err = errors.New("unknown order")
+	}
+	return r, err
+}
+
+func unixMs(t time.Time) float64 { return float64(t.UnixMicro()) / 1e3 }
+
+// build makes the sidecars' configurations.
+func (h *host) build(o *order) error {
+	if o.Cores > 0 {
+		runtime.GOMAXPROCS(o.Cores)
+	}
+	if o.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(o.MemoryMB) << 20)
+	}
+	for i := range o.Count {
+		s := &sidecar{zone: (o.First + i) % zones, name: "h" + strconv.Itoa(o.First+i), seed: uint64(o.First + i + 1), tiles: h.tiles,
+			discovery: o.Discovery[i%len(o.Discovery)], file: filepath.Join(h.dir, strconv.Itoa(i)+".json")}
+		if err := s.write(o.Template); err != nil {
+			return err
+		}
+		h.sidecars = append(h.sidecars, s)
+	}
+	return nil
+}
+
+// each does something to the first so many, some side by side.
+func (h *host) each(count int, do func(int, *sidecar) error) error {
+	var group errgroup.Group
+	group.SetLimit(startedAtOnce)
+	for i, s := range h.sidecars[:count] {
+		group.Go(func() error { return do(i, s) })
+	}
+	return group.Wait()
+}
+
+// start starts the first so many and returns after how long each had the directory's first answer in force.
+func (h *host) start(count int, o *order) ([]float64, error) {
+	if err := h.each(count, func(_ int, s *sidecar) error { return s.start(o.Known) }); err != nil {
+		return nil, err
+	}
+	times := make([]float64, count)
+	for until := time.Now().Add(o.Within); ; time.Sleep(inForceLook) {
+		missing := false
+		for i, s := range h.sidecars[:count] {
+			if times[i] == 0 {
+				times[i] = s.firstAfter(o.Known)
+				missing = missing || times[i] == 0
+			}
+		}
+		if !missing || !time.Now().Before(until) {
+			return times, nil
+		}
+	}
+}
+
+// await returns when a revision came into force at each.
+func (h *host) await(revision uint64, within time.Duration) []float64 {
+	times := make([]float64, len(h.sidecars))
+	for until := time.Now().Add(within); ; time.Sleep(inForceLook) {
+		missing := false
+		for i, s := range h.sidecars {
+			if times[i] > 0 {
+				continue
+			}
+			if at := s.inForce(revision); at.IsZero() {
+				missing = true
+			} else {
+				times[i] = unixMs(at)
+			}
+		}
+		if !missing || !time.Now().Before(until) {
+			return times
+		}
+	}
+}
+
+func (h *host) counts() (c Counts, err error) {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		return c, fmt.Errorf("getrusage: %w", err)
+	}
+	c.CPU = time.Duration(used.Utime.Nano() + used.Stime.Nano())
+	if c.MemoryMB, err = resident("self"); err != nil {
+		return c, err
+	}
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	c.HeapMB = float64(memory.HeapInuse+memory.StackInuse) / (1 << 20)
+	c.Calls, c.Probes, c.Unreached = h.tiles.counts()
+	for _, s := range h.sidecars {
+		c.Served += s.served.Load()
+		c.Refused += s.refused.Load()
+		c.Failed += s.failed.Load()
+		c.WatchFailures += s.failures
+		c.WatchDoubts += s.doubts
+		if s.stop != nil {
+			c.WatchFailures += s.watch.Failures.Load()
+			c.WatchDoubts += s.watch.Doubts.Load()
+		}
+	}
+	if h.discovery != nil {
+		c.Discovery = h.discovery.traffic()
+	}
+	return c, nil
+}
+
+// resident is the memory of a process in MB, by its id or "self".
+func resident(pid string) (float64, error) {
+	raw, err := os.ReadFile("/proc/" + pid + "/statm")
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(raw))
+	if len(fields) < 2 {
+		return 0, fmt.Errorf("/proc/%s/statm: %q", pid, raw)
+	}
+	pages, err := strconv.ParseFloat(fields[1], 64)
+	return pages * float64(os.Getpagesize()) / (1 << 20), err
+}
--- /dev/null
+++ b/internal/lab/hollow/report.go
@@ -0,0 +1,41 @@
+package hollow
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+)
+
+// WriteTable writes a table for each scene, in the order in which they first come.
+func WriteTable(out io.Writer, rows []Row) error {
+	var scenes []string
+	by := map[string][]Row{}
+	for _, r := range rows {
+		if by[r.Scene] == nil {
+			scenes = append(scenes, r.Scene)
+		}
+		by[r.Scene] = append(by[r.Scene], r)
+	}
+	for _, scene := range scenes {
+		t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+		var head []string
+		for _, f := range by[scene][0].Figures {
+			head = append(head, f.Name)
+		}
+		fmt.Fprintf(t, "%s\tsidecars\tservers\t%s\n", scene, strings.Join(head, "\t"))
+		for _, r := range by[scene] {
+			fmt.Fprintf(t, "%s\t%d\t%d", r.Kind, r.Sidecars, r.Servers)
+			for _, f := range r.Figures {
+				fmt.Fprint(t, "\t", strconv.FormatFloat(f.Value, 'g', 4, 64))
+			}
+			fmt.Fprintln(t)
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+		fmt.Fprintln(out)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/hollow/scenes.go
@@ -0,0 +1,362 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"plankrouter/internal/lab/peers"
+)
+
+// Plan says how long the scenes are.
+type Plan struct {
+	Window   time.Duration // of an ordinary minute: the stretch that is looked at
+	CallsAll float64       // calls a second of the whole fleet, while there are calls
+	CallsOne float64       // of one sidecar, at most
+	Restart  int           // sidecars that are restarted together
+	Changes  int           // single changes of the list that are timed
+	Burst    int           // changes of the list one after another
+	Gap      time.Duration // between those
+	Within   time.Duration // in which a change has to be in force
+}
+
+// Usual is the plan of the page.
+func Usual() Plan {
+	return Plan{Window: 10 * time.Second, CallsAll: 4000, CallsOne: 40, Restart: 300, Changes: 5, Burst: 40, Gap: 100 * time.Millisecond,
+		Within: 12 * time.Second}
+}
+
+// Figure is one of a row. Its name ends in its unit.
+type Figure struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+}
+
+// Row is what came of a scene.
+type Row struct {
+	Scene    string   `json:"scene"`
+	Kind     string   `json:"kind"` // of discovery
+	Sidecars int      `json:"sidecars"`
+	Servers  int      `json:"servers"`
+	Figures  []Figure `json:"figures"`
+}
+
+// Get returns a figure.
+func (r *Row) Get(name string) (float64, bool) {
+	for _, f := range r.Figures {
+		if f.Name == name {
+			return f.Value, true
+		}
+	}
+	return 0, false
+}
+
+// play is a run of all scenes on one fleet.
+type play struct {
+	*world
+	plan Plan
+	rows []Row
+}
+
+// Play plays all scenes with one fleet.
+func Play(ctx context.Context, set Setup, plan Plan) (rows []Row, err error) {
+	began := time.Now()
+	w, times, err := build(ctx, set)
+	defer func() {
+		if ended := w.close(); err == nil {
+			err = ended
+		}
+	}()
+	if err != nil {
+		return nil, err
+	}
+	p := &play{world: w, plan: plan}
+	after, err := w.count()
+	if err != nil {
+		return nil, err
+	}
+	after.at = began
+	p.row("all start", slices.Concat(spreadFigures(times), p.traffic(after, 0), []Figure{
+		{"memory_mb_a_sidecar", after.Hollow.MemoryMB / float64(set.Sidecars)},
+		{"heap_mb_a_sidecar", after.Hollow.HeapMB / float64(set.Sidecars)},
+		{"memory_mb_all", after.Hollow.MemoryMB + after.Discovery.MemoryMB}}))
+	for _, scene := range []struct {
+		name string
+		do   func() error
+	}{{"idle", p.idle}, {"calls", p.calls}, {"list", p.list}, {"burst", p.burst}, {"configuration", p.configuration},
+		{"zone", p.zone}, {"restart", p.restart}} {
+		if err := ctx.Err(); err != nil {
+			return p.rows, err
+		}
+		if err := scene.do(); err != nil {
+			return p.rows, fmt.Errorf("%s: %w", scene.name, err)
+		}
+	}
+	return p.rows, nil
+}
+
+func (p *play) row(scene string, figures []Figure) {
+	p.rows = append(p.rows, Row{Scene: scene, Kind: p.set.Kind, Sidecars: p.set.Sidecars, Servers: p.set.Servers, Figures: figures})
+}
+
+func spreadFigures(times []float64) []Figure {
+	s := spreadOf(times)
+	return []Figure{{"median_ms", s.median}, {"most99_ms", s.most99}, {"last_ms", s.last}, {"missing", float64(s.missing)}}
+}
+
+// traffic is what discovery saw: in all, or a second.
+func (p *play) traffic(u used, long time.Duration) []Figure {
+	t := u.Discovery.Discovery
+	if long == 0 {
+		return []Figure{{"calls", float64(t.Calls)}, {"whole", float64(t.Whole)}, {"turned_away", float64(t.TurnedAway)},
+			{"connections", float64(t.Connections)}, {"bytes_in", float64(t.BytesIn)}, {"bytes_out", float64(t.BytesOut)}}
+	}
+	s := long.Seconds() * float64(p.set.Sidecars)
+	return []Figure{{"list_calls_s", float64(t.Calls) / s}, {"list_whole", float64(t.Whole)},
+		{"list_turned_away", float64(t.TurnedAway)}, {"list_bytes_in_s", float64(t.BytesIn) / s},
+		{"list_bytes_out_s", float64(t.BytesOut) / s}}
+}
+
+// cpu is the processors' time, in % of a core, of a sidecar and of discovery for each sidecar.
+func (p *play) cpu(u used, long time.Duration) []Figure {
+	part := 100 / long.Seconds() / float64(p.set.Sidecars)
+	return []Figure{{"cpu_sidecar_pct", u.Hollow.CPU.Seconds() * part}, {"cpu_discovery_pct", u.Discovery.CPU.Seconds() * part},
+		{"cores_busy", (u.Hollow.CPU + u.Discovery.CPU).Seconds() / long.Seconds()}}
+}
+
+func (p *play) sleep(d time.Duration) func() error { return func() error { time.Sleep(d); return nil } }
+
+// idle is an ordinary minute without calls.
+func (p *play) idle() error { return p.minute("idle", 0) }
+
+// rate is that of the calls of a sidecar.
+func (p *play) rate() float64 { return min(p.plan.CallsOne, p.plan.CallsAll/float64(p.set.Sidecars)) }
+
+// calls is an ordinary minute with calls.
+func (p *play) calls() error { return p.minute("calls", p.rate()) }
+
+const settle = time.Second // for which a new rate of calls goes on before it is looked at
+
+func (p *play) minute(scene string, rate float64) error {
+	if _, err := all(p.hollow, order{Op: "calls", PerS: rate}); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	u, long, err := p.during(p.sleep(p.plan.Window))
+	if err != nil {
+		return err
+	}
+	s := long.Seconds() * float64(p.set.Sidecars)
+	p.row(scene, slices.Concat(p.cpu(u, long), []Figure{{"calls_s", float64(u.Hollow.Calls) / s},
+		{"probes_s", float64(u.Hollow.Probes) / s}, {"refused", float64(u.Hollow.Refused)}, {"failed", float64(u.Hollow.Failed)}},
+		p.traffic(u, long)))
+	_, err = all(p.hollow, order{Op: "calls"})
+	return err
+}
+
+// list times single changes, of one line each.
+func (p *play) list() error {
+	var times []float64
+	u, _, err := p.during(func() error {
+		for i := range p.plan.Changes {
+			m := p.members[i%len(p.members)]
+			m.Phase = map[string]string{peers.Serving: peers.Draining, peers.Draining: peers.Serving}[m.Phase]
+			one, err := p.change([]peers.Member{m}, p.plan.Within)
+			if err != nil {
+				return err
+			}
+			times = append(times, one...)
+			time.Sleep(p.plan.Gap)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	p.row("list", slices.Concat(spreadFigures(times), p.traffic(u, 0)))
+	return nil
+}
+
+// burst is one change after another, until the last is in force.
+func (p *play) burst() error {
+	quiet, window, err := p.during(p.sleep(p.plan.Window / 4))
+	if err != nil {
+		return err
+	}
+	var times []float64
+	u, long, err := p.during(func() error {
+		for i := range p.plan.Burst {
+			m := p.members[i%len(p.members)]
+			m.UpSince = 1 + int64(i) // another process at the same place, long ago
+			within := time.Duration(0)
+			if i == p.plan.Burst-1 {
+				within = p.plan.Within
+			}
+			if times, err = p.change([]peers.Member{m}, within); err != nil {
+				return err
+			}
+			time.Sleep(p.plan.Gap)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	n := float64(p.set.Sidecars * p.plan.Burst)
+	extra := u.Hollow.CPU.Seconds() - quiet.Hollow.CPU.Seconds()/window.Seconds()*long.Seconds()
+	there := u.Discovery.CPU.Seconds() - quiet.Discovery.CPU.Seconds()/window.Seconds()*long.Seconds()
+	p.row("burst", slices.Concat(spreadFigures(times), []Figure{{"changes", float64(p.plan.Burst)}, {"cpu_us_a_change", extra * 1e6 / n},
+		{"discovery_us_a_change", there * 1e6 / n}, {"cores_busy", (u.Hollow.CPU + u.Discovery.CPU).Seconds() / long.Seconds()}},
+		p.traffic(u, 0)))
+	return nil
+}
+
+// configuration changes a class's aim, from the word to read the file until it is in force.
+func (p *play) configuration() error {
+	p.aim += 10 * time.Millisecond
+	template, err := p.template()
+	if err != nil {
+		return err
+	}
+	if _, err := all(p.hollow, order{Op: "prepare", Template: template}); err != nil {
+		return err
+	}
+	var times []float64
+	u, long, err := p.during(func() error {
+		began := unixMs(time.Now())
+		times, err = p.times(order{Op: "reload"})
+		times = since(times, began)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	p.row("configuration", slices.Concat(spreadFigures(times), []Figure{
+		{"cpu_us_a_sidecar", u.Hollow.CPU.Seconds() * 1e6 / float64(p.set.Sidecars)}, {"took_ms", ms(long)}}))
+	return nil
+}
+
+func ms(d time.Duration) float64 { return d.Seconds() * 1e3 }
+
+const coldLook = 2 * time.Second // for which a zone that is back is looked at: it is far from warm then
+
+// zone loses a zone, an eighth of the servers, under calls: they refuse connections and discovery knows at once. Then they come
+// back as new processes.
+func (p *play) zone() error {
+	if _, err := all(p.hollow, order{Op: "calls", PerS: p.rate()}); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	var lost []peers.Member
+	var gone []string
+	for _, m := range p.members {
+		if m.Locality == zone(zones-1) {
+			gone = append(gone, m.Address)
+			m.Phase = peers.Deleted
+			lost = append(lost, m)
+		}
+	}
+	var times []float64
+	u, long, err := p.during(func() (err error) {
+		if _, err = all(p.hollow, order{Op: "down", At: gone, Down: true}); err != nil {
+			return err
+		}
+		times, err = p.change(lost, p.plan.Within)
+		time.Sleep(coldLook)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	p.row("zone lost", slices.Concat(spreadFigures(times), []Figure{{"lines", float64(len(lost))}, {"served", float64(u.Hollow.Served)},
+		{"refused", float64(u.Hollow.Refused)}, {"failed", float64(u.Hollow.Failed)}, {"unreached", float64(u.Hollow.Unreached)}},
+		p.cpu(u, long)[:2], p.traffic(u, 0)))
+	back := slices.Clone(lost)
+	for i := range back {
+		back[i].Phase, back[i].UpSince = peers.Serving, time.Now().UnixMilli()
+		back[i].Address = serverAddress(1, slices.IndexFunc(p.members, func(m peers.Member) bool { return m.ID == back[i].ID }))
+	}
+	before, err := p.sent()
+	if err != nil {
+		return err
+	}
+	if u, long, err = p.during(func() (err error) {
+		times, err = p.change(back, p.plan.Within)
+		time.Sleep(coldLook)
+		return err
+	}); err != nil {
+		return err
+	}
+	after, err := p.sent()
+	if err != nil {
+		return err
+	}
+	cold, coldMost, warm := 0.0, 0.0, 0.0
+	for _, m := range p.members {
+		n := float64(after[m.Address] - before[m.Address])
+		if m.Locality == zone(zones-1) {
+			cold, coldMost = cold+n, max(coldMost, n)
+		} else {
+			warm += n
+		}
+	}
+	p.row("zone back", slices.Concat(spreadFigures(times), []Figure{{"lines", float64(len(lost))},
+		{"cold_of_warm", cold / float64(len(lost)) / max(1e-9, warm/float64(len(p.members)-len(lost)))},
+		{"coldest_most_of_warm", coldMost / max(1e-9, warm/float64(len(p.members)-len(lost)))},
+		{"served", float64(u.Hollow.Served)}, {"refused", float64(u.Hollow.Refused)}, {"failed", float64(u.Hollow.Failed)}},
+		p.cpu(u, long)[:2], p.traffic(u, 0)))
+	_, err = all(p.hollow, order{Op: "calls"})
+	return err
+}
+
+// sent returns the calls that each address has had.
+func (p *play) sent() (map[string]int64, error) {
+	replies, err := all(p.hollow, order{Op: "sent"})
+	sum := map[string]int64{}
+	for _, r := range replies {
+		for address, n := range r.Sent {
+			sum[address] += n
+		}
+	}
+	return sum, err
+}
+
+const restartMost = 30 * time.Second // for which a restarted sidecar is waited for
+
+// restart ends some sidecars and starts them all at once: with the list of their configuration, then without.
+func (p *play) restart() error {
+	for _, known := range []bool{true, false} {
+		var times []float64
+		u, _, err := p.during(func() error {
+			replies, left := make([]reply, len(p.hollow)), min(p.plan.Restart, p.set.Sidecars)
+			var group errgroup.Group
+			for i, part := range p.hollow {
+				n := min(left, p.counts[i])
+				left -= n
+				group.Go(func() (err error) {
+					replies[i], err = part.ask(order{Op: "restart", Count: n, Known: known, Within: restartMost})
+					return err
+				})
+			}
+			if err := group.Wait(); err != nil {
+				return err
+			}
+			for _, r := range replies {
+				times = append(times, r.Times...)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		name := "restart with a list"
+		if !known {
+			name = "restart without one"
+		}
+		p.row(name, slices.Concat([]Figure{{"restarted", float64(len(times))}}, spreadFigures(times), p.traffic(u, 0)))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/hollow/sidecar.go
@@ -0,0 +1,234 @@
+package hollow
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"plankrouter/internal/config"
+	"plankrouter/internal/core"
+	"plankrouter/internal/directory"
+	"plankrouter/internal/freshness"
+	"plankrouter/internal/invocation"
+	"plankrouter/internal/members"
+	"plankrouter/internal/snapshot"
+	"plankrouter/internal/sockets"
+)
+
+// sidecar is a hollow one. Its parts are put together as the program does it.
+type sidecar struct {
+	name, file, discovery string
+	seed                  uint64
+	zone                  int
+	tiles                 *tiles
+
+	cfg     *config.Config
+	numbers config.Numbering
+	core    *core.Pool
+	watch   *directory.Watch
+	stop    context.CancelFunc
+	ended   sync.WaitGroup
+	began   time.Time
+
+	mu    sync.Mutex
+	heard []hearing // in order
+	first time.Time // when the first answer was known to be in force; it may have told nothing
+
+	rate                    atomic.Uint64 // of calls a second, in thousandths
+	served, refused, failed atomic.Int64
+	failures, doubts        int64 // of the watch, in earlier lives
+}
+
+// hearing is a revision that came into force.
+type hearing struct {
+	revision uint64
+	at       time.Time
+}
+
+func (s *sidecar) getenv(key string) string {
+	switch key {
+	case "GW_CONFIG":
+		return s.file
+	case "GW_NAME":
+		return s.name
+	}
+	return ""
+}
+
+// start begins a life. Without the list that the configuration knows it has to ask for the whole one.
+func (s *sidecar) start(known bool) (err error) {
+	s.began = time.Now()
+	if s.cfg, err = config.Load(s.getenv); err != nil {
+		return err
+	}
+	if !known {
+		s.cfg.Known = members.List{}
+	}
+	s.numbers = config.Numbering{}
+	if _, err = s.numbers.Apply(time.Now(), s.cfg); err != nil {
+		return err
+	}
+	cfg := s.cfg
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	budget := sockets.NewBudget(cfg.Limits.Sockets, sockets.TCP)
+	var pool *core.Pool
+	if s.watch, err = directory.New(directory.Options{Address: cfg.Discovery, Watch: cfg.Watch, Seed: s.seed, Known: cfg.Known,
+		Most: directory.ListMost(int64(cfg.Limits.MemoryMB) << 20), Budget: budget,
+		Told: func(l members.List, at time.Time) {
+			pool.Told(l, at)
+			pool.Counts() // answered once the list is in force
+			s.hear(l.Revision)
+		},
+		Trust: func(t freshness.Trust) { pool.Trust(t) }}); err != nil {
+		stop()
+		return err
+	}
+	if pool, err = core.New(core.Options{Name: cfg.Name, Deployment: snapshot.Fingerprint(&cfg.Settings), Logic: cfg.Logic,
+		Seed: s.seed, Zones: cfg.Settings.Dcs, DrainGrace: cfg.DrainGrace, Known: cfg.Known, Caller: s.tiles,
+		Whole: cfg.Settings.Whole, Saw: s.watch.Saw}); err != nil {
+		stop()
+		return err
+	}
+	s.core = pool
+	s.mu.Lock()
+	s.heard, s.first = nil, time.Time{}
+	s.mu.Unlock()
+	s.ended.Go(func() { pool.Run(ctx) })
+	s.ended.Go(func() { s.watch.Run(ctx) })
+	s.ended.Go(func() { s.note(ctx, s.watch.First()) })
+	s.ended.Go(func() { s.call(ctx, pool, cfg) })
+	return nil
+}
+
+// end ends a life; its counts stay.
+func (s *sidecar) end() {
+	if s.stop == nil {
+		return
+	}
+	s.stop()
+	s.ended.Wait()
+	s.failures += s.watch.Failures.Load()
+	s.doubts += s.watch.Doubts.Load()
+	s.stop = nil
+}
+
+func (s *sidecar) hear(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard = append(s.heard, hearing{revision, time.Now()})
+}
+
+// note notes when the first answer has come, which may have told nothing.
+func (s *sidecar) note(ctx context.Context, first <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-first:
+		s.mu.Lock()
+		s.first = time.Now()
+		s.mu.Unlock()
+	}
+}
+
+// firstAfter is how long after its start the first answer came or, where no list was known, was in force; 0 = not yet.
+func (s *sidecar) firstAfter(known bool) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := s.first
+	if !known {
+		at = time.Time{}
+	}
+	if len(s.heard) > 0 {
+		at = s.heard[0].at
+	}
+	if at.IsZero() {
+		return 0
+	}
+	return float64(at.Sub(s.began).Microseconds()) / 1e3
+}
+
+// inForce returns when a revision, or a later one, came into force; zero = it has not.
+func (s *sidecar) inForce(revision uint64) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.heard {
+		if h.revision >= revision {
+			return h.at
+		}
+	}
+	return time.Time{}
+}
+
+// reload does what the program does on SIGHUP, as far as a hollow sidecar has the parts.
+func (s *sidecar) reload() error {
+	next, _, err := s.cfg.Reload(s.getenv)
+	if err != nil {
+		return err
+	}
+	deployment := snapshot.Fingerprint(&next.Settings)
+	numbers, err := s.numbers.Apply(time.Now(), next)
+	if err != nil {
+		return err
+	}
+	if err := s.core.Change(core.Change{Logic: next.Logic, Classes: numbers.Classes, Tenants: numbers.Tenants,
+		Deployment: deployment, DrainGrace: next.DrainGrace}); err != nil {
+		return err
+	}
+	s.watch.Move(next.Discovery)
+	s.cfg = next
+	return nil
+}
+
+const callLook = 200 * time.Millisecond // between two looks at the rate while there are no calls
+
+// call draws calls at the rate that was ordered.
+func (s *sidecar) call(ctx context.Context, pool *core.Pool, cfg *config.Config) {
+	rng := rand.New(rand.NewPCG(s.seed, 0x63616c6c))
+	patience := config.Duration(cfg.Settings.Classes[0].HardLimitMs)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for n := 0; ; n++ {
+		rate := float64(s.rate.Load()) / 1e3
+		wait := callLook
+		if rate > 0 {
+			wait = time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		}
+		timer.Reset(wait)
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if rate > 0 {
+			pool.Take(&invocation.Invocation{ID: s.name + "-" + strconv.Itoa(n), Tenant: -1, SentAt: time.Now(), Patience: patience,
+				Verb: "GET", Target: "/tile/1", Answer: s.answered})
+		}
+	}
+}
+
+func (s *sidecar) answered(a invocation.Answer) {
+	switch a.Kind {
+	case invocation.Served:
+		s.served.Add(1)
+	case invocation.Refused:
+		s.refused.Add(1)
+	default:
+		s.failed.Add(1)
+	}
+}
+
+// write puts its configuration in place: that of all, with its own discovery.
+func (s *sidecar) write(template []byte) error {
+	raw := bytes.ReplaceAll(template, []byte(discoveryMark), []byte(s.discovery))
+	raw = bytes.ReplaceAll(raw, []byte(zoneMark), []byte(strconv.Itoa(s.zone)))
+	if err := os.WriteFile(s.file, raw, 0o600); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/hollow/tiles.go
@@ -0,0 +1,152 @@
+package hollow
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"plankrouter/internal/caller"
+	"plankrouter/internal/ending"
+	"plankrouter/logic"
+)
+
+// The times that a stand-in tile server takes, from an attempt's start to its end.
+const (
+	probeTakes  = 500 * time.Microsecond
+	callTakes   = 10 * time.Millisecond
+	refuseTakes = 200 * time.Microsecond
+)
+
+// tiles are the tile servers as the sidecars of one process see them: they answer in memory, and count.
+type tiles struct {
+	mu  sync.Mutex
+	all map[string]*tile // by address
+}
+
+// tile is one process of a server.
+type tile struct {
+	down                             atomic.Bool // it refuses connections
+	inFlight, calls, probes, refused atomic.Int64
+}
+
+func newTiles() *tiles { return &tiles{all: map[string]*tile{}} }
+
+func (t *tiles) at(address string) *tile {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	one := t.all[address]
+	if one == nil {
+		one = new(tile)
+		t.all[address] = one
+	}
+	return one
+}
+
+// sent returns the calls that each address got.
+func (t *tiles) sent() map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]int64, len(t.all))
+	for address, one := range t.all {
+		out[address] = one.calls.Load()
+	}
+	return out
+}
+
+// counts returns the calls and probes of all, and what was refused of either.
+func (t *tiles) counts() (calls, probes, refused int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, one := range t.all {
+		calls += one.calls.Load()
+		probes += one.probes.Load()
+		refused += one.refused.Load()
+	}
+	return calls, probes, refused
+}
+
+// Endpoint, Forget, State and Restore make tiles a caller.Caller. Package callertest does not apply: there are no connections.
+func (t *tiles) Endpoint(_, address string) caller.Endpoint {
+	return &endpoint{address: address, tile: t.at(address)}
+}
+
+// Forget does nothing: the counts outlive the server.
+func (t *tiles) Forget(string) {}
+
+// State is nothing.
+func (t *tiles) State(time.Time) ([]byte, error) { return nil, nil }
+
+// Restore takes nothing.
+func (t *tiles) Restore(time.Time, []byte, time.Duration) error { return nil }
+
+// endpoint stands for one sidecar's connections to a tile server: one that comes up with the first attempt.
+type endpoint struct {
+	address string
+	tile    *tile
+	since   time.Time
+}
+
+func (e *endpoint) Address() string { return e.address }
+func (e *endpoint) Close()          { e.since = time.Time{} }
+
+// Start answers the attempt later, as a real one's end: from a goroutine of its own.
+func (e *endpoint) Start(task caller.Task) caller.Call {
+	now := time.Now()
+	if e.since.IsZero() {
+		e.since = now
+	}
+	c := &attempt{tile: e.tile}
+	result, takes := caller.Result{Ending: ending.Served, Since: e.since}, probeTakes
+	inv := task.Invocation
+	switch {
+	case inv != nil && inv.Left():
+		result, takes = caller.Result{Ending: ending.Withdrawn}, 0
+	case !task.NotAfter.IsZero() && now.After(task.NotAfter):
+		result, takes = caller.Result{Ending: ending.Drained}, 0
+	case e.tile.down.Load():
+		e.tile.refused.Add(1)
+		result, takes = caller.Result{Ending: ending.Refused}, refuseTakes
+	case inv != nil:
+		takes = callTakes
+		e.tile.calls.Add(1)
+		e.tile.inFlight.Add(1)
+		c.counted = true
+		result.Code = 200
+	default:
+		e.tile.probes.Add(1)
+	}
+	time.AfterFunc(takes, func() {
+		if !c.end() {
+			return
+		}
+		if result.Ending == ending.Served {
+			result.Report = logic.Report{HasRIF: true, HasLatency: true, RIF: float64(e.tile.inFlight.Load()),
+				Latency: float64(callTakes) / float64(time.Millisecond)}
+		}
+		task.Ended(result)
+	})
+	return c
+}
+
+// attempt is one under way: it counts as written from its start.
+type attempt struct {
+	tile    *tile
+	ended   atomic.Bool
+	counted bool
+}
+
+func (a *attempt) end() bool {
+	if !a.ended.CompareAndSwap(false, true) {
+		return false
+	}
+	if a.counted {
+		a.tile.inFlight.Add(-1)
+	}
+	return true
+}
+
+func (a *attempt) Stop(why ending.Ending) (ending.Ending, bool)     { return why, a.end() }
+func (a *attempt) Withdraw(why ending.Ending) (ending.Ending, bool) { return why, false }
+func (a *attempt) NotAfter(time.Time)                               {}
+
+var _ caller.Caller = (*tiles)(nil)
