planklab fleet-scenes: fleets of hollow sidecars, and one of each kind side by side

The scenes need a command that starts the parts as processes, and a hollow sidecar has to be compared with a real one before its figures count. Mended on the way: calls were drawn 10% too slowly, since each wait began at the end of the last, and the real one's servers were cold where the hollow one's were warm. go test -race of both packages passes.

--- a/cmd/planklab/main.go
+++ b/cmd/planklab/main.go
@@ -27,11 +27,13 @@
 
 // commands are the subcommands.
 type commands struct {
-	Recover  recoverCommand  `cmd:"" help:"How long until service is back after a release, a crash and more."`
-	Handover handoverCommand `cmd:"" help:"What a long line of handovers to successors costs."`
-	Load     loadCommand     `cmd:"" help:"Sends load that does not wait for answers, and measures it."`
-	Fleet    fleetCommand    `cmd:"" help:"Counts what a whole fleet did to servers and directory, from its sidecars' logs."`
-	Emulate  emulateCommand  `cmd:"" help:"A fleet in virtual time: troubles, a judge, and policies to compare."`
+	Recover     recoverCommand     `cmd:"" help:"How long until service is back after a release, a crash and more."`
+	Handover    handoverCommand    `cmd:"" help:"What a long line of handovers to successors costs."`
+	Load        loadCommand        `cmd:"" help:"Sends load that does not wait for answers, and measures it."`
+	Fleet       fleetCommand       `cmd:"" help:"Counts what a whole fleet did to servers and directory, from its sidecars' logs."`
+	FleetScenes fleetScenesCommand `cmd:"" help:"Plays fleets of thousands of hollow sidecars in a few processes."`
+	FleetPart   fleetPartCommand   `cmd:"" hidden:"" help:"A process of fleet-scenes, which starts it."`
+	Emulate     emulateCommand     `cmd:"" help:"A fleet in virtual time: troubles, a judge, and policies to compare."`
 }
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -9,7 +9,7 @@
 func TestPlay(t *testing.T) {
 	const sidecars, restarted, servers = 20, 6, 16
 	plan := Plan{Window: 400 * time.Millisecond, CallsAll: 400, CallsOne: 20, Restart: restarted, Changes: 2, Burst: 4,
-		Gap: 10 * time.Millisecond, Within: time.Minute}
+		Gap: 10 * time.Millisecond, Settle: 100 * time.Millisecond, Zone: 400 * time.Millisecond, Within: time.Minute}
 	for _, kind := range []string{Pushed, OnRequest} {
 		t.Run(kind, func(t *testing.T) {
 			rows, err := Play(t.Context(), Setup{Kind: kind, Sidecars: sidecars, PerPart: 8, Servers: servers, ProbePrice: 0.0046,
--- /dev/null
+++ b/internal/lab/hollow/real.go
@@ -0,0 +1,240 @@
+package hollow
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"plankrouter/internal/lab/peers"
+)
+
+// Comparison is one real sidecar or one hollow one, alone in a process, in the same world.
+type Comparison struct {
+	Which     string  `json:"which"` // real or hollow
+	Servers   int     `json:"servers"`
+	AskedS    float64 `json:"asked_s"` // calls a second that were drawn
+	CPUPct    float64 `json:"cpu_pct"` // of a core
+	MemoryMB  float64 `json:"memory_mb"`
+	CallsS    float64 `json:"calls_s"` // that servers got
+	ProbesS   float64 `json:"probes_s"`
+	ListCalls float64 `json:"list_calls_s"`
+	ListIn    float64 `json:"list_bytes_in_s"`
+	ListOut   float64 `json:"list_bytes_out_s"`
+	Whole     int64   `json:"list_whole"`
+	StallMs   float64 `json:"stall_ms"`           // see neighbours
+	Machine   float64 `json:"machine_cores_busy"` // likewise
+}
+
+const (
+	readyWithin = 10 * time.Second
+	endWithin   = 10 * time.Second
+	warmUp      = 2 * time.Second // before the window
+)
+
+// Compare measures one of each side by side in time: a window of the real one, then one of the hollow one, in a world of an
+// agent, a list and, for the real one, tile servers that answer as quickly as the hollow one's do in memory.
+func Compare(ctx context.Context, program string, set Setup, rate float64, window time.Duration) (out []Comparison, err error) {
+	if set.Spawn == nil {
+		set.Spawn = Here
+	}
+	set.Sidecars, set.Kind = 1, Pushed
+	real, err := measureReal(ctx, program, set, rate, window)
+	if err != nil {
+		return nil, fmt.Errorf("real: %w", err)
+	}
+	hollow, err := measureHollow(ctx, set, rate, window)
+	if err != nil {
+		return nil, fmt.Errorf("hollow: %w", err)
+	}
+	return []Comparison{real, hollow}, nil
+}
+
+// one is a world with an agent and nobody else.
+func one(ctx context.Context, set Setup, members []peers.Member) (w *world, agent string, template []byte, err error) {
+	w = &world{set: set, members: members, aim: peers.Tile().Aim, known: peers.List{Revision: 1, Members: members}}
+	addresses, err := w.listen(ctx, 1)
+	if err != nil {
+		return w, "", nil, err
+	}
+	template, err = w.template()
+	return w, addresses[0], template, err
+}
+
+func measureHollow(ctx context.Context, set Setup, rate float64, window time.Duration) (c Comparison, err error) {
+	w, agent, template, err := one(ctx, set, servers(set.Servers))
+	defer func() {
+		if ended := w.close(); err == nil {
+			err = ended
+		}
+	}()
+	if err != nil {
+		return c, err
+	}
+	p, err := set.Spawn(ctx)
+	if err != nil {
+		return c, err
+	}
+	w.hollow, w.counts = []*Part{p}, []int{1}
+	for _, o := range []order{
+		{Op: "build", Count: 1, Template: template, Discovery: []string{agent}, Cores: 1, MemoryMB: memoryMB * 7 / 10},
+		{Op: "start", Known: true, Within: readyWithin}, {Op: "calls", PerS: rate}} {
+		if _, err := p.ask(o); err != nil {
+			return c, err
+		}
+	}
+	time.Sleep(warmUp)
+	busy := watchNeighbours()
+	defer busy.close()
+	u, long, err := w.during(func() error { time.Sleep(window); return nil })
+	if err != nil {
+		return c, err
+	}
+	c = Comparison{Which: "hollow", Servers: set.Servers, AskedS: rate, CPUPct: 100 * u.Hollow.CPU.Seconds() / long.Seconds(),
+		MemoryMB: u.Hollow.MemoryMB, CallsS: float64(u.Hollow.Calls) / long.Seconds(),
+		ProbesS: float64(u.Hollow.Probes) / long.Seconds()}
+	c.list(u, long, busy)
+	return c, nil
+}
+
+func (c *Comparison) list(u used, long time.Duration, busy *neighbours) {
+	late, cores := busy.look()
+	c.StallMs, c.Machine = ms(late), cores
+	t, s := u.Discovery.Discovery, long.Seconds()
+	c.ListCalls, c.ListIn, c.ListOut, c.Whole = float64(t.Calls)/s, float64(t.BytesIn)/s, float64(t.BytesOut)/s, t.Whole
+}
+
+func measureReal(ctx context.Context, program string, set Setup, rate float64, window time.Duration) (c Comparison, err error) {
+	network := peers.Loopback()
+	fleet, err := peers.NewFleet(network, set.Servers, peers.ProviderOptions{ID: "t", Seed: 1, Cores: 64, Queue: 64,
+		IdleMost: time.Minute, Default: peers.Service{Mean: callTakes, Body: 64}})
+	if err != nil {
+		return c, err
+	}
+	defer fleet.Close()
+	members := fleet.Members()
+	for i := range members {
+		members[i].Locality, members[i].UpSince = zone(i%zones), 0 // warm, as the hollow one's
+	}
+	w, agent, template, err := one(ctx, set, members)
+	defer func() {
+		if ended := w.close(); err == nil {
+			err = ended
+		}
+	}()
+	if err != nil {
+		return c, err
+	}
+	front, err := network.Listen("")
+	if err != nil {
+		return c, err
+	}
+	address := front.Addr().String()
+	front.Close()
+	dir, err := os.MkdirTemp("", "planklab-real-")
+	if err != nil {
+		return c, err
+	}
+	defer os.RemoveAll(dir)
+	s := sidecar{discovery: agent, file: filepath.Join(dir, "config.json")}
+	if err := s.write(template); err != nil {
+		return c, err
+	}
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), "GW_CONFIG="+s.file, "GW_LISTEN="+address)
+	var log bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &log, &log
+	if err := cmd.Start(); err != nil {
+		return c, err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	defer func() {
+		cmd.Process.Signal(syscall.SIGTERM)
+		select {
+		case e := <-ended:
+			if err == nil && e != nil {
+				err = fmt.Errorf("the program: %w: %s", e, log.String())
+			}
+		case <-time.After(endWithin):
+			cmd.Process.Kill()
+		}
+	}()
+	ready, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	if err := peers.Ready(ready, network, address); err != nil {
+		return c, err
+	}
+	calling, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if rate > 0 {
+			peers.NewConsumers(peers.Load{Network: network, Address: address, Seed: 1,
+				Flows: []peers.Flow{{Class: peers.Tile(), Rate: rate}}, For: warmUp + window + time.Second}).Run(calling)
+		}
+	}()
+	defer func() { stop(); <-done }()
+	time.Sleep(warmUp)
+	pid := strconv.Itoa(cmd.Process.Pid)
+	calls, probes := reached(fleet)
+	before, err := processors(pid)
+	if err != nil {
+		return c, err
+	}
+	busy := watchNeighbours()
+	defer busy.close()
+	u, long, err := w.during(func() error { time.Sleep(window); return nil })
+	if err != nil {
+		return c, err
+	}
+	after, err := processors(pid)
+	if err != nil {
+		return c, err
+	}
+	calls2, probes2 := reached(fleet)
+	c = Comparison{Which: "real", Servers: set.Servers, AskedS: rate, CPUPct: 100 * (after - before).Seconds() / long.Seconds(),
+		CallsS: float64(calls2-calls) / long.Seconds(), ProbesS: float64(probes2-probes) / long.Seconds()}
+	c.list(u, long, busy)
+	c.MemoryMB, err = resident(pid)
+	return c, err
+}
+
+// reached counts the requests and probes that the servers got.
+func reached(f *peers.Fleet) (calls, probes int) {
+	for _, p := range f.Providers {
+		calls, probes = calls+len(p.Requests()), probes+len(p.Probes())
+	}
+	return calls, probes
+}
+
+// The fields of /proc/PID/stat behind the name in brackets, and its unit: USER_HZ is 100 on Linux.
+const (
+	statUser   = 11
+	statSystem = 12
+	tick       = 10 * time.Millisecond
+)
+
+// processors is the processors' time that a process has used.
+func processors(pid string) (time.Duration, error) {
+	raw, err := os.ReadFile("/proc/" + pid + "/stat")
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
+	if len(fields) <= statSystem {
+		return 0, fmt.Errorf("/proc/%s/stat: %q", pid, raw)
+	}
+	user, err := strconv.Atoi(fields[statUser])
+	if err != nil {
+		return 0, fmt.Errorf("/proc/%s/stat: %w", pid, err)
+	}
+	system, err := strconv.Atoi(fields[statSystem])
+	return time.Duration(user+system) * tick, err
+}
--- a/internal/lab/hollow/report.go
+++ b/internal/lab/hollow/report.go
@@ -39,3 +39,17 @@
 	}
 	return nil
 }
+
+// WriteComparison writes a table of what was measured side by side.
+func WriteComparison(out io.Writer, all []Comparison) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "side by side\tservers\tasked_s\tcpu_pct\tmemory_mb\tcalls_s\tprobes_s\tlist_calls_s\tlist_bytes_in_s\t"+
+		"list_bytes_out_s\tlist_whole\tstall_ms\tmachine_cores_busy")
+	for _, c := range all {
+		fmt.Fprintf(t, "%s\t%d\t%g\t%.2f\t%.1f\t%.1f\t%.1f\t%.2f\t%.0f\t%.0f\t%d\t%.0f\t%.1f\n", c.Which, c.Servers, c.AskedS, c.CPUPct,
+			c.MemoryMB, c.CallsS, c.ProbesS, c.ListCalls, c.ListIn, c.ListOut, c.Whole,
+			c.StallMs, c.Machine)
+	}
+	fmt.Fprintln(t)
+	return t.Flush()
+}
--- a/internal/lab/hollow/scenes.go
+++ b/internal/lab/hollow/scenes.go
@@ -20,13 +20,15 @@
 	Changes  int           // single changes of the list that are timed
 	Burst    int           // changes of the list one after another
 	Gap      time.Duration // between those
+	Settle   time.Duration // for which a new rate of calls goes on before it is looked at
+	Zone     time.Duration // for which a zone that is lost or back is looked at: much less than it takes to get warm
 	Within   time.Duration // in which a change has to be in force
 }
 
 // Usual is the plan of the page.
 func Usual() Plan {
 	return Plan{Window: 10 * time.Second, CallsAll: 4000, CallsOne: 40, Restart: 300, Changes: 5, Burst: 40, Gap: 100 * time.Millisecond,
-		Within: 12 * time.Second}
+		Settle: time.Second, Zone: 2 * time.Second, Within: 12 * time.Second}
 }
 
 // Figure is one of a row. Its name ends in its unit.
@@ -59,11 +61,13 @@
 	*world
 	plan Plan
 	rows []Row
+	busy *neighbours
 }
 
 // Play plays all scenes with one fleet.
 func Play(ctx context.Context, set Setup, plan Plan) (rows []Row, err error) {
-	began := time.Now()
+	began, busy := time.Now(), watchNeighbours()
+	defer busy.close()
 	w, times, err := build(ctx, set)
 	defer func() {
 		if ended := w.close(); err == nil {
@@ -73,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &play{world: w, plan: plan}
+	p := &play{world: w, plan: plan, busy: busy}
 	after, err := w.count()
 	if err != nil {
 		return nil, err
@@ -99,6 +103,8 @@
 }
 
 func (p *play) row(scene string, figures []Figure) {
+	late, cores := p.busy.look()
+	figures = append(figures, Figure{"stall_ms", ms(late)}, Figure{"machine_cores_busy", cores})
 	p.rows = append(p.rows, Row{Scene: scene, Kind: p.set.Kind, Sidecars: p.set.Sidecars, Servers: p.set.Servers, Figures: figures})
 }
 
@@ -138,13 +144,11 @@
 // calls is an ordinary minute with calls.
 func (p *play) calls() error { return p.minute("calls", p.rate()) }
 
-const settle = time.Second // for which a new rate of calls goes on before it is looked at
-
 func (p *play) minute(scene string, rate float64) error {
 	if _, err := all(p.hollow, order{Op: "calls", PerS: rate}); err != nil {
 		return err
 	}
-	time.Sleep(settle)
+	time.Sleep(p.plan.Settle)
 	u, long, err := p.during(p.sleep(p.plan.Window))
 	if err != nil {
 		return err
@@ -241,15 +245,13 @@
 
 func ms(d time.Duration) float64 { return d.Seconds() * 1e3 }
 
-const coldLook = 2 * time.Second // for which a zone that is back is looked at: it is far from warm then
-
 // zone loses a zone, an eighth of the servers, under calls: they refuse connections and discovery knows at once. Then they come
 // back as new processes.
 func (p *play) zone() error {
 	if _, err := all(p.hollow, order{Op: "calls", PerS: p.rate()}); err != nil {
 		return err
 	}
-	time.Sleep(settle)
+	time.Sleep(p.plan.Settle)
 	var lost []peers.Member
 	var gone []string
 	for _, m := range p.members {
@@ -265,7 +267,7 @@
 			return err
 		}
 		times, err = p.change(lost, p.plan.Within)
-		time.Sleep(coldLook)
+		time.Sleep(p.plan.Zone)
 		return err
 	})
 	if err != nil {
@@ -285,7 +287,7 @@
 	}
 	if u, long, err = p.during(func() (err error) {
 		times, err = p.change(back, p.plan.Within)
-		time.Sleep(coldLook)
+		time.Sleep(p.plan.Zone)
 		return err
 	}); err != nil {
 		return err
--- a/internal/lab/hollow/sidecar.go
+++ b/internal/lab/hollow/sidecar.go
@@ -193,13 +193,15 @@
 	patience := config.Duration(cfg.Settings.Classes[0].HardLimitMs)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	next := time.Now()
 	for n := 0; ; n++ {
 		rate := float64(s.rate.Load()) / 1e3
-		wait := callLook
 		if rate > 0 {
-			wait = time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+			next = next.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second))) // whatever the last one took
+		} else {
+			next = time.Now().Add(callLook)
 		}
-		timer.Reset(wait)
+		timer.Reset(time.Until(next))
 		select {
 		case <-ctx.Done():
 			return
