--- a/cmd/planklab/main_test.go
+++ b/cmd/planklab/main_test.go
@@ -49,6 +49,10 @@
 		{"capacity --help", 0, "--quick"},
 		{"capacity --program /nowhere", exitUsage, "/nowhere"},
 		{"capacity --program HERE --most 0s", exitUsage, "--most"},
+		{"fleet-scenes --help", 0, "on_request"},
+		{"fleet-scenes --kind tea", exitUsage, "tea"},
+		{"fleet-scenes --servers 3", exitUsage, "--servers"},
+		{"fleet-scenes --sidecars 0 --watch DIR/playback.json", exitBroken, "plankrouter.watch"},
 		{"handover --program HERE --keep /dev/null/x", exitBroken, "/dev/null"},
 	} {
 		var out bytes.Buffer
