planklab overload: a first form of the scale test of overload in the emulator

Change: the emulator's servers can wait for others in their slots, tell no load, drop what waits and was cancelled; work can be lognormal with a noise for each attempt; a zone can fall silent. planklab overload plays sidecars by loads by reports by events and prints a table, also by second.

--- a/cmd/planklab/main.go
+++ b/cmd/planklab/main.go
@@ -32,6 +32,7 @@
 	Load     loadCommand     `cmd:"" help:"Sends load that does not wait for answers, and measures it."`
 	Fleet    fleetCommand    `cmd:"" help:"Counts what a whole fleet did to servers and directory, from its sidecars' logs."`
 	Emulate  emulateCommand  `cmd:"" help:"A fleet in virtual time: troubles, a judge, and policies to compare."`
+	Overload overloadCommand `cmd:"" help:"The scale test of overload, in virtual time: the same traffic by ever more sidecars."`
 }
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/lab/emulator/config.go
+++ b/internal/lab/emulator/config.go
@@ -45,8 +45,11 @@
 // Class is a class of requests.
 type Class struct {
 	Name       string  `json:"name"`
-	Share      float64 `json:"share"` // of the first tries
-	WorkMs     float64 `json:"work_ms"`
+	Share      float64 `json:"share"`   // of the first tries
+	WorkMs     float64 `json:"work_ms"` // mean; exponential, or lognormal where there is a Spread
+	WaitMs     float64 `json:"wait_ms"` // mean of what it then waits for others: it holds its slot, but no core
+	Spread     float64 `json:"spread"`  // coefficient of variation of WorkMs and of WaitMs; 0 = both are exponential
+	Noise      float64 `json:"noise"`   // the same of a factor to the work, drawn for each attempt; 0 = none
 	AimMs      float64 `json:"aim_ms"`
 	DeadlineMs float64 `json:"deadline_ms"` // for all tries together
 	Worth      float64 `json:"worth"`
@@ -84,6 +87,9 @@
 	ProbesMost  float64 `json:"probes_most"`  // a second, beyond which they are turned away
 	ReportEvery float64 `json:"report_ms"`    // between two refreshes of what probes report
 	ReportNoise float64 `json:"report_noise"` // standard deviation, as a part of the figure
+	NoReport    bool    `json:"no_report"`    // probes are answered without any load report
+
+	DropsCancelled bool `json:"drops_cancelled"` // what waits for a slot leaves when its attempt ends at the sidecar
 }
 
 // Network is what lies between. Delays are one way, in ms.
@@ -250,7 +256,8 @@
 		classes += k.Share
 		at := fmt.Sprintf("classes[%d].", i)
 		bounds = append(bounds, bound{at + "share", k.Share, 0, inf}, bound{at + "work_ms", k.WorkMs, 0.001, inf},
-			bound{at + "aim_ms", k.AimMs, 1, inf}, bound{at + "deadline_ms", k.DeadlineMs, 1, inf},
+			bound{at + "wait_ms", k.WaitMs, 0, inf}, bound{at + "spread", k.Spread, 0, 10},
+			bound{at + "noise", k.Noise, 0, 10}, bound{at + "aim_ms", k.AimMs, 1, inf}, bound{at + "deadline_ms", k.DeadlineMs, 1, inf},
 			bound{at + "worth", k.Worth, 0, inf}, bound{at + "late_worth", k.LateWorth, 0, 1})
 	}
 	for i, t := range c.Tenants {
--- a/internal/lab/emulator/judge.go
+++ b/internal/lab/emulator/judge.go
@@ -85,6 +85,7 @@
 
 	all      part
 	seconds  []part // by the second of the arrival
+	inTime   []part // the same, each request counting for one
 	classes  []part
 	tenants  []part // within their shares
 	quota    []bucket
@@ -115,7 +116,8 @@
 func newJudge(w *world) *judge {
 	j := &judge{w: w, broken: map[Rule]int{}, classes: make([]part, len(w.cfg.Classes)),
 		tenants: make([]part, len(w.cfg.Tenants)), quota: make([]bucket, len(w.cfg.Tenants)),
-		seconds: make([]part, int(math.Ceil(w.cfg.Seconds)))}
+		seconds: make([]part, int(math.Ceil(w.cfg.Seconds))),
+		inTime:  make([]part, int(math.Ceil(w.cfg.Seconds)))}
 	for t := range j.quota {
 		j.quota[t] = bucket{max(5, w.cfg.quota(t)), lead}
 	}
@@ -154,6 +156,7 @@
 	j.askedN++
 	j.tally.Asked++
 	j.workAsk += a.work
+	j.inTime[int((a.at-lead)/1000)].asked++
 	j.each(a, func(p *part, worth float64) { p.asked += worth })
 	return inShare
 }
@@ -191,6 +194,7 @@
 	} else {
 		j.inAim++
 		j.tally.InAim++
+		j.inTime[int((a.at-lead)/1000)].got++
 	}
 	j.each(a, func(p *part, worth float64) { p.got += worth * share })
 }
@@ -254,6 +258,9 @@
 
 func (j *judge) ended(a *attempt, s logic.Status) {
 	j.log(a.req, step{what: "ended", server: a.at.id, status: s})
+	if s == logic.TimedOut {
+		j.tally.TimedOut++
+	}
 }
 
 // answer is the policy's Refuse or Fail, before it is carried out.
--- a/internal/lab/emulator/network.go
+++ b/internal/lab/emulator/network.go
@@ -44,6 +44,7 @@
 	conn    *conn
 	began   logic.Ms
 	work    float64 // that the server puts into it
+	queued  *job    // of it, while that waits for a slot
 	written bool    // its last byte is on its way: it may run from here on
 	ended   bool
 }
--- /dev/null
+++ b/internal/lab/emulator/overload.go
@@ -0,0 +1,259 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Overload is one run of the scale test of overload: the same servers and the same traffic in all, shared by so many
+// sidecars. docs/operate/emulator.md has the figures of its world.
+type Overload struct {
+	Sidecars int     `json:"sidecars"`
+	Servers  int     `json:"servers"`
+	Load     float64 `json:"load"`    // first tries over what the servers' cores can do, both a second
+	Reports  bool    `json:"reports"` // probes tell what is in flight
+	Event    string  `json:"event"`   // one of OverloadEvents
+	Seed     uint64  `json:"seed"`    // of the day
+	Policy   string  `json:"policy"`
+}
+
+// OverloadEvents are what can happen on a day of the scale test: nothing; three times the traffic for two seconds; half
+// as much again for five; a zone, of five, out of reach for five.
+func OverloadEvents() []string { return []string{"none", "burst", "swell", "zone"} }
+
+const (
+	overloadLength = 30.0 // s
+	overloadFrom   = 4.0  // s from which the calm part counts,
+	overloadAt     = 10.0 // to the event, also where there is none
+	overloadBack   = 5.0  // s after the event's end from which the part after it counts
+	overloadStep   = 2    // s over which a share is averaged to say when it is back
+	overloadNear   = 0.05 // of the calm part's share, at which it is
+)
+
+// overloadEvent is the trouble of an event, and how long it lasts in s.
+func overloadEvent(name string) (troubles []Trouble, long float64, err error) {
+	switch name {
+	case "none":
+		return nil, 0, nil
+	case "burst":
+		return []Trouble{{Name: "surge", At: overloadAt, For: 2, Size: 3}}, 2, nil
+	case "swell":
+		return []Trouble{{Name: "surge", At: overloadAt, For: 5, Size: 1.5}}, 5, nil
+	case "zone":
+		return []Trouble{{Name: "silence", At: overloadAt, For: 5, Zone: 1}}, 5, nil
+	}
+	return nil, 0, fmt.Errorf("event: there is no %q; there are %v", name, OverloadEvents())
+}
+
+// Config is the run's day: servers of two cores that queue hundreds and that choke when too much is in flight, requests
+// that may not be repeated, half of whose time is a wait for others, and clients that come again after a refusal.
+func (o Overload) Config() (Config, error) {
+	c := Default(o.Sidecars, o.Servers)
+	c.Seconds, c.Seed, c.Policy = overloadLength, o.Seed, o.Policy
+	c.Kinds = []Kind{{Share: 0.44, Cores: 2, Speed: [2]float64{1.5, 2.1}},
+		{Share: 0.56, Cores: 2, Speed: [2]float64{0.77, 1}}}
+	const work, cores = 139, 2
+	speed := 0.0
+	for _, k := range c.Kinds {
+		speed += k.Share * (k.Speed[0] + k.Speed[1]) / 2
+	}
+	bear := float64(o.Servers) * cores * speed * 1000 / work
+	c.Rate = o.Load * bear
+	c.Classes = []Class{{Name: "hold", Share: 1, WorkMs: work, WaitMs: 139, Spread: 0.5, Noise: 0.45, AimMs: 1000,
+		DeadlineMs: 5000, Worth: 1, Unsafe: true}}
+	c.Tenants = nil
+	for i, share := range []float64{0.24, 0.22, 0.22, 0.1, 0.08, 0.05, 0.05, 0.04} {
+		c.Tenants = append(c.Tenants, Tenant{Name: fmt.Sprint("tenant-", i+1), Share: share, Quota: 0.785 * bear * share})
+	}
+	s := &c.Server
+	s.Slots, s.Room, s.CrowdLoss = 19, 1000, 0
+	s.JamWaiting, s.JamAfter, s.JamSlow = 4.5, 2000, 2.9 // 5.5 in flight for each core
+	s.JamIdle, s.JamClears, s.JamMost = 1.8, 3500, 25000
+	s.Connections, s.TableLoss, s.Handshake, s.ProbeWork = 3600, 0.09, 2, 1
+	s.NoReport, s.ReportEvery, s.ReportNoise = !o.Reports, 100, 0.09
+	c.Network = Network{Near: 0.2, Far: [2]float64{1.4, 2.6}, Jitter: 0.1, ConnectTimeout: 250}
+	c.Clients = Clients{Retries: 3, Wait: 100, Patience: [2]float64{0.3, 0.55}, Impatient: 0.005}
+	r := &c.Rules
+	r.Grace, r.ColdShare, r.WarmWithin, r.TipMultiple, r.TipWindow = 1000, 0.32, 8200, 3, 2000
+	r.MaxAttempts, r.OverWorth, r.CrossPrice, r.WastePrice, r.ProbePrice = 6, 0.1, 0.01, 0.05, 0.01
+	var err error
+	c.Troubles, _, err = overloadEvent(o.Event)
+	if err != nil {
+		return c, err
+	}
+	return c, c.Check()
+}
+
+// OverloadResult is what became of a run. Shares are of first tries, answered within the aim.
+type OverloadResult struct {
+	Overload
+	Share    float64 `json:"share"` // of the whole day
+	Worth    float64 `json:"worth"` // the same by worth: what is beyond a tenant's share counts a tenth
+	Before   float64 `json:"before"`
+	During   float64 `json:"during"`  // up to 5 s after the event's end
+	After    float64 `json:"after"`   // from then on
+	Back     float64 `json:"back_s"`  // after the event's end until it is within 0.05 of Before for good; -1 = never
+	Refused  float64 `json:"refused"` // answers of sidecars for each first try, as the next
+	Failed   float64 `json:"failed"`
+	Tries    float64 `json:"tries"`     // for each first try, as the next three
+	Attempts float64 `json:"attempts"`  //
+	TimedOut float64 `json:"timed_out"` // attempts
+	Probes   float64 `json:"probes"`
+	Shakes   float64 `json:"handshakes"`
+	Conns    float64 `json:"connections"` // for each server, on average
+	Choked   float64 `json:"choked"`      // part of the servers, on average from the event on
+	Waste    float64 `json:"waste"`
+	Broken   int     `json:"broken"` // breaches
+	Rows     []Row   `json:"rows"`
+	Report   *Report `json:"-"`
+}
+
+// Play plays the run.
+func (o Overload) Play(ctx context.Context) (*OverloadResult, error) {
+	cfg, err := o.Config()
+	if err != nil {
+		return nil, err
+	}
+	report, err := Run(ctx, cfg, Options{})
+	if err != nil {
+		return nil, err
+	}
+	_, long, _ := overloadEvent(o.Event)
+	r := &OverloadResult{Overload: o, Worth: report.Service, Attempts: report.Attempts, Probes: report.Probes,
+		Shakes: report.Handshakes, Conns: report.ConnsMean, Waste: report.Waste, Rows: report.Rows, Report: report}
+	asked := math.Max(1, float64(report.Requests))
+	r.Share = float64(report.InAim) / asked
+	ends := overloadAt + long
+	r.Before = inTime(report.Rows, overloadFrom, overloadAt)
+	r.During = inTime(report.Rows, overloadAt, ends+overloadBack)
+	r.After = inTime(report.Rows, ends+overloadBack, overloadLength)
+	r.Back = back(report.Rows, int(ends), r.Before-overloadNear)
+	for i, row := range report.Rows {
+		r.Refused += float64(row.Refused) / asked
+		r.Failed += float64(row.Failed) / asked
+		r.Tries += float64(row.Tries) / asked
+		r.TimedOut += float64(row.TimedOut) / asked
+		if i >= overloadAt && i < overloadLength {
+			r.Choked += float64(row.Jammed) / float64(o.Servers) / (overloadLength - overloadAt)
+		}
+	}
+	for _, n := range report.Broken {
+		r.Broken += n
+	}
+	return r, nil
+}
+
+// inTime is the share of the first tries of those seconds that were answered within the aim.
+func inTime(rows []Row, from, to float64) float64 {
+	p := part{}
+	for _, r := range rows[min(len(rows), int(from)):min(len(rows), int(to))] {
+		p.asked, p.got = p.asked+float64(r.Asked), p.got+r.InTime*float64(r.Asked)
+	}
+	return p.share()
+}
+
+// back is how long after a second the share, averaged, reaches want and stays; -1 if it doesn't.
+func back(rows []Row, from int, want float64) float64 {
+	last := int(overloadLength) - overloadStep
+	for at := last; at >= from; at-- {
+		if inTime(rows, float64(at), float64(at+overloadStep)) >= want {
+			continue
+		}
+		if at == last {
+			return -1
+		}
+		return float64(at + 1 - from)
+	}
+	return 0
+}
+
+// PlayOverloads plays runs, workers of them side by side, in the order given. done, if there is one, is told of each
+// that has ended, one at a time.
+func PlayOverloads(ctx context.Context, runs []Overload, workers int, done func(*OverloadResult)) ([]*OverloadResult,
+	error) {
+	if len(runs) == 0 {
+		return nil, errors.New("overload: no runs")
+	}
+	results := make([]*OverloadResult, len(runs))
+	finished := make(chan *OverloadResult)
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(max(1, workers))
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		for r := range finished {
+			if done != nil {
+				done(r)
+			}
+		}
+	}()
+	for i, o := range runs {
+		g.Go(func() (err error) {
+			if results[i], err = o.Play(ctx); err == nil {
+				finished <- results[i]
+			}
+			return err
+		})
+	}
+	err := g.Wait()
+	close(finished)
+	<-told
+	if err != nil {
+		return nil, err
+	}
+	return results, nil
+}
+
+// WriteOverloads writes a table, a line for each run, with the difference of After to that of the run with the fewest
+// sidecars that is otherwise the same.
+func WriteOverloads(out io.Writer, results []*OverloadResult, bySecond bool) error {
+	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "event\treports\tload\tseed\tsidecars\tshare\tworth\tbefore\tduring\tafter\tto fewest\tback s\trefused\tfailed\t"+
+		"tries\tattempts\ttimed out\tchoked\twaste\tprobes\thandshakes\tconns\tbroken\t")
+	for _, r := range results {
+		fewest := r
+		for _, o := range results {
+			same := o.Overload
+			same.Sidecars = r.Sidecars
+			if same == r.Overload && o.Sidecars < fewest.Sidecars {
+				fewest = o
+			}
+		}
+		fmt.Fprintf(t, "%s\t%t\t%g\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%+.3f\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%.2f\t"+
+			"%.2f\t%.2f\t%.2f\t%.0f\t%d\t\n", r.Event, r.Reports, r.Load, r.Seed, r.Sidecars, r.Share, r.Worth, r.Before,
+			r.During, r.After, r.After-fewest.After, r.Back, r.Refused, r.Failed, r.Tries, r.Attempts, r.TimedOut, r.Choked,
+			r.Waste, r.Probes, r.Shakes, r.Conns, r.Broken)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, r := range results {
+		if !bySecond {
+			break
+		}
+		fmt.Fprintf(out, "\n%s, reports %t, load %g, seed %d, %d sidecars, by second of the first try (share) or of the happening:\n",
+			r.Event, r.Reports, r.Load, r.Seed, r.Sidecars)
+		fmt.Fprintln(t, "second\tasked\tshare\ttries\tattempts\trefused\tfailed\ttimed out\theld/server\tmost\tchoked\tprobes\tconns\t")
+		for _, w := range r.Rows {
+			fmt.Fprintf(t, "%d\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%.1f\t%d\t%d\t%d\t%d\t\n", w.Second, w.Asked, w.InTime, w.Tries,
+				w.Sent, w.Refused, w.Failed, w.TimedOut, float64(w.Held)/float64(r.Servers), w.Most, w.Jammed, w.Probes,
+				w.Conns)
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteOverloadsJSON writes all runs with their seconds.
+func WriteOverloadsJSON(out io.Writer, results []*OverloadResult) error {
+	return json.NewEncoder(out).Encode(results)
+}
--- a/internal/lab/emulator/report.go
+++ b/internal/lab/emulator/report.go
@@ -79,6 +79,10 @@
 	Jammed  int // servers
 	Silent  int // servers
 	Service float64
+	InTime  float64 // part of the first tries of that second that were answered within the aim
+
+	Tries    int // that reached a sidecar, first ones included
+	TimedOut int // attempts
 }
 
 // row ends a second.
@@ -159,7 +163,7 @@
 	r.ConnsMean /= max(1, float64(looks))
 	for i := range r.Rows {
 		if i < len(j.seconds) {
-			r.Rows[i].Service = j.seconds[i].share()
+			r.Rows[i].Service, r.Rows[i].InTime = j.seconds[i].share(), j.inTime[i].share()
 		}
 	}
 	return r
@@ -231,14 +235,15 @@
 func (r *Report) WriteRows(out io.Writer) error {
 	c := csv.NewWriter(out)
 	c.Write([]string{"second", "asked", "in_aim", "late", "refused", "failed", "sent", "probes", "held", "held_most",
-		"connections", "jammed", "silent", "service"})
+		"connections", "jammed", "silent", "service", "in_time", "tries", "timed_out"})
 	for _, w := range r.Rows {
 		var cells []string
 		for _, n := range []int{w.Second, w.Asked, w.InAim, w.Late, w.Refused, w.Failed, w.Sent, w.Probes, w.Held,
 			w.Most, w.Conns, w.Jammed, w.Silent} {
 			cells = append(cells, strconv.Itoa(n))
 		}
-		c.Write(append(cells, strconv.FormatFloat(w.Service, 'f', 4, 64)))
+		c.Write(append(cells, strconv.FormatFloat(w.Service, 'f', 4, 64), strconv.FormatFloat(w.InTime, 'f', 4, 64),
+			strconv.Itoa(w.Tries), strconv.Itoa(w.TimedOut)))
 	}
 	c.Flush()
 	return c.Error()
--- a/internal/lab/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -28,9 +28,11 @@
 type job struct {
 	att   *attempt
 	work  float64
+	wait  logic.Ms // that follows in its slot, without a core
 	came  logic.Ms
 	began logic.Ms
 	ends  float64 // in the server's own progress; see machine.v
+	gone  bool    // its attempt has ended while it waited for a slot
 }
 
 // machine is one server: limited processor sharing. Up to Slots requests share the cores evenly, none gets more than
@@ -51,6 +53,8 @@
 	running []*job // a heap by ends
 	waiting []*job // from head on
 	head    int
+	gone    int    // of waiting, from head on
+	resting int    // in a slot, but waiting for others
 	next    uint64 // number of the completion that counts
 
 	host     *host   // what it runs on
@@ -92,7 +96,7 @@
 	told bool // the sidecar had been told of the start
 }
 
-func (m *machine) held() int { return len(m.running) + len(m.waiting) - m.head }
+func (m *machine) held() int { return len(m.running) + m.resting + len(m.waiting) - m.head - m.gone }
 
 func (m *machine) warmth() float64 {
 	if m.startedAt <= 0 || m.warmIn <= 0 {
@@ -196,11 +200,16 @@
 		return
 	}
 	m.settle()
-	j := &job{att: a, work: a.req.ask.work * m.slow, came: m.w.now}
+	class := &m.w.cfg.Classes[a.req.ask.class]
+	j := &job{att: a, work: a.req.ask.work * m.slow, wait: a.req.ask.wait, came: m.w.now}
+	if class.Noise > 0 {
+		j.work *= lognormal(m.w.rngServers, 1, class.Noise)
+	}
 	a.work = j.work
-	if len(m.running) < set.Slots {
+	if len(m.running)+m.resting < set.Slots {
 		m.begin(j)
 	} else {
+		a.queued = j
 		m.waiting = append(m.waiting, j)
 	}
 	m.resume()
@@ -217,7 +226,17 @@
 	h[i] = j
 }
 
-// complete ends the request that is done.
+// drop takes a out of the waiting ones, if it is still among them.
+func (m *machine) drop(a *attempt, life int) {
+	if j := a.queued; j != nil && m.life == life {
+		a.queued, j.gone = nil, true
+		m.gone++
+		m.settle()
+		m.resume()
+	}
+}
+
+// complete ends the work of the request that is done.
 func (m *machine) complete() {
 	m.settle()
 	h := m.running
@@ -236,20 +255,50 @@
 		}
 		h[i], i = h[c], c
 	}
+	m.w.judge.worked(j.work)
+	if j.wait <= 0 {
+		m.leave(j)
+		return
+	}
+	m.resting++
+	m.resume()
+	life := m.life
+	var leave func()
+	leave = func() {
+		switch {
+		case life != m.life:
+		case m.paused:
+			m.w.after(tickEvery, leave)
+		default:
+			m.settle()
+			m.resting--
+			m.leave(j)
+		}
+	}
+	m.w.after(j.wait, leave)
+}
+
+// leave answers j and gives its slot to the next.
+func (m *machine) leave(j *job) {
 	took := m.w.now - j.began
 	if m.latency == 0 {
 		m.latency = took
 	}
 	m.latency += latencyStep * (took - m.latency)
-	m.w.judge.worked(j.work)
-	if m.head < len(m.waiting) {
-		m.begin(m.waiting[m.head])
+	for begun := false; m.head < len(m.waiting) && !begun; {
+		next := m.waiting[m.head]
 		m.waiting[m.head] = nil
 		m.head++
 		if 2*m.head >= len(m.waiting) {
 			m.waiting = append(m.waiting[:0], m.waiting[m.head:]...)
 			m.head = 0
 		}
+		if next.gone {
+			m.gone--
+			continue
+		}
+		next.att.queued, begun = nil, true
+		m.begin(next)
 	}
 	m.resume()
 	m.reply(j.att, logic.OK, logic.Report{})
@@ -272,6 +321,10 @@
 	m.settle()
 	m.busy(set.ProbeWork)
 	noise := func() float64 { return max(0, 1+set.ReportNoise*m.w.rngServers.NormFloat64()) }
+	if set.NoReport {
+		m.reply(a, logic.OK, logic.Report{})
+		return
+	}
 	m.reply(a, logic.OK, logic.Report{HasRIF: true, RIF: math.Round(m.reportRIF * noise()),
 		HasLatency: true, Latency: m.latency * noise()})
 }
@@ -315,7 +368,7 @@
 func (m *machine) forget() {
 	m.settle()
 	m.life++
-	m.v, m.running, m.waiting, m.head = 0, nil, nil, 0
+	m.v, m.running, m.waiting, m.head, m.gone, m.resting = 0, nil, nil, 0, 0, 0
 	m.jammed, m.crowded, m.idle, m.latency, m.overhead = false, -1, -1, 0, 0
 	m.pressure, m.pushed, m.reportRIF = nil, 0, 0
 	conns := m.conns
--- a/internal/lab/emulator/sidecar.go
+++ b/internal/lab/emulator/sidecar.go
@@ -313,6 +313,10 @@
 			k.idle = append(k.idle, c)
 		}
 	}
+	if sc.w.cfg.Server.DropsCancelled && a.written && (status == logic.Cancelled || status == logic.TimedOut) {
+		m, life := a.at, a.at.life
+		sc.w.after(sc.w.delay(sc.zone, m.zone), func() { m.drop(a, life) })
+	}
 	took := sc.w.now - a.began
 	if a.req == nil {
 		sc.step(logic.Event{Kind: logic.ProbeDone, Server: a.at.id, Status: status, Took: took, Report: report})
--- a/internal/lab/emulator/trouble.go
+++ b/internal/lab/emulator/trouble.go
@@ -20,6 +20,7 @@
 	Size  float64 `json:"size"`
 	Every float64 `json:"every_s"`
 	Class string  `json:"class"` // of costly requests
+	Zone  int     `json:"zone"`  // with silence: this zone, from 1, whose processes live on; 0 = a part of all servers
 }
 
 func (t Trouble) String() string {
@@ -36,6 +37,9 @@
 	if t.Class != "" {
 		s += ", class " + t.Class
 	}
+	if t.Zone > 0 {
+		s += fmt.Sprintf(", zone %d", t.Zone)
+	}
 	return s
 }
 
@@ -104,6 +108,8 @@
 		return fmt.Errorf("%s: a figure is below 0, or part above 1: %v", t.Name, *t)
 	case t.Size >= 1 && (t.Name == "neighbour" || t.Name == "deploy") || t.Size > 1 && t.Name == "failures":
 		return fmt.Errorf("%s: size: %v; it is a part, below 1", t.Name, t.Size)
+	case t.Zone < 0 || t.Zone > c.Zones:
+		return fmt.Errorf("%s: zone: %d; want 0 to %d", t.Name, t.Zone, c.Zones)
 	case t.Class != "" && !slices.ContainsFunc(c.Classes, func(k Class) bool { return k.Name == t.Class }):
 		return fmt.Errorf("%s: class: there is no %q", t.Name, t.Class)
 	}
@@ -176,6 +182,10 @@
 }
 
 func silence(w *world, t Trouble, rng *rand.Rand) {
+	if t.Zone > 0 {
+		silentZone(w, t)
+		return
+	}
 	upon(w, t, rng, func(m *machine) { m.phase = silent }, func(m *machine) {
 		if m.phase == silent {
 			m.start()
@@ -183,6 +193,23 @@
 	})
 }
 
+// silentZone lets nothing into or out of the servers of a zone. They work on meanwhile.
+func silentZone(w *world, t Trouble) {
+	w.note("silence begins in zone %d", t.Zone)
+	for _, m := range w.alive() {
+		if m.zone != t.Zone-1 || m.phase != serving {
+			continue
+		}
+		m.phase = silent
+		w.after(t.For*1000, func() {
+			if m.phase == silent {
+				m.phase = serving
+			}
+		})
+	}
+	w.after(t.For*1000, func() { w.note("silence ends") })
+}
+
 func failures(w *world, t Trouble, rng *rand.Rand) {
 	upon(w, t, rng, func(m *machine) { m.failing = t.Size }, func(m *machine) { m.failing = 0 })
 }
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -185,6 +185,12 @@
 
 func between(rng *rand.Rand, r [2]float64) float64 { return r[0] + rng.Float64()*(r[1]-r[0]) }
 
+// lognormal draws from the distribution with that mean and coefficient of variation.
+func lognormal(rng *rand.Rand, mean, cv float64) float64 {
+	variance := math.Log(1 + cv*cv)
+	return mean * math.Exp(math.Sqrt(variance)*rng.NormFloat64()-variance/2)
+}
+
 // pick draws one of n by weight.
 func pick(rng *rand.Rand, n int, weight func(int) float64) int {
 	all := 0.0
@@ -215,6 +221,7 @@
 	sidecar       int
 	patience      float64
 	work          float64
+	wait          logic.Ms
 	inShare       bool
 	tries         int
 	settled       bool
@@ -244,7 +251,11 @@
 		class := &cfg.Classes[a.class]
 		a.endAt = a.at + class.DeadlineMs
 		a.patience = between(rng, cfg.Clients.Patience) * class.DeadlineMs
-		a.work = rng.ExpFloat64() * class.WorkMs
+		if class.Spread > 0 {
+			a.work, a.wait = lognormal(rng, class.WorkMs, class.Spread), lognormal(rng, class.WaitMs, class.Spread)
+		} else if a.work = rng.ExpFloat64() * class.WorkMs; class.WaitMs > 0 {
+			a.wait = rng.ExpFloat64() * class.WaitMs
+		}
 		dear := rng.Float64() // drawn on every day, so that days with and without costly ones are otherwise the same
 		for _, c := range w.costly {
 			if c.class == a.class && dear < c.part {
@@ -262,6 +273,7 @@
 func (w *world) try(a *ask) {
 	left := min(a.patience, a.endAt-w.now)
 	a.tries++
+	w.judge.tally.Tries++
 	sc := w.sidecars[a.sidecar]
 	if !sc.up {
 		w.again(a, true)
