emulator: tests of the overload runs and of what their servers do

While writing them: a run whose share was next to nothing before the event counted as back.

Change: tests against M/G/1 (lognormal work, noise, waits in a slot), of queues that drop what was cancelled, of probes without a load, a silent zone, one traffic for any number of sidecars, and of the time to come back; back is now measured from the best share before the event among the sizes.

--- a/cmd/planklab/main_test.go
+++ b/cmd/planklab/main_test.go
@@ -46,6 +46,11 @@
 		{"emulate --trouble tea", exitUsage, `"tea"`},
 		{"emulate --for 0s", exitUsage, "seconds"},
 		{"emulate --against-with least --csv x", exitUsage, "--csv"},
+		{"overload --help", 0, "swell"},
+		{"overload --events tea", exitUsage, `"tea"`},
+		{"overload --reports some", exitUsage, "none or full"},
+		{"overload --servers 20000", exitUsage, "servers"},
+		{"overload --policy tea", exitUsage, `"tea"`},
 		{"handover --program HERE --keep /dev/null/x", exitBroken, "/dev/null"},
 	} {
 		var out bytes.Buffer
--- a/internal/lab/emulator/overload.go
+++ b/internal/lab/emulator/overload.go
@@ -123,12 +123,11 @@
 	if err != nil {
 		return nil, err
 	}
-	_, long, _ := overloadEvent(o.Event)
 	r := &OverloadResult{Overload: o, Worth: report.Service, Attempts: report.Attempts, Probes: report.Probes,
 		Shakes: report.Handshakes, Conns: report.ConnsMean, Waste: report.Waste, Rows: report.Rows, Report: report}
 	asked := math.Max(1, float64(report.Requests))
 	r.Share = float64(report.InAim) / asked
-	ends := overloadAt + long
+	ends := o.ends()
 	r.Before = inTime(report.Rows, overloadFrom, overloadAt)
 	r.During = inTime(report.Rows, overloadAt, ends+overloadBack)
 	r.After = inTime(report.Rows, ends+overloadBack, overloadLength)
@@ -148,6 +147,12 @@
 	return r, nil
 }
 
+// ends is when the event is over, in s.
+func (o Overload) ends() float64 {
+	_, long, _ := overloadEvent(o.Event)
+	return overloadAt + long
+}
+
 // inTime is the share of the first tries of those seconds that were answered within the aim.
 func inTime(rows []Row, from, to float64) float64 {
 	p := part{}
@@ -260,8 +265,8 @@
 	}
 	slices.Sort(sizes)
 	sizes = slices.Compact(sizes)
-	fmt.Fprintln(out, "\nmeans over the seeds: share after the event (of the whole day), runs back to the share before "+
-		"within 5 s of its end")
+	fmt.Fprintln(out, "\nmeans over the seeds: share after the event (of the whole day), runs back to the best share "+
+		"before it within 5 s of its end")
 	fmt.Fprint(t, "event\treports\tload\t")
 	for _, n := range sizes {
 		fmt.Fprintf(t, "%d sidecars\t", n)
@@ -270,19 +275,29 @@
 	for _, row := range rows {
 		fmt.Fprintf(t, "%s\t%t\t%g\t", row.Event, row.Reports, row.Load)
 		least, most := math.Inf(1), math.Inf(-1)
+		target := 0.0 // before the event, by any number of sidecars: what is far below it is not back
+		for _, n := range sizes {
+			var before, runs float64
+			for _, r := range results {
+				if r.Sidecars == n && r.Overload.row() == row {
+					before, runs = before+r.Before, runs+1
+				}
+			}
+			target = max(target, before/max(1, runs))
+		}
 		for _, n := range sizes {
 			var after, share, runs float64
-			back := 0
+			soon := 0
 			for _, r := range results {
 				if r.Sidecars != n || r.Overload.row() != row {
 					continue
 				}
 				after, share, runs = after+r.After, share+r.Share, runs+1
-				if r.Back >= 0 && r.Back <= overloadBack {
-					back++
+				if late := back(r.Rows, int(r.ends()), target-overloadNear); late >= 0 && late <= overloadBack {
+					soon++
 				}
 			}
-			fmt.Fprintf(t, "%.3f (%.3f) %d/%.0f\t", after/runs, share/runs, back, runs)
+			fmt.Fprintf(t, "%.3f (%.3f) %d/%.0f\t", after/runs, share/runs, soon, runs)
 			least, most = min(least, after/runs), max(most, after/runs)
 		}
 		fmt.Fprintf(t, "%.3f\t\n", most-least)
--- /dev/null
+++ b/internal/lab/emulator/overload_test.go
@@ -0,0 +1,167 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"strings"
+	"testing"
+
+	"plankrouter/logic"
+)
+
+func TestWaitsHoldASlotAndNoCore(t *testing.T) {
+	cfg := plain(1, 1e6, 0.5)
+	cfg.Classes[0].WaitMs = 20
+	if r := play(t, cfg, nil); math.Abs(r.MeanMs/40-1) > 0.06 { // 20 ms of M/M/1, shared, and the wait beside it
+		t.Errorf("with a wait of 20 ms: %.2f ms in all, want 40", r.MeanMs)
+	}
+	cfg.Server.Slots = 1
+	cfg.Rate = 0.5 * 1000 / 30
+	if r := play(t, cfg, nil); r.MeanMs < 1.5*30 { // the slot is busy half of the time, the core a sixth
+		t.Errorf("one slot, busy half of the time: %.2f ms in all, want %v at least", r.MeanMs, 1.5*30)
+	}
+}
+
+func TestLognormalWorkQueuesAsTheorySays(t *testing.T) {
+	wait := func(set func(*Class)) (mean float64) {
+		for seed := range uint64(4) {
+			cfg := plain(1, 1, 0.8)
+			cfg.Seed = 1 + seed
+			set(&cfg.Classes[0])
+			mean += play(t, cfg, nil).WaitMs / 4
+		}
+		return mean
+	}
+	const spread = 0.8 / 0.2 * 10 * (1 + 0.5*0.5) / 2 // Pollaczek and Khinchine
+	if got := wait(func(c *Class) { c.Spread = 0.5 }); math.Abs(got/spread-1) > 0.06 {
+		t.Errorf("waits %.2f ms, M/G/1 has %.2f", got, spread)
+	}
+	const noisy = 0.8 / 0.2 * 10 * 4 / 2 // an exponential one times a factor of mean 1 and variance 1
+	if got := wait(func(c *Class) { c.Noise = 1 }); math.Abs(got/noisy-1) > 0.12 {
+		t.Errorf("with noise it waits %.2f ms, M/G/1 has %.2f", got, noisy)
+	}
+}
+
+func TestCancelledWorkLeavesTheQueueWhereToldSo(t *testing.T) {
+	cfg := plain(1, 1, 2)
+	cfg.Classes[0].DeadlineMs, cfg.Seconds = 200, 20
+	kept := play(t, cfg, nil)
+	cfg.Server.DropsCancelled = true
+	dropped := play(t, cfg, nil)
+	if kept.Waste < 0.45 || dropped.Waste > 0.4 || dropped.Requests != kept.Requests {
+		t.Errorf("at twice the load %.2f of the work is in vain, %.2f where what was cancelled leaves the queue",
+			kept.Waste, dropped.Waste)
+	}
+	if most := kept.Rows[19].Held; most < 500 || dropped.Rows[19].Held > 100 {
+		t.Errorf("held at the end: %d, and %d where what was cancelled leaves", most, dropped.Rows[19].Held)
+	}
+}
+
+// hears sees a sidecar's events.
+type hears struct {
+	Policy
+	event func(e *logic.Event)
+}
+
+func (h hears) Handle(now logic.Ms, e *logic.Event, out []logic.Action) []logic.Action {
+	h.event(e)
+	return h.Policy.Handle(now, e, out)
+}
+
+func TestReportsAreTakenAwayAlone(t *testing.T) {
+	for _, none := range []bool{false, true} {
+		cfg := day("module")
+		cfg.Server.NoReport, cfg.Seconds = none, 3
+		answered, told := 0, 0
+		play(t, cfg, func(_ int, p Policy) Policy {
+			return hears{p, func(e *logic.Event) {
+				if e.Kind == logic.ProbeDone && e.Status == logic.OK {
+					if answered++; e.Report != (logic.Report{}) {
+						told++
+					}
+				}
+			}}
+		})
+		if answered < 100 || (told == 0) != none {
+			t.Errorf("no_report %t: %d probes answered, %d of them with a load", none, answered, told)
+		}
+	}
+}
+
+func TestSilentZoneComesBackWarm(t *testing.T) {
+	cfg := day("module", Trouble{Name: "silence", For: 4, Zone: 2})
+	r := play(t, cfg, nil)
+	if r.Rows[1].Silent != 0 || r.Rows[4].Silent != 2 || r.Rows[7].Silent != 0 || !r.Ok() {
+		t.Errorf("a zone of 2 servers is silent from 3 to 7 s: %s", text(t, r))
+	}
+	if all := strings.Join(r.Timeline, "\n"); strings.Contains(all, "pushed over") || !strings.Contains(all, "zone 2") {
+		t.Errorf("its servers should be those of before: %s", all)
+	}
+	cfg.Troubles[0].Zone = 9
+	if _, err := Run(context.Background(), cfg, Options{}); err == nil || !strings.Contains(err.Error(), "zone") {
+		t.Errorf("zone 9 of %d: %v", cfg.Zones, err)
+	}
+}
+
+func TestOverloadsShareOneTraffic(t *testing.T) {
+	var runs []Overload
+	for _, n := range []int{4, 40} {
+		runs = append(runs, Overload{Sidecars: n, Servers: 10, Load: 0.5, Reports: true, Event: "burst", Seed: 3,
+			Policy: "least"})
+	}
+	told := 0
+	results, err := PlayOverloads(context.Background(), runs, 2, func(*OverloadResult) { told++ })
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b := results[0], results[1]
+	if told != 2 || a.Sidecars != 4 || b.Sidecars != 40 || a.Report.Requests != b.Report.Requests {
+		t.Fatalf("%d told; %d sidecars get %d requests, %d get %d", told, a.Sidecars, a.Report.Requests, b.Sidecars,
+			b.Report.Requests)
+	}
+	for i, row := range a.Rows {
+		if row.Asked != b.Rows[i].Asked {
+			t.Errorf("second %d: %d and %d requests", i, row.Asked, b.Rows[i].Asked)
+		}
+	}
+	cfg, err := runs[0].Config()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rate := 0.5 * overloadBears * cfg.capacity() * 1000 / cfg.Classes[0].WorkMs; math.Abs(cfg.Rate-rate) > 1e-9 {
+		t.Errorf("%v requests a second, want %v", cfg.Rate, rate)
+	}
+	var out bytes.Buffer
+	if err := WriteOverloads(&out, results, true); err != nil || strings.Count(out.String(), "\n") < 70 {
+		t.Errorf("%v: %s", err, out.String())
+	}
+	if _, err := (Overload{Sidecars: 1, Servers: 1, Policy: "least", Event: "tea"}).Config(); err == nil ||
+		!strings.Contains(err.Error(), `"tea"`) {
+		t.Errorf("an event that there is not: %v", err)
+	}
+}
+
+func TestBackSaysWhenTheShareIsWhatItWas(t *testing.T) {
+	rows := make([]Row, overloadLength+5)
+	share := func(from, to int, v float64) {
+		for i := from; i < to; i++ {
+			rows[i] = Row{Second: i, Asked: 10, InTime: v}
+		}
+	}
+	share(0, overloadLength, 0.9)
+	if got := back(rows, 12, 0.85); got != 0 {
+		t.Errorf("never away: back after %v s", got)
+	}
+	share(10, 15, 0.1)
+	if got := back(rows, 12, 0.85); got != 3 {
+		t.Errorf("low to 15 s, from 12 s on: back after %v s, want 3", got)
+	}
+	share(10, overloadLength, 0.1)
+	if got := back(rows, 12, 0.85); got != -1 {
+		t.Errorf("low to the end: back after %v s, want -1", got)
+	}
+	if got := inTime(rows, 8, 12); math.Abs(got-0.5) > 1e-9 {
+		t.Errorf("half high, half low: %v", got)
+	}
+}
