--- a/cmd/planklab/overload.go
+++ b/cmd/planklab/overload.go
@@ -19,6 +19,7 @@
 	Events   []string  `default:"burst,zone" placeholder:"E,..." help:"What happens: none, burst, swell, zone (${default})."`
 	Seeds    []uint64  `default:"1" placeholder:"S,..." help:"Of the days (${default})."`
 	Policy   string    `default:"module" placeholder:"NAME" help:"As of emulate (${default})."`
+	Worthy   float64   `placeholder:"P" help:"Part of the requests that is worth five times the others (${default})." default:"0"`
 	JSON     string    `name:"json" placeholder:"FILE" help:"Write the runs with their seconds as JSON, too."`
 	BySecond bool      `help:"Write each run's seconds."`
 	Workers  int       `placeholder:"N" help:"Runs side by side (GOMAXPROCS)."`
@@ -42,7 +43,7 @@
 				for _, seed := range c.Seeds {
 					for _, n := range c.Sidecars {
 						o := emulator.Overload{Sidecars: n, Servers: c.Servers, Load: load, Reports: reports == "full",
-							Event: event, Seed: seed, Policy: c.Policy}
+							Event: event, Seed: seed, Policy: c.Policy, Worthy: c.Worthy}
 						if o.Servers == 0 {
 							o.Servers = n
 						}
--- a/internal/lab/emulator/overload.go
+++ b/internal/lab/emulator/overload.go
@@ -23,6 +23,7 @@
 	Event    string  `json:"event"`   // one of OverloadEvents
 	Seed     uint64  `json:"seed"`    // of the day
 	Policy   string  `json:"policy"`
+	Worthy   float64 `json:"worthy"` // part of the first tries that is worth five times the others
 }
 
 // OverloadEvents are what can happen on a day of the scale test: nothing; three times the traffic for two seconds; half
@@ -66,6 +67,12 @@
 	c.Rate = o.Load * overloadBears * bear
 	c.Classes = []Class{{Name: "hold", Share: 1, WorkMs: work, WaitMs: 139, Spread: 0.5, Noise: 0.45, AimMs: 1000,
 		DeadlineMs: 5000, Worth: 1, Unsafe: true}}
+	if o.Worthy > 0 {
+		worthy := c.Classes[0]
+		worthy.Name, worthy.Share, worthy.Worth = "order", o.Worthy, 5
+		c.Classes[0].Share -= o.Worthy
+		c.Classes = append(c.Classes, worthy)
+	}
 	c.Tenants = nil
 	for i, share := range []float64{0.24, 0.22, 0.22, 0.1, 0.08, 0.05, 0.05, 0.04} {
 		c.Tenants = append(c.Tenants, Tenant{Name: fmt.Sprint("tenant-", i+1), Share: share, Quota: 0.785 * bear * share})
@@ -94,6 +101,7 @@
 	Overload
 	Share    float64 `json:"share"` // of the whole day
 	Worth    float64 `json:"worth"` // the same by worth: what is beyond a tenant's share counts a tenth
+	Best     float64 `json:"best"`  // the same of the worthiest class
 	Before   float64 `json:"before"`
 	During   float64 `json:"during"`  // up to 5 s after the event's end
 	After    float64 `json:"after"`   // from then on
@@ -123,7 +131,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &OverloadResult{Overload: o, Worth: report.Service, Attempts: report.Attempts, Probes: report.Probes,
+	r := &OverloadResult{Overload: o, Worth: report.Service,
+		Best: report.Classes[len(report.Classes)-1].Service, Attempts: report.Attempts, Probes: report.Probes,
 		Shakes: report.Handshakes, Conns: report.ConnsMean, Waste: report.Waste, Rows: report.Rows, Report: report}
 	asked := math.Max(1, float64(report.Requests))
 	r.Share = float64(report.InAim) / asked
@@ -218,11 +227,11 @@
 // sidecars.
 func WriteOverloads(out io.Writer, results []*OverloadResult, bySecond bool) error {
 	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "event\treports\tload\tseed\tsidecars\tshare\tworth\tbefore\tduring\tafter\tback s\trefused\tfailed\t"+
+	fmt.Fprintln(t, "event\treports\tload\tseed\tsidecars\tshare\tworth\tbest class\tbefore\tduring\tafter\tback s\trefused\tfailed\t"+
 		"tries\tattempts\ttimed out\tchoked\twaste\tprobes\thandshakes\tconns\tbroken\t")
 	for _, r := range results {
-		fmt.Fprintf(t, "%s\t%t\t%g\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%.2f\t"+
-			"%.2f\t%.2f\t%.2f\t%.0f\t%d\t\n", r.Event, r.Reports, r.Load, r.Seed, r.Sidecars, r.Share, r.Worth, r.Before,
+		fmt.Fprintf(t, "%s\t%t\t%g\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%.2f\t"+
+			"%.2f\t%.2f\t%.2f\t%.0f\t%d\t\n", r.Event, r.Reports, r.Load, r.Seed, r.Sidecars, r.Share, r.Worth, r.Best, r.Before,
 			r.During, r.After, r.Back, r.Refused, r.Failed, r.Tries, r.Attempts, r.TimedOut, r.Choked, r.Waste, r.Probes,
 			r.Shakes, r.Conns, r.Broken)
 	}
