--- a/cmd/planklab/overload.go
+++ b/cmd/planklab/overload.go
@@ -20,6 +20,8 @@
 	Seeds    []uint64  `default:"1" placeholder:"S,..." help:"Of the days (${default})."`
 	Policy   string    `default:"module" placeholder:"NAME" help:"As of emulate (${default})."`
 	Worthy   float64   `placeholder:"P" help:"Part of the requests that is worth five times the others (${default})." default:"0"`
+	ZoneSkew float64   `placeholder:"P" help:"So much more traffic in the first zone, and less in the last (${default})." default:"0"`
+	Drawn    bool      `help:"Draw work, queues, chokes and the clients' ways from the seed, too."`
 	JSON     string    `name:"json" placeholder:"FILE" help:"Write the runs with their seconds as JSON, too."`
 	BySecond bool      `help:"Write each run's seconds."`
 	Workers  int       `placeholder:"N" help:"Runs side by side (GOMAXPROCS)."`
@@ -43,7 +45,8 @@
 				for _, seed := range c.Seeds {
 					for _, n := range c.Sidecars {
 						o := emulator.Overload{Sidecars: n, Servers: c.Servers, Load: load, Reports: reports == "full",
-							Event: event, Seed: seed, Policy: c.Policy, Worthy: c.Worthy}
+							Event: event, Seed: seed, Policy: c.Policy, Worthy: c.Worthy,
+							ZoneSkew: c.ZoneSkew, Drawn: c.Drawn}
 						if o.Servers == 0 {
 							o.Servers = n
 						}
--- a/internal/lab/emulator/config.go
+++ b/internal/lab/emulator/config.go
@@ -20,6 +20,7 @@
 	Rate       float64 `json:"rate"` // first tries a second, over all sidecars
 	Seconds    float64 `json:"seconds"`
 	Skew       float64 `json:"skew"`        // the i-th sidecar gets a part of the traffic in proportion to i^-skew
+	ZoneSkew   float64 `json:"zone_skew"`   // the first zone's sidecars get so much more than their part, the last one's less
 	Seed       uint64  `json:"seed"`        // of the world
 	PolicySeed uint64  `json:"policy_seed"` // of the sidecars' own choices
 	Policy     string  `json:"policy"`      // one of Policies
@@ -218,7 +219,8 @@
 	bounds := []bound{
 		{"sidecars", float64(c.Sidecars), 1, 1e5}, {"servers", float64(c.Servers), 1, 1e4},
 		{"zones", float64(c.Zones), 1, 100}, {"rate", c.Rate, 0, 1e7}, {"seconds", c.Seconds, 1, 86400},
-		{"skew", c.Skew, 0, 4}, {"server.slots", float64(c.Server.Slots), 1, 1e9},
+		{"skew", c.Skew, 0, 4}, {"zone_skew", c.ZoneSkew, 0, 1},
+		{"server.slots", float64(c.Server.Slots), 1, 1e9},
 		{"server.crowd_from", c.Server.CrowdFrom, 0, inf}, {"server.jam_waiting", c.Server.JamWaiting, 0, inf},
 		{"server.jam_after_ms", c.Server.JamAfter, 0, inf}, {"server.jam_idle", c.Server.JamIdle, 0, inf},
 		{"server.jam_clears_ms", c.Server.JamClears, 0, inf}, {"server.jam_most_ms", c.Server.JamMost, 0, inf},
--- a/internal/lab/emulator/overload.go
+++ b/internal/lab/emulator/overload.go
@@ -23,7 +23,9 @@
 	Event    string  `json:"event"`   // one of OverloadEvents
 	Seed     uint64  `json:"seed"`    // of the day
 	Policy   string  `json:"policy"`
-	Worthy   float64 `json:"worthy"` // part of the first tries that is worth five times the others
+	Worthy   float64 `json:"worthy"`    // part of the first tries that is worth five times the others
+	ZoneSkew float64 `json:"zone_skew"` // as of Config
+	Drawn    bool    `json:"drawn"`     // the servers' and clients' ways are drawn from the seed, around what they else are
 }
 
 // OverloadEvents are what can happen on a day of the scale test: nothing; three times the traffic for two seconds; half
@@ -36,6 +38,7 @@
 	overloadAt     = 10.0 // to the event, also where there is none
 	overloadBack   = 5.0  // s after the event's end from which the part after it counts
 	overloadStep   = 2    // s over which a share is averaged to say when it is back
+	overloadStream = 2000 // of the day's streams
 	overloadNear   = 0.05 // of the calm part's share, at which it is
 	overloadBears  = 0.88 // of what the cores can do: more, and even a policy that sees all chokes servers or turns away
 )
@@ -59,13 +62,22 @@
 // that may not be repeated, half of whose time is a wait for others, and clients that come again after a refusal.
 func (o Overload) Config() (Config, error) {
 	c := Default(o.Sidecars, o.Servers)
-	c.Seconds, c.Seed, c.Policy = overloadLength, o.Seed, o.Policy
+	c.Seconds, c.Seed, c.Policy, c.ZoneSkew = overloadLength, o.Seed, o.Policy, o.ZoneSkew
 	c.Kinds = []Kind{{Share: 0.44, Cores: 2, Speed: [2]float64{1.5, 2.1}},
 		{Share: 0.56, Cores: 2, Speed: [2]float64{0.77, 1}}}
-	const work = 139.0
+	work, wait, spread, noise := 139.0, 139.0, 0.5, 0.45
+	chokesAt, chokeSlow, slots, backoff, retries := 5.5, 2.9, 19, 100.0, 3 // chokesAt: in flight for each core
+	if o.Drawn {
+		rng := c.stream(overloadStream)
+		work, wait = between(rng, [2]float64{97, 180}), between(rng, [2]float64{98, 180})
+		spread, noise = between(rng, [2]float64{0.25, 0.8}), between(rng, [2]float64{0.31, 0.59})
+		chokesAt, chokeSlow = between(rng, [2]float64{4, 7}), between(rng, [2]float64{2.5, 3.3})
+		slots, retries = 12+rng.IntN(15), 2+rng.IntN(2)
+		backoff = float64(rng.IntN(2)) * between(rng, [2]float64{50, 400})
+	}
 	bear := c.capacity() / work * 1000 // requests a second
 	c.Rate = o.Load * overloadBears * bear
-	c.Classes = []Class{{Name: "hold", Share: 1, WorkMs: work, WaitMs: 139, Spread: 0.5, Noise: 0.45, AimMs: 1000,
+	c.Classes = []Class{{Name: "hold", Share: 1, WorkMs: work, WaitMs: wait, Spread: spread, Noise: noise, AimMs: 1000,
 		DeadlineMs: 5000, Worth: 1, Unsafe: true}}
 	if o.Worthy > 0 {
 		worthy := c.Classes[0]
@@ -78,13 +90,13 @@
 		c.Tenants = append(c.Tenants, Tenant{Name: fmt.Sprint("tenant-", i+1), Share: share, Quota: 0.785 * bear * share})
 	}
 	s := &c.Server
-	s.Slots, s.Room, s.CrowdLoss = 19, 1000, 0
-	s.JamWaiting, s.JamAfter, s.JamSlow = 4.5, 2000, 2.9 // 5.5 in flight for each core
-	s.JamIdle, s.JamClears, s.JamMost = 1.8, 3500, 25000
+	s.Slots, s.Room, s.CrowdLoss = slots, 1000, 0
+	s.JamWaiting, s.JamAfter, s.JamSlow = chokesAt-1, 2000, chokeSlow
+	s.JamIdle, s.JamClears, s.JamMost = chokesAt/3, 3500, 25000
 	s.Connections, s.TableLoss, s.Handshake, s.ProbeWork = 3600, 0.09, 2, 1
 	s.NoReport, s.ReportEvery, s.ReportNoise = !o.Reports, 100, 0.09
 	c.Network = Network{Near: 0.2, Far: [2]float64{1.4, 2.6}, Jitter: 0.1, ConnectTimeout: 250}
-	c.Clients = Clients{Retries: 3, Wait: 100, Patience: [2]float64{0.3, 0.55}, Impatient: 0.005}
+	c.Clients = Clients{Retries: retries, Wait: backoff, Patience: [2]float64{0.3, 0.55}, Impatient: 0.005}
 	r := &c.Rules
 	r.Grace, r.ColdShare, r.WarmWithin, r.TipMultiple, r.TipWindow = 1000, 0.32, 8200, 3, 2000
 	r.MaxAttempts, r.OverWorth, r.CrossPrice, r.WastePrice, r.ProbePrice = 6, 0.1, 0.01, 0.05, 0.01
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -259,7 +259,11 @@
 	heavy := make([]float64, cfg.Sidecars) // cumulated, of the sidecars' traffic
 	sum := 0.0
 	for i := range heavy {
-		sum += math.Pow(float64(i+1), -cfg.Skew)
+		weight := math.Pow(float64(i+1), -cfg.Skew)
+		if cfg.Zones > 1 {
+			weight *= 1 + cfg.ZoneSkew*(1-2*float64(i%cfg.Zones)/float64(cfg.Zones-1))
+		}
+		sum += weight
 		heavy[i] = sum
 	}
 	rng := w.rngLoad
