--- a/cmd/planklab/overload.go
+++ b/cmd/planklab/overload.go
@@ -22,6 +22,7 @@
 	Worthy   float64   `placeholder:"P" help:"Part of the requests that is worth five times the others (${default})." default:"0"`
 	ZoneSkew float64   `placeholder:"P" help:"So much more traffic in the first zone, and less in the last (${default})." default:"0"`
 	Drawn    bool      `help:"Draw work, queues, chokes and the clients' ways from the seed, too."`
+	Free     bool      `help:"Probes and connections cost the servers nothing: what deciding alone does."`
 	JSON     string    `name:"json" placeholder:"FILE" help:"Write the runs with their seconds as JSON, too."`
 	BySecond bool      `help:"Write each run's seconds."`
 	Workers  int       `placeholder:"N" help:"Runs side by side (GOMAXPROCS)."`
@@ -46,7 +47,7 @@
 					for _, n := range c.Sidecars {
 						o := emulator.Overload{Sidecars: n, Servers: c.Servers, Load: load, Reports: reports == "full",
 							Event: event, Seed: seed, Policy: c.Policy, Worthy: c.Worthy,
-							ZoneSkew: c.ZoneSkew, Drawn: c.Drawn}
+							ZoneSkew: c.ZoneSkew, Drawn: c.Drawn, Free: c.Free}
 						if o.Servers == 0 {
 							o.Servers = n
 						}
--- a/internal/lab/emulator/overload.go
+++ b/internal/lab/emulator/overload.go
@@ -26,6 +26,7 @@
 	Worthy   float64 `json:"worthy"`    // part of the first tries that is worth five times the others
 	ZoneSkew float64 `json:"zone_skew"` // as of Config
 	Drawn    bool    `json:"drawn"`     // the servers' and clients' ways are drawn from the seed, around what they else are
+	Free     bool    `json:"free"`      // probes and connections cost the servers nothing
 }
 
 // OverloadEvents are what can happen on a day of the scale test: nothing; three times the traffic for two seconds; half
@@ -94,6 +95,9 @@
 	s.JamWaiting, s.JamAfter, s.JamSlow = chokesAt-1, 2000, chokeSlow
 	s.JamIdle, s.JamClears, s.JamMost = chokesAt/3, 3500, 25000
 	s.Connections, s.TableLoss, s.Handshake, s.ProbeWork = 3600, 0.09, 2, 1
+	if o.Free {
+		s.TableLoss, s.Handshake, s.ProbeWork = 0, 0, 0
+	}
 	s.NoReport, s.ReportEvery, s.ReportNoise = !o.Reports, 100, 0.09
 	c.Network = Network{Near: 0.2, Far: [2]float64{1.4, 2.6}, Jitter: 0.1, ConnectTimeout: 250}
 	c.Clients = Clients{Retries: retries, Wait: backoff, Patience: [2]float64{0.3, 0.55}, Impatient: 0.005}
