--- a/cmd/planklab/main.go
+++ b/cmd/planklab/main.go
@@ -35,6 +35,7 @@
 	Emulate     emulateCommand     `cmd:"" help:"A fleet in virtual time: troubles, a judge, and policies to compare."`
 	FleetScenes fleetScenesCommand `cmd:"" help:"Plays fleets of thousands of hollow sidecars in a few processes."`
 	FleetPart   fleetPartCommand   `cmd:"" hidden:"" help:"A process of fleet-scenes, which starts it."`
+	Overload    overloadCommand    `cmd:"" help:"The scale test of overload, in virtual time: the same traffic by ever more sidecars."`
 }
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/planklab/main_test.go
+++ b/cmd/planklab/main_test.go
@@ -53,6 +53,11 @@
 		{"fleet-scenes --kind tea", exitUsage, "tea"},
 		{"fleet-scenes --servers 3", exitUsage, "--servers"},
 		{"fleet-scenes --sidecars 0 --watch DIR/playback.json", exitBroken, "plankrouter.watch"},
+		{"overload --help", 0, "swell"},
+		{"overload --events tea", exitUsage, `"tea"`},
+		{"overload --reports some", exitUsage, "none or full"},
+		{"overload --servers 20000", exitUsage, "servers"},
+		{"overload --policy tea", exitUsage, `"tea"`},
 		{"handover --program HERE --keep /dev/null/x", exitBroken, "/dev/null"},
 	} {
 		var out bytes.Buffer
--- a/internal/lab/emulator/config.go
+++ b/internal/lab/emulator/config.go
@@ -20,6 +20,7 @@
 	Rate       float64 `json:"rate"` // first tries a second, over all sidecars
 	Seconds    float64 `json:"seconds"`
 	Skew       float64 `json:"skew"`        // the i-th sidecar gets a part of the traffic in proportion to i^-skew
+	ZoneSkew   float64 `json:"zone_skew"`   // the first zone's sidecars get so much more than their part, the last one's less
 	Seed       uint64  `json:"seed"`        // of the world
 	PolicySeed uint64  `json:"policy_seed"` // of the sidecars' own choices
 	Policy     string  `json:"policy"`      // one of Policies
@@ -45,8 +46,11 @@
 // Class is a class of requests.
 type Class struct {
 	Name       string  `json:"name"`
-	Share      float64 `json:"share"` // of the first tries
-	WorkMs     float64 `json:"work_ms"`
+	Share      float64 `json:"share"`   // of the first tries
+	WorkMs     float64 `json:"work_ms"` // mean; exponential, or lognormal where there is a Spread
+	WaitMs     float64 `json:"wait_ms"` // mean of what it then waits for others: it holds its slot, but no core
+	Spread     float64 `json:"spread"`  // coefficient of variation of WorkMs and of WaitMs; 0 = both are exponential
+	Noise      float64 `json:"noise"`   // the same of a factor to the work, drawn for each attempt; 0 = none
 	AimMs      float64 `json:"aim_ms"`
 	DeadlineMs float64 `json:"deadline_ms"` // for all tries together
 	Worth      float64 `json:"worth"`
@@ -84,6 +88,9 @@
 	ProbesMost  float64 `json:"probes_most"`  // a second, beyond which they are turned away
 	ReportEvery float64 `json:"report_ms"`    // between two refreshes of what probes report
 	ReportNoise float64 `json:"report_noise"` // standard deviation, as a part of the figure
+	NoReport    bool    `json:"no_report"`    // probes are answered without any load report
+
+	DropsCancelled bool `json:"drops_cancelled"` // what waits for a slot leaves when its attempt ends at the sidecar
 }
 
 // Network is what lies between. Delays are one way, in ms.
@@ -212,7 +219,8 @@
 	bounds := []bound{
 		{"sidecars", float64(c.Sidecars), 1, 1e5}, {"servers", float64(c.Servers), 1, 1e4},
 		{"zones", float64(c.Zones), 1, 100}, {"rate", c.Rate, 0, 1e7}, {"seconds", c.Seconds, 1, 86400},
-		{"skew", c.Skew, 0, 4}, {"server.slots", float64(c.Server.Slots), 1, 1e9},
+		{"skew", c.Skew, 0, 4}, {"zone_skew", c.ZoneSkew, 0, 1},
+		{"server.slots", float64(c.Server.Slots), 1, 1e9},
 		{"server.crowd_from", c.Server.CrowdFrom, 0, inf}, {"server.jam_waiting", c.Server.JamWaiting, 0, inf},
 		{"server.jam_after_ms", c.Server.JamAfter, 0, inf}, {"server.jam_idle", c.Server.JamIdle, 0, inf},
 		{"server.jam_clears_ms", c.Server.JamClears, 0, inf}, {"server.jam_most_ms", c.Server.JamMost, 0, inf},
@@ -250,7 +258,8 @@
 		classes += k.Share
 		at := fmt.Sprintf("classes[%d].", i)
 		bounds = append(bounds, bound{at + "share", k.Share, 0, inf}, bound{at + "work_ms", k.WorkMs, 0.001, inf},
-			bound{at + "aim_ms", k.AimMs, 1, inf}, bound{at + "deadline_ms", k.DeadlineMs, 1, inf},
+			bound{at + "wait_ms", k.WaitMs, 0, inf}, bound{at + "spread", k.Spread, 0, 10},
+			bound{at + "noise", k.Noise, 0, 10}, bound{at + "aim_ms", k.AimMs, 1, inf}, bound{at + "deadline_ms", k.DeadlineMs, 1, inf},
 			bound{at + "worth", k.Worth, 0, inf}, bound{at + "late_worth", k.LateWorth, 0, 1})
 	}
 	for i, t := range c.Tenants {
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -90,7 +90,7 @@
 	w := &world{cfg: cfg, byID: map[logic.ServerID]*machine{}, surge: 1, cut: make([]bool, cfg.Zones), clock: o.Clock}
 	for i, r := range []**rand.Rand{&w.rngLoad, &w.rngServers, &w.rngStarts, &w.rngNetwork,
 		&w.rngDirectory, &w.rngClients} {
-		*r = rand.New(rand.NewPCG(cfg.Seed, mix(cfg.Seed, uint64(i+1))))
+		*r = cfg.stream(i)
 	}
 	w.judge = newJudge(w)
 	w.dir = &directory{w: w}
@@ -131,9 +131,8 @@
 			w.far[i][j], w.far[j][i] = d, d
 		}
 	}
-	for i := range cfg.Servers {
-		kind := cfg.Kinds[pick(w.rngServers, len(cfg.Kinds), func(i int) float64 { return cfg.Kinds[i].Share })]
-		w.machine(i%cfg.Zones, kind.Cores, between(w.rngServers, kind.Speed))
+	for i, m := range cfg.models(w.rngServers) {
+		w.machine(i%cfg.Zones, m.cores, m.speed)
 	}
 	for i := range cfg.Sidecars {
 		sc := &sidecar{w: w, number: i, zone: i % cfg.Zones}
@@ -157,6 +156,33 @@
 	})
 }
 
+// model is a server's part that is drawn.
+type model struct{ cores, speed float64 }
+
+// models draws the servers.
+func (c *Config) models(rng *rand.Rand) (models []model) {
+	for range c.Servers {
+		kind := c.Kinds[pick(rng, len(c.Kinds), func(i int) float64 { return c.Kinds[i].Share })]
+		models = append(models, model{kind.Cores, between(rng, kind.Speed)})
+	}
+	return models
+}
+
+const serverStream = 1 // of a day's streams, the one that its servers are drawn from first
+
+// stream is the i-th stream of the day's draws.
+func (c *Config) stream(i int) *rand.Rand {
+	return rand.New(rand.NewPCG(c.Seed, mix(c.Seed, uint64(i+1))))
+}
+
+// capacity is the work that all servers do in a ms when all is well with them.
+func (c *Config) capacity() (sum float64) {
+	for _, m := range c.models(c.stream(serverStream)) {
+		sum += m.cores * m.speed
+	}
+	return sum
+}
+
 // machine adds a server whose process has been running for long.
 func (w *world) machine(zone int, cores, speed float64) *machine {
 	m := &machine{w: w, id: logic.ServerID(len(w.machines) + 1), zone: zone, cores: cores, speed: speed, slow: 1,
@@ -185,6 +211,12 @@
 
 func between(rng *rand.Rand, r [2]float64) float64 { return r[0] + rng.Float64()*(r[1]-r[0]) }
 
+// lognormal draws from the distribution with that mean and coefficient of variation.
+func lognormal(rng *rand.Rand, mean, cv float64) float64 {
+	variance := math.Log(1 + cv*cv)
+	return mean * math.Exp(math.Sqrt(variance)*rng.NormFloat64()-variance/2)
+}
+
 // pick draws one of n by weight.
 func pick(rng *rand.Rand, n int, weight func(int) float64) int {
 	all := 0.0
@@ -215,6 +247,7 @@
 	sidecar       int
 	patience      float64
 	work          float64
+	wait          logic.Ms
 	inShare       bool
 	tries         int
 	settled       bool
@@ -226,7 +259,11 @@
 	heavy := make([]float64, cfg.Sidecars) // cumulated, of the sidecars' traffic
 	sum := 0.0
 	for i := range heavy {
-		sum += math.Pow(float64(i+1), -cfg.Skew)
+		weight := math.Pow(float64(i+1), -cfg.Skew)
+		if cfg.Zones > 1 {
+			weight *= 1 + cfg.ZoneSkew*(1-2*float64(i%cfg.Zones)/float64(cfg.Zones-1))
+		}
+		sum += weight
 		heavy[i] = sum
 	}
 	rng := w.rngLoad
@@ -244,7 +281,11 @@
 		class := &cfg.Classes[a.class]
 		a.endAt = a.at + class.DeadlineMs
 		a.patience = between(rng, cfg.Clients.Patience) * class.DeadlineMs
-		a.work = rng.ExpFloat64() * class.WorkMs
+		if class.Spread > 0 {
+			a.work, a.wait = lognormal(rng, class.WorkMs, class.Spread), lognormal(rng, class.WaitMs, class.Spread)
+		} else if a.work = rng.ExpFloat64() * class.WorkMs; class.WaitMs > 0 {
+			a.wait = rng.ExpFloat64() * class.WaitMs
+		}
 		dear := rng.Float64() // drawn on every day, so that days with and without costly ones are otherwise the same
 		for _, c := range w.costly {
 			if c.class == a.class && dear < c.part {
@@ -262,6 +303,7 @@
 func (w *world) try(a *ask) {
 	left := min(a.patience, a.endAt-w.now)
 	a.tries++
+	w.judge.tally.Tries++
 	sc := w.sidecars[a.sidecar]
 	if !sc.up {
 		w.again(a, true)
