A test that counts what all sidecars send to a cold server against what fells it

Cold servers fall at N + 2 roots of N + 2 under the sum of what all processes send. The fear was that each sidecar's bucket, which starts with a random part of one and holds up to one, adds 15 on average and up to 30 with 30 processes. It doesn't: the random part is what a bucket holds at a random moment anyway. No rule was changed.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -100,7 +100,8 @@
 }
 
 // ColdRate is what of a fleet's requests a millisecond may go to a cold server, over the number of servers: a warm one's
-// part, times what it must bear by now at that warmth, where tip times that fells it. All instances together send that to it.
+// part, times what it must bear by now at that warmth, where tip times that fells it. All instances together send that to it, give
+// or take chance: their buckets start as full as they are at any moment.
 // One that has just said that it has room gets more: half of what tips it is safe, and no more reaches it than it can do.
 func ColdRate(warmth, tip float64, room bool, sent, asked float64) float64 {
 	tips, rate := coldBlind, max(sent, allColdShare*asked) // an all-cold fleet gets some
--- /dev/null
+++ b/logic/cold_test.go
@@ -0,0 +1,128 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// coldFleet is sidecars that share requests, all of which hear of a cold server in the same moment.
+type coldFleet struct {
+	sidecars, servers int
+	skewed            bool    // sidecars' parts of the requests are log-normal, else equal
+	burst             float64 // times as many requests, from the cold server's start on
+	eachPerS          float64 // requests a second for each server, as many as it bears when warm
+	quiet             Ms      // until so long after the cold server's start there is a tenth of the requests
+}
+
+// play returns when the cold server got its requests, from its start on, and the most in a TipWindow over what fells it.
+func (c coldFleet) play(t *testing.T, cfg Config, seed uint64) (sent []Ms, worst float64) {
+	rng := rand.New(rand.NewPCG(seed, 0x636f6c64))
+	fleet, parts, sum := make([]*rig, c.sidecars), make([]float64, c.sidecars), 0.0
+	for i := range fleet {
+		b, err := New(cfg, seed<<32+uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		fleet[i] = &rig{t: t, b: b, now: 1000}
+		list := make([]ServerInfo, c.servers)
+		for j := range list {
+			list[j] = ServerInfo{ID: ServerID(j + 1), Health: Ready}
+		}
+		fleet[i].do(Event{Kind: List, Full: true, Servers: list})
+		part := 1.0
+		if c.skewed {
+			part = math.Exp(rng.NormFloat64())
+		}
+		sum += part
+		parts[i] = sum
+	}
+	const born, lasts = 6000.0, 8000.0
+	started := false
+	perMs := c.eachPerS / 1000 * float64(c.servers)
+	for n, now := 0, 1000.0; now < born+lasts; n++ {
+		rate := perMs
+		switch {
+		case c.quiet > 0 && now < born+c.quiet:
+			rate /= 10
+		case started:
+			rate *= c.burst
+		}
+		if now += rng.ExpFloat64() / rate; now >= born && !started {
+			started, now = true, born
+			for _, g := range fleet {
+				g.now = now
+				g.do(Event{Kind: List, Servers: []ServerInfo{{ID: 1, Health: Ready, StartedAt: born}}})
+			}
+		}
+		i, at := 0, rng.Float64()*sum
+		for lo, hi := 0, c.sidecars-1; lo <= hi; {
+			if mid := (lo + hi) / 2; parts[mid] > at {
+				i, hi = mid, mid-1
+			} else {
+				lo = mid + 1
+			}
+		}
+		g := fleet[i]
+		g.now = now
+		if g.pass(RequestID(n)) == 1 && started {
+			sent = append(sent, now)
+		}
+	}
+	for i, at := range sent {
+		in := 0
+		for _, later := range sent[i:] {
+			if later < at+cfg.TipWindow {
+				in++
+			}
+		}
+		warmth := cfg.ColdShare + (1-cfg.ColdShare)*(at-born)/cfg.WarmWithin
+		bears := cfg.TipMultiple * warmth * c.eachPerS / 1000 * cfg.TipWindow
+		worst = max(worst, float64(in)/(bears+2*math.Sqrt(bears)+2))
+	}
+	return sent, worst
+}
+
+// What all sidecars together send to a cold server stays below what fells it: N and two roots of N and 2, N being TipMultiple times
+// what it must bear by then; whether they are few or many, equal or not, quiet or busy, and under a burst.
+func TestColdServerIsNotFelledByTheSum(t *testing.T) {
+	cfg := testConfig()
+	cfg.ProbePrice, cfg.TipWindow, cfg.Round, cfg.WarmWithin = 0.08, 3000, 1, 8000
+	for _, each := range []float64{2, 15} {
+		for _, size := range [][2]int{{4, 30}, {20, 13}, {30, 20}, {300, 60}, {2000, 60}, {6000, 60}} {
+			for _, skewed := range []bool{false, true} {
+				for _, way := range []struct {
+					burst    float64
+					quiet    Ms
+					tip      float64
+					sidecars int // at most
+				}{{1, 0, 4, 6000}, {2, 0, 4, 6000}, {2, 1000, 4, 2000}, {2, 4000, 4, 2000}, {1.5, 0, 2, 2000}, {1.5, 4000, 2, 300}} {
+					if size[0] > way.sidecars || size[0] > 300 && each > 2 { // busy fleets of that size take long
+						continue
+					}
+					name := fmt.Sprintf("%d sidecars, skewed %t, %g a second, burst %g after %g ms, %g times", size[0], skewed, each,
+						way.burst, way.quiet, way.tip)
+					t.Run(name, func(t *testing.T) {
+						t.Parallel()
+						cfg := cfg
+						cfg.Balancers, cfg.TipMultiple = size[0], way.tip
+						seeds, most, got := uint64(3), 0.0, 0
+						if size[0] > 300 { // these take longer, and their sum varies less
+							seeds = 1
+						}
+						for seed := range seeds {
+							sent, worst := coldFleet{size[0], size[1], skewed, way.burst, each, way.quiet}.play(t, cfg, seed)
+							most, got = max(most, worst), got+len(sent)
+						}
+						part := each * (way.burst*(8-way.quiet/1000) + way.quiet/10000)
+						t.Logf("%.2f of what fells it, %.2f of a warm one's part", most, float64(got)/float64(seeds)/part)
+						if most > 1 {
+							t.Errorf("%.2f of what fells it", most)
+						}
+					})
+				}
+			}
+		}
+	}
+}
