docs/CAPACITY.md: what the size in two years costs each role, and what isn't carried

The page states the assumptions, the slopes by planklab capacity, and for each role state, messages, CPU and memory as slope times number, with mechanism, budget, ratio and verdict; then what isn't carried, by how far it misses, which the roadmap's Next follows.

TestPage counts in the code, with the real program, what the page's products rest on (probes a request, bytes of a probe, a list's line and the figures, answers to a change, whole lists of a start, servers chosen among, the watch's waits) and fails where they differ; tried with a wrong count, it failed. Bytes written are counted before the other side can answer, since a reading of the figures had missed its request three times.

--- /dev/null
+++ b/internal/lab/capacity/page_test.go
@@ -0,0 +1,186 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"plankrouter/internal/freshness"
+	"plankrouter/internal/lab/peers"
+	"plankrouter/internal/limit"
+)
+
+// TestPage holds what docs/CAPACITY.md counts against what the code does: the page's figures are products of these.
+func TestPage(t *testing.T) {
+	page := counts(t)
+	near := func(key string, got, within float64) {
+		t.Helper()
+		want, ok := page[key]
+		if !ok {
+			t.Errorf("docs/CAPACITY.md counts no %q", key)
+			return
+		}
+		if delete(page, key); math.Abs(got-want) > within {
+			t.Errorf("%s: %g by the code, %g on the page", key, got, want)
+		}
+	}
+	for _, price := range []float64{cheap, 0.02, dear, 0.32} {
+		near(fmt.Sprintf("probes a request, price %g", price), limit.ProbesARequest(price, fleetSize, usualCalls/1000.0), 0.005)
+	}
+	for _, servers := range []int{13, 600, 2000, 6000} {
+		near(fmt.Sprintf("servers chosen among, of %d", servers), float64(limit.Reach(servers, fleetSize)), 0)
+	}
+	near("ms that a watch is held, agent", ms(freshness.Agent(drainGrace).Wait), 0)
+	near("ms that a watch is held, on request", ms(freshness.Default().Wait), 0)
+
+	w := start(t, Point{Servers: 10, Instances: fleetSize, Price: cheap})
+	address := float64(len("127.123.123.123:12345") - len("127.1.1.1:1234")) // addresses differ in length
+	near("whole lists of a start that knows one", w.firstWhole(), 0)
+	near("answers that tell of a change", w.tellings(t), 0)
+	for i := 0; w.tiles.probes.read().Messages == 0; i++ { // a request that is refused brings no probe
+		w.ask(t, i)
+	}
+	w.await(t, func() bool { return w.tiles.probes.read().Messages > 0 })
+	sent := w.tiles.probes.read()
+	near("bytes of a probe and its answer", float64(sent.Bytes)/float64(sent.Messages), address)
+	_, body, err := w.sidecar.scrape(t.Context(), w.network)
+	if err != nil {
+		t.Fatal(err)
+	}
+	near("bytes of the figures", float64(len(body)), 20) // as many digits as the counts have
+
+	w = start(t, Point{Servers: 100, Instances: fleetSize, Price: cheap, OnRequest: true, Unknown: true})
+	near("whole lists of a start that knows none", w.firstWhole(), 0)
+	raw, err := json.MarshalIndent(peers.List{Revision: 1, Complete: true, Members: w.tiles.members()}, "", "    ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	near("bytes of a list's line", float64(len(raw))/100, address+2)
+	for key := range page {
+		t.Errorf("docs/CAPACITY.md counts %q, and nothing here does", key)
+	}
+}
+
+// counts reads the page's table of counts.
+func counts(t *testing.T) map[string]float64 {
+	t.Helper()
+	raw, err := os.ReadFile("../../../docs/CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, section, found := strings.Cut(string(raw), "\n## Counts\n")
+	if !found {
+		t.Fatal("docs/CAPACITY.md has no section Counts")
+	}
+	section, _, _ = strings.Cut(section, "\n## ")
+	all := map[string]float64{}
+	for _, row := range regexp.MustCompile(`(?m)^\| ([^|]+) \| ([0-9.]+) \|`).FindAllStringSubmatch(section, -1) {
+		if all[row[1]], err = strconv.ParseFloat(row[2], 64); err != nil {
+			t.Errorf("docs/CAPACITY.md: %s: %v", row[1], err)
+		}
+	}
+	if len(all) == 0 {
+		t.Fatal("docs/CAPACITY.md counts nothing")
+	}
+	return all
+}
+
+// start starts a sidecar and what surrounds it.
+func start(t *testing.T, point Point) *world {
+	t.Helper()
+	dir := t.TempDir()
+	w := &world{told: point, network: peers.Loopback()}
+	var err error
+	if w.tiles, err = newTiles(w.network, point.Servers); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.tiles.close)
+	if w.directory, err = newDirectory(w.network, w.tiles.members()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.directory.Close)
+	if w.sidecar, err = prepare(w.network, dir); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.configure(0); err != nil {
+		t.Fatal(err)
+	}
+	var log bytes.Buffer
+	t.Cleanup(func() {
+		if err := w.sidecar.stop(); err != nil {
+			t.Errorf("%v: %s", err, log.String())
+		}
+	})
+	if err := w.sidecar.start(t.Context(), w.network, program(t), -1, &log); err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+func (w *world) await(t *testing.T, is func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), readyWithin)
+	defer cancel()
+	for !is() {
+		if peers.Pause(ctx, time.Millisecond) != nil {
+			t.Fatal("it has not come to it")
+		}
+	}
+}
+
+// ask sends a request; what becomes of it does not matter here.
+func (w *world) ask(t *testing.T, n int) {
+	t.Helper()
+	c, err := w.network.Dial(t.Context(), w.sidecar.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := fmt.Fprintf(c, "GET /tile/x HTTP/1.1\r\nHost: api.internal\r\nReq-Id: ask-%d\r\nReq-Deadline: 2.500\r\n\r\n", n); err != nil {
+		t.Fatal(err)
+	}
+	c.Read(make([]byte, 1))
+}
+
+// firstWhole is 1 where the first call to the directory is for the whole list. Later ones may be for it where a busy machine lets a
+// call be given up.
+func (w *world) firstWhole() float64 {
+	if w.directory.Calls()[0].Whole {
+		return 1
+	}
+	return 0
+}
+
+// tellings is how many answers tell the sidecar of a change. Where a busy machine lets a call be given up, so that the whole list is
+// asked for, another change is looked at.
+func (w *world) tellings(t *testing.T) float64 {
+	t.Helper()
+	for n := range 20 {
+		from := len(w.directory.Calls()) - 1 // the call that is held, unless it has just been answered
+		one := w.tiles.members()[n%len(w.tiles.listeners)]
+		one.UpSince = time.Now().UnixMilli()
+		revision := w.directory.Change(one)
+		known := func(c peers.DirectoryCall) bool { return c.Index >= revision }
+		w.await(t, func() bool { return slices.ContainsFunc(w.directory.Calls(), known) })
+		told, whole := 0, false
+		for _, c := range w.directory.Calls()[from:] {
+			if whole = whole || c.Whole; c.Members > 0 && c.Revision == revision {
+				told++
+			}
+		}
+		if !whole {
+			return float64(told)
+		}
+	}
+	t.Error("the whole list was asked for again and again")
+	return 0
+}
