--- a/internal/lab/capacity/sweep.go
+++ b/internal/lab/capacity/sweep.go
@@ -113,7 +113,7 @@
 
 // Full returns the plan of the page's figures: some eight minutes.
 func Full() Plan {
-	p := plan(2*time.Second, 5*time.Second, []int{13, 600, 2000, 6000}, usualList, 1, 10, []int{60, 200, 600, 2000, 6000})
+	p := plan(2*time.Second, 5*time.Second, []int{13, 600, 2000, 6000}, usualList, 1, 60, []int{60, 200, 600, 2000, 6000})
 	p.Again = 1
 	return p
 }
