--- a/cmd/planklab/capacity.go
+++ b/cmd/planklab/capacity.go
@@ -13,7 +13,7 @@
 // capacityCommand measures what a sidecar costs as its world grows.
 type capacityCommand struct {
 	Program string        `default:"bin/plankrouter" placeholder:"FILE" help:"The sidecar's program."`
-	Quick   bool          `help:"Few servers and short windows: some seconds, and no figures to go by."`
+	Quick   bool          `help:"Few servers and short windows: under a minute, and no figures to go by."`
 	Only    string        `placeholder:"WORDS" help:"Only the sizes whose name holds these words, or module."`
 	Core    int           `default:"-1" help:"Keep the sidecar to this core of the machine, so that figures repeat; -1 = to none."`
 	Most    time.Duration `default:"15m" help:"End after this time, with what there is."`
--- a/internal/lab/capacity/sweep.go
+++ b/internal/lab/capacity/sweep.go
@@ -118,7 +118,7 @@
 	return p
 }
 
-// Quick returns a plan of the same sweeps with few servers and short windows: some seconds, for tests and as a first look. Its
+// Quick returns a plan of the same sweeps with few servers and short windows: under a minute, for tests and as a first look. Its
 // figures are none.
 func Quick() Plan {
 	return plan(100*time.Millisecond, 300*time.Millisecond, []int{5, 10, 20, 40}, 20, 0.1, 1, []int{5, 10, 20, 40})
