--- a/cmd/planklab/fleetscenes.go
+++ b/cmd/planklab/fleetscenes.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"plankrouter/internal/config"
@@ -21,6 +22,7 @@
 	ProbePrice float64       `default:"0.0046" help:"Prices.Probe of the settings."`
 	TurnRate   float64       `default:"200" help:"On request: calls a second that get a turn, of those for the whole list and the first of a connection; others wait up to 2 s and are turned away then."`
 	Watch      string        `type:"existingfile" placeholder:"FILE" help:"On request: a configuration whose plankrouter.watch is taken, such as deploy/shared-directory.json."`
+	Scene      []string      `placeholder:"NAME" help:"Only these, after the start: idle, calls, list, burst, configuration, zone, restart."`
 	Window     time.Duration `default:"10s" help:"Stretch of an ordinary minute that is looked at."`
 	CallsAll   float64       `default:"4000" help:"Calls a second of a whole fleet, while there are calls; of a sidecar at most 40."`
 	Restart    int           `default:"300" help:"Sidecars that are restarted together."`
@@ -41,6 +43,11 @@
 			return fmt.Errorf("--sidecars: %d is negative", n)
 		}
 	}
+	for _, name := range c.Scene {
+		if !slices.Contains(hollow.Scenes(), name) {
+			return fmt.Errorf("--scene: there is no %q", name)
+		}
+	}
 	switch {
 	case c.Servers < 8:
 		return fmt.Errorf("--servers: %d; want 8 or more, one for each zone", c.Servers)
@@ -78,7 +85,7 @@
 		}
 	}
 	plan := hollow.Usual()
-	plan.Window, plan.CallsAll, plan.Restart = c.Window, c.CallsAll, c.Restart
+	plan.Window, plan.CallsAll, plan.Restart, plan.Only = c.Window, c.CallsAll, c.Restart, c.Scene
 	var f fleetFigures
 	if c.Program != "" {
 		for _, rate := range []float64{0, plan.CallsOne} {
@@ -109,14 +116,10 @@
 			}
 		}
 	}
-	return errorOr(hollow.WriteTable(out, f.Rows), func() error { return c.save(f) })
-}
-
-func errorOr(err error, next func() error) error {
-	if err != nil {
+	if err := hollow.WriteTable(out, f.Rows); err != nil {
 		return err
 	}
-	return next()
+	return c.save(f)
 }
 
 func (c *fleetScenesCommand) save(f fleetFigures) error { return (&lab{JSON: c.JSON}).save(f) }
--- a/cmd/planklab/main_test.go
+++ b/cmd/planklab/main_test.go
@@ -48,6 +48,7 @@
 		{"emulate --against-with least --csv x", exitUsage, "--csv"},
 		{"fleet-scenes --help", 0, "on_request"},
 		{"fleet-scenes --kind tea", exitUsage, "tea"},
+		{"fleet-scenes --scene tea", exitUsage, `"tea"`},
 		{"fleet-scenes --servers 3", exitUsage, "--servers"},
 		{"fleet-scenes --sidecars 0 --watch DIR/playback.json", exitBroken, "plankrouter.watch"},
 		{"handover --program HERE --keep /dev/null/x", exitBroken, "/dev/null"},
--- a/internal/lab/hollow/scenes.go
+++ b/internal/lab/hollow/scenes.go
@@ -23,6 +23,15 @@
 	Settle   time.Duration // for which a new rate of calls goes on before it is looked at
 	Zone     time.Duration // for which a zone that is lost or back is looked at: much less than it takes to get warm
 	Within   time.Duration // in which a change has to be in force
+	Only     []string      // of Scenes; none = all
+}
+
+// Scenes are the names of those that follow the start.
+func Scenes() (names []string) {
+	for _, s := range (*play)(nil).scenes() {
+		names = append(names, s.name)
+	}
+	return names
 }
 
 // Usual is the plan of the page.
@@ -87,21 +96,31 @@
 		{"memory_mb_a_sidecar", after.Hollow.MemoryMB / float64(set.Sidecars)},
 		{"heap_mb_a_sidecar", after.Hollow.HeapMB / float64(set.Sidecars)},
 		{"memory_mb_all", after.Hollow.MemoryMB + after.Discovery.MemoryMB}}))
-	for _, scene := range []struct {
-		name string
-		do   func() error
-	}{{"idle", p.idle}, {"calls", p.calls}, {"list", p.list}, {"burst", p.burst}, {"configuration", p.configuration},
-		{"zone", p.zone}, {"restart", p.restart}} {
+	for _, scene := range p.scenes() {
+		if len(plan.Only) > 0 && !slices.Contains(plan.Only, scene.name) {
+			continue
+		}
 		if err := ctx.Err(); err != nil {
 			return p.rows, err
 		}
-		if err := scene.do(); err != nil {
+		if err := scene.do(p); err != nil {
 			return p.rows, fmt.Errorf("%s: %w", scene.name, err)
 		}
 	}
 	return p.rows, nil
 }
 
+// scene is one that follows the start.
+type scene struct {
+	name string
+	do   func(*play) error
+}
+
+func (*play) scenes() []scene {
+	return []scene{{"idle", (*play).idle}, {"calls", (*play).calls}, {"list", (*play).list}, {"burst", (*play).burst},
+		{"configuration", (*play).configuration}, {"zone", (*play).zone}, {"restart", (*play).restart}}
+}
+
 func (p *play) row(scene string, figures []Figure) {
 	late, cores := p.busy.look()
 	figures = append(figures, Figure{"stall_ms", ms(late)}, Figure{"machine_cores_busy", cores})
