--- a/internal/lab/hollow/part.go
+++ b/internal/lab/hollow/part.go
@@ -69,6 +69,7 @@
 	Served, Refused, Failed    int64
 	WatchFailures, WatchDoubts int64
 	Discovery                  Traffic
+	Late                       time.Duration // by which a timer came late at most, since the last count; of a sum the most
 }
 
 func (c Counts) minus(o Counts) Counts {
@@ -88,6 +89,7 @@
 	c.Served, c.Refused, c.Failed = c.Served+o.Served, c.Refused+o.Refused, c.Failed+o.Failed
 	c.WatchFailures, c.WatchDoubts = c.WatchFailures+o.WatchFailures, c.WatchDoubts+o.WatchDoubts
 	c.Discovery = c.Discovery.plus(o.Discovery)
+	c.Late = max(c.Late, o.Late)
 	return c
 }
 
@@ -97,6 +99,7 @@
 	discovery *discovery
 	tiles     *tiles
 	sidecars  []*sidecar
+	busy      *neighbours
 }
 
 // Serve is the life of a part: it obeys the orders that it reads until they end.
@@ -105,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	h := &host{dir: dir, tiles: newTiles()}
+	h := &host{dir: dir, tiles: newTiles(), busy: watchNeighbours()}
 	defer h.close()
 	orders, replies := json.NewDecoder(in), json.NewEncoder(out)
 	for {
@@ -126,6 +129,7 @@
 }
 
 func (h *host) close() {
+	h.busy.close()
 	for _, s := range h.sidecars {
 		s.end()
 	}
@@ -265,6 +269,7 @@
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	c.HeapMB = float64(memory.HeapInuse+memory.StackInuse) / (1 << 20)
+	c.Late, _ = h.busy.look()
 	c.Calls, c.Probes, c.Unreached = h.tiles.counts()
 	for _, s := range h.sidecars {
 		c.Served += s.served.Load()
--- a/internal/lab/hollow/scenes.go
+++ b/internal/lab/hollow/scenes.go
@@ -123,7 +123,8 @@
 
 func (p *play) row(scene string, figures []Figure) {
 	late, cores := p.busy.look()
-	figures = append(figures, Figure{"stall_ms", ms(late)}, Figure{"machine_cores_busy", cores})
+	figures = append(figures, Figure{"stall_ms", ms(max(late, p.late))}, Figure{"machine_cores_busy", cores})
+	p.late = 0
 	p.rows = append(p.rows, Row{Scene: scene, Kind: p.set.Kind, Sidecars: p.set.Sidecars, Servers: p.set.Servers, Figures: figures})
 }
 
--- a/internal/lab/hollow/world.go
+++ b/internal/lab/hollow/world.go
@@ -110,6 +110,7 @@
 	hollow    []*Part
 	counts    []int // of sidecars, by part
 	known     peers.List
+	late      time.Duration // by which a timer came late in a part, at most, since the last row
 }
 
 // servers makes the list, a zone after another.
@@ -258,6 +259,7 @@
 		}
 		for _, r := range replies {
 			*side.sum = side.sum.plus(r.Counts)
+			w.late = max(w.late, r.Counts.Late)
 		}
 	}
 	return u, nil
