Fleet: parts end by the end of their orders when a run is ended, and remove what they wrote

A run that was ended by its bound had its parts killed, and each left its folder of configurations (51 of them seen).

--- a/internal/lab/hollow/world.go
+++ b/internal/lab/hollow/world.go
@@ -80,6 +80,7 @@
 		if err != nil {
 			return nil, err
 		}
+		cmd.Cancel, cmd.WaitDelay = orders.Close, endWithin // its orders have ended: it removes what it wrote, and ends
 		if err := cmd.Start(); err != nil {
 			return nil, fmt.Errorf("part: %w", err)
 		}
