--- a/cmd/planklab/main_test.go
+++ b/cmd/planklab/main_test.go
@@ -51,6 +51,7 @@
 		{"capacity --program HERE --most 0s", exitUsage, "--most"},
 		{"fleet-scenes --help", 0, "on_request"},
 		{"fleet-scenes --kind tea", exitUsage, "tea"},
+		{"fleet-scenes --scene tea", exitUsage, `"tea"`},
 		{"fleet-scenes --servers 3", exitUsage, "--servers"},
 		{"fleet-scenes --sidecars 0 --watch DIR/playback.json", exitBroken, "plankrouter.watch"},
 		{"overload --help", 0, "swell"},
--- a/internal/lab/hollow/world.go
+++ b/internal/lab/hollow/world.go
@@ -80,6 +80,7 @@
 		if err != nil {
 			return nil, err
 		}
+		cmd.Cancel, cmd.WaitDelay = orders.Close, endWithin // its orders have ended: it removes what it wrote, and ends
 		if err := cmd.Start(); err != nil {
 			return nil, fmt.Errorf("part: %w", err)
 		}
@@ -110,6 +111,7 @@
 	hollow    []*Part
 	counts    []int // of sidecars, by part
 	known     peers.List
+	late      time.Duration // by which a timer came late in a part, at most, since the last row
 }
 
 // servers makes the list, a zone after another.
@@ -258,6 +260,7 @@
 		}
 		for _, r := range replies {
 			*side.sum = side.sum.plus(r.Counts)
+			w.late = max(w.late, r.Counts.Late)
 		}
 	}
 	return u, nil
