The response-time model moves from the policy files into internal/overload

Only moved: the least-squares model of the response time over the load, with its names exported, and what a full server teaches it, in one method.

--- a/logic/admission_test.go
+++ b/logic/admission_test.go
@@ -32,10 +32,10 @@
 		s := find(g.arrive(id, 0), Send)
 		g.now += 40
 		g.done(id, 0, s.Server, OK)
-		if got := g.b.fit.class[0].n > 0; got != want {
+		if got := g.b.fit.Class[0].N > 0; got != want {
 			t.Errorf("%.0f ms after the start: taught %t, want %t", g.now-1000, got, want)
 		}
-		g.b.fit.class[0].n = 0
+		g.b.fit.Class[0].N = 0
 	}
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,6 +14,7 @@
 	"plankrouter/internal/backoff"
 	"plankrouter/internal/evidence"
 	"plankrouter/internal/limit"
+	"plankrouter/internal/overload"
 )
 
 const (
@@ -38,9 +39,6 @@
 	serverPrior  = 50.0 // ms of service time assumed before any report or answer
 	latencyStep  = 0.3  // part of the way that an unreported service time moves with an answer
 	firstAnswers = 1500 // ms from the start in which the quick requests alone are answered
-	fitPrior     = 6.0  // requests side by side before any sample: waiting must be shown, not feared
-	fitWeight    = 2.0  // samples that a prior weighs
-	fitMemory    = 5e3  // ms in which samples of response times fade by e
 
 	probeWeight = 0.5  // of a failed probe, in failures
 	ejectAt     = 0.5  // probability of failure, beyond the fleet's median, that takes a server out
@@ -99,7 +97,7 @@
 	waiting                         []*request // for answers of probes, in order of arrival
 	lastProbe                       Ms
 
-	fit                              fit
+	fit                              overload.Model
 	medianMiss                       float64
 	fleetLatency                     Ms      // median service time
 	fracOwn, fracAll                 float64 // own requests, and all, that probed servers held
@@ -135,7 +133,7 @@
 	b.cfg.Balancers, b.cfg.Classes = max(1, cfg.Balancers), slices.Clone(cfg.Classes)
 	b.margin, b.perRequest, b.elsewhere = 2*cfg.Round+1, limit.MostProbes, 1
 	for i, c := range cfg.Classes { // who is to be answered sooner takes less time
-		b.fit.class = append(b.fit.class, classFit{prior: c.Aim / aims})
+		b.fit.Class = append(b.fit.Class, overload.Mean{Prior: c.Aim / aims})
 		b.cfg.Classes[i].Attempts = max(1, cmp.Or(c.Attempts, cfg.MaxAttempts))
 	}
 	b.buckets = slices.Repeat([]limit.Bucket{{At: math.Inf(-1)}}, len(cfg.Tenants))
@@ -269,49 +267,11 @@
 
 // ---- Latency: reports leave out waiting. fit rebuilds the paper's response time at the present RIF.
 
-type fit struct {
-	xx, xy float64 // of the least-squares line through the origin: waiting over requests in flight
-	at     Ms
-	class  []classFit
-}
-
-// classFit is the mean of one class, as a part of the reported service time.
-type classFit struct{ n, sum, prior float64 }
-
-// age lets old samples fade: a sidecar that refuses for want of room gets none and must not believe its last.
-func (f *fit) age(now Ms) {
-	k := math.Exp((f.at - now) / fitMemory)
-	f.xx, f.xy, f.at = f.xx*k, f.xy*k, now
-	for i := range f.class {
-		f.class[i].n, f.class[i].sum = f.class[i].n*k, f.class[i].sum*k
-	}
-}
-
-// add learns from an attempt that took ratio times the reported service time with x requests in flight.
-func (f *fit) add(class int, x, ratio, ended float64) {
-	k := &f.class[class]
-	k.n, k.sum = k.n+ended, k.sum+ratio/f.stretch(x)
-	if 2*x >= f.sideBySide() { // few in flight tell nothing of how many would fit
-		f.xx, f.xy = f.xx+ended*x*x, f.xy+x*ratio/f.of(class)
-	}
-}
-
-func (f *fit) of(class int) float64 {
-	k := &f.class[class]
-	return (k.sum + fitWeight*k.prior) / (k.n + fitWeight)
-}
-
-// sideBySide is the number of requests that a server runs without making others wait.
-func (f *fit) sideBySide() float64 { return max(1, (f.xx+2*fitPrior*fitPrior)/(f.xy+2*fitPrior)) }
-
-// stretch is the response time over an unhindered one with x requests in flight, 1 or more.
-func (f *fit) stretch(x float64) float64 { return max(1, x/f.sideBySide()) }
-
 func (s *server) service() Ms { return cmp.Or(s.latency, serverPrior) }
 
 // expect is the response time that a request sent to s with rif in flight should see.
 func (b *Balancer) expect(s *server, class int, rif float64) Ms {
-	return s.service()*b.fit.of(class)*b.fit.stretch(rif+1) + s.network
+	return s.service()*b.fit.Of(class)*b.fit.Stretch(rif+1) + s.network
 }
 
 // fraction is this sidecar's part of the fleet's traffic: own requests among all that servers hold.
@@ -342,7 +302,7 @@
 	}
 	b.unpool(s)
 	if s.rank >= 1 { // in another zone
-		b.elsewhere.Note(e.Status == OK && e.Report.RIF < b.fit.sideBySide())
+		b.elsewhere.Note(e.Status == OK && e.Report.RIF < b.fit.SideBySide())
 	}
 	if e.Status != OK {
 		if b.shutOut(s); e.Status != Full {
@@ -418,7 +378,7 @@
 // near is among how many to probe: the preferred zone's, or more if far or if those are full and others not.
 func (b *Balancer) near(far bool) int {
 	home := min(b.reach(), max(limit.LeastReach, b.local))
-	if far || b.sparse && b.hotRIF > b.fit.sideBySide() && b.rng.Float64() < float64(b.elsewhere) {
+	if far || b.sparse && b.hotRIF > b.fit.SideBySide() && b.rng.Float64() < float64(b.elsewhere) {
 		return min(b.ready, home+min(b.reach(), b.ready-b.local))
 	}
 	return home
@@ -486,7 +446,7 @@
 // cost compares cold entries: the expected response time plus, as time, likely failures and crossings.
 func (b *Balancer) cost(s *server, r *request) float64 {
 	aim := b.cfg.Classes[r.class].Aim
-	t := b.expect(s, r.class, s.rif) * (1 + rifLean*s.rif/b.fit.sideBySide())
+	t := b.expect(s, r.class, s.rif) * (1 + rifLean*s.rif/b.fit.SideBySide())
 	if s.info.Zone != b.cfg.Zone {
 		t += b.cfg.CrossPrice * crossPerAim * aim
 	}
@@ -598,7 +558,7 @@
 	if s.rif < 1 && !r.over {
 		return true // an idle server is worth a try: only a sample can correct a wrong estimate
 	}
-	margin := limit.Room(b.sparse, b.cfg.WastePrice, s.rif/b.fit.sideBySide())
+	margin := limit.Room(b.sparse, b.cfg.WastePrice, s.rif/b.fit.SideBySide())
 	margin *= min(1, max(slowMost*b.fleetLatency, serverPrior)/s.service()) // a few costly ones raise a mean
 	for i, c := range b.cfg.Classes {
 		room := c.Aim
@@ -611,7 +571,7 @@
 			return false
 		}
 	}
-	return b.fit.stretch(s.rif+1) <= limit.Crowd(b.sparse, worth)
+	return b.fit.Stretch(s.rif+1) <= limit.Crowd(b.sparse, worth)
 }
 
 // density is the worth of a class for the time its requests hold a server, over that of the best class.
@@ -619,10 +579,10 @@
 	most := math.SmallestNonzeroFloat64
 	for i, c := range b.cfg.Classes {
 		if !c.Dropped {
-			most = max(most, c.Worth/b.fit.of(i))
+			most = max(most, c.Worth/b.fit.Of(i))
 		}
 	}
-	return b.cfg.Classes[class].Worth / b.fit.of(class) / most
+	return b.cfg.Classes[class].Worth / b.fit.Of(class) / most
 }
 
 // ---- Cold-start budget (rule 4): a cold server gets a warm one's part, times what it must bear by now.
@@ -636,7 +596,7 @@
 	if w >= 1 {
 		return true
 	}
-	room := b.now-s.reportAt <= coldFresh && s.rif < coldIdle*w*b.fit.sideBySide() // as it has just said
+	room := b.now-s.reportAt <= coldFresh && s.rif < coldIdle*w*b.fit.SideBySide() // as it has just said
 	rate := limit.ColdRate(w, b.cfg.TipMultiple, room, b.sendRate.PerMs(b.now), b.arrivals.PerMs(b.now))
 	return s.cold.Fill(b.now, rate/float64(max(1, b.ready)), 1)
 }
@@ -776,9 +736,8 @@
 			s.quietAt = b.now
 			if b.learn(s, who, 1); e.Status == NoConnection {
 				b.shutOut(s)
-			}
-			if x := s.rif + 1; e.Status == Full { // a server that is full is crowded, whatever its latency
-				b.fit.xx, b.fit.xy = b.fit.xx+x*x, b.fit.xy+x*limit.CrowdMost
+			} else if e.Status == Full {
+				b.fit.Full(s.rif+1, limit.CrowdMost)
 			}
 		case TimedOut:
 			if !b.silent(s) {
@@ -819,7 +778,7 @@
 	if !s.reported {
 		s.latency = s.service() + latencyStep*(took-s.service())
 	} else if r != nil && r.sentAt-b.bornAt >= firstAnswers {
-		b.fit.add(r.class, r.sentRIF+1, min(10, max(0, took-s.network)/r.sentBase), ended)
+		b.fit.Add(r.class, r.sentRIF+1, min(10, max(0, took-s.network)/r.sentBase), ended)
 	}
 }
 
@@ -874,7 +833,7 @@
 func (b *Balancer) tick() {
 	b.timer(tickTimer, tickEvery)
 	b.age()
-	b.fit.age(b.now)
+	b.fit.Age(b.now)
 	b.updateMedians()
 	if b.now-b.lastProbe >= idleProbe {
 		b.probe(1, b.reach())
@@ -895,7 +854,7 @@
 	}
 	if b.shed > 0 && b.now-b.lastLog >= 2000 {
 		b.logf("refused %d; part %.2f; pool %d/%d; service %.0f ms; classes %.2f; side by side %.1f", b.shed,
-			b.fraction(), len(b.pool), b.ready, b.fleetLatency, b.fit.class, b.fit.sideBySide())
+			b.fraction(), len(b.pool), b.ready, b.fleetLatency, b.fit.Class, b.fit.SideBySide())
 		b.shed, b.lastLog = 0, b.now
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -372,7 +372,7 @@
 // Being turned away as full must lower what is let in.
 func TestFullTeachesCrowding(t *testing.T) {
 	g := newRig(t, testConfig(), 4)
-	before := g.b.fit.sideBySide()
+	before := g.b.fit.SideBySide()
 	for id := RequestID(1); id <= 10; id++ {
 		for s := ServerID(1); s <= 4; s++ {
 			g.report(s, 3, 40)
@@ -381,7 +381,7 @@
 			g.done(id, 0, a.Server, Full)
 		}
 	}
-	if after := g.b.fit.sideBySide(); after >= before {
+	if after := g.b.fit.SideBySide(); after >= before {
 		t.Errorf("side by side %.1f, then %.1f", before, after)
 	}
 }
--- a/logic/recovery_test.go
+++ b/logic/recovery_test.go
@@ -124,9 +124,9 @@
 		t.Errorf("an old load is taken for a present one: %+v", one)
 	}
 	h.do(Event{Kind: TimerDue, Timer: tickTimer})
-	g.b.now, g.b.fit.at = h.now, st.FitAt
-	g.b.fit.age(h.now)
-	if got, want := h.b.fit.of(0), g.b.fit.of(0); got != want {
+	g.b.now, g.b.fit.At = h.now, st.FitAt
+	g.b.fit.Age(h.now)
+	if got, want := h.b.fit.Of(0), g.b.fit.Of(0); got != want {
 		t.Errorf("fit %g, want %g", got, want)
 	}
 	if b := h.b.buckets[0]; b.At != st.Tenants[0].At || b.V != st.Tenants[0].V {
--- a/logic/state.go
+++ b/logic/state.go
@@ -8,10 +8,10 @@
 
 // State returns what has been learned. Servers that were left are not in it.
 func (b *Balancer) State() State {
-	st := State{XX: b.fit.xx, XY: b.fit.xy, FitAt: b.fit.at, FleetLatency: b.fleetLatency, FracOwn: b.fracOwn,
+	st := State{XX: b.fit.XX, XY: b.fit.XY, FitAt: b.fit.At, FleetLatency: b.fleetLatency, FracOwn: b.fracOwn,
 		FracAll: b.fracAll, Arrivals: Level(b.arrivals), Sends: Level(b.sendRate)}
-	for _, c := range b.fit.class {
-		st.Classes = append(st.Classes, Mean{c.n, c.sum})
+	for _, c := range b.fit.Class {
+		st.Classes = append(st.Classes, Mean{c.N, c.Sum})
 	}
 	for _, k := range b.buckets {
 		st.Tenants = append(st.Tenants, Level(k))
@@ -29,13 +29,13 @@
 // process that a listed server is not any more is left out; a state of other classes or tenants is an error.
 func (b *Balancer) Restore(st *State) error {
 	fits := func(n, have int) bool { return n == 0 || n == have } // what is too old is left out of a state
-	if !fits(len(st.Classes), len(b.fit.class)) || !fits(len(st.Tenants), len(b.buckets)) {
+	if !fits(len(st.Classes), len(b.fit.Class)) || !fits(len(st.Tenants), len(b.buckets)) {
 		return fmt.Errorf("logic: a state of %d classes and %d tenants does not fit %d and %d",
-			len(st.Classes), len(st.Tenants), len(b.fit.class), len(b.buckets))
+			len(st.Classes), len(st.Tenants), len(b.fit.Class), len(b.buckets))
 	}
-	b.fit.xx, b.fit.xy, b.fit.at = st.XX, st.XY, st.FitAt
+	b.fit.XX, b.fit.XY, b.fit.At = st.XX, st.XY, st.FitAt
 	for i, m := range st.Classes {
-		b.fit.class[i].n, b.fit.class[i].sum = m.N, m.Sum
+		b.fit.Class[i].N, b.fit.Class[i].Sum = m.N, m.Sum
 	}
 	for i, l := range st.Tenants {
 		b.buckets[i] = limit.Bucket(l)
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	follow(classes, b.fit.class, next.fit.class)
+	follow(classes, b.fit.Class, next.fit.Class)
 	follow(tenants, b.buckets, next.buckets)
 	for _, s := range b.servers {
 		by := make([]Tally, 1+len(next.buckets))
@@ -72,7 +72,7 @@
 		s.by = by
 	}
 	b.cfg, b.minAim, b.margin = next.cfg, next.minAim, next.margin
-	b.buckets, b.fit.class = next.buckets, next.fit.class
+	b.buckets, b.fit.Class = next.buckets, next.fit.Class
 	return nil
 }
 
