Overload control for one of many: probes' queueing and the median of own answers

Traced: all that a sidecar knew of a server's load was its own count, 1/N of the truth; but its probes took 1.5 to 3 ms at free servers and 25 to 45 ms at crowded ones, while answers went from 0.25 to 5 s. Ruled out: a crowd seen by response means alone (they hang on the few that wait for vanished servers), a part refused anew at each server looked at (roomy finds one of many that admits: half passed), means of classes beside unknown service times (both wander: 2.8 where one class is all there is), proportional refusing without memory (choked servers stay choked).

Now, only where no server reports its service time: a probe's waiting over the least time of any probe stands for requests in flight; unhindered time is learned over all answers; the median of followed attempts, those out with their age, against the unhindered one or against the aim integrates the part that is refused, least worth first; tenants are measured against the own traffic, since the fleet's is not told.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -16,6 +16,7 @@
 	SyncProbes  = 4    // of a request that waits for their answers; the paper's d
 	leastProbes = 2    // of one that can't do without
 	LeastReach  = 4    // servers among which an instance chooses, at least
+	partPrior   = 20.0 // requests, spread evenly over instances, that stand for an unknown load
 	connections = 128  // instances that may normally connect to one server; few hundred connections slow one
 )
 
@@ -64,6 +65,21 @@
 	return min(servers, max(LeastReach, connections*servers/max(1, instances)))
 }
 
+// Part is an instance's part of the fleet's traffic: own requests among all that servers hold, if they tell, and the number of
+// instances' part as long as they hold few.
+//
+// Where no server tells, it is so many requests a second of the sum of the tenants' quotas, or the number of instances' part
+// where that is more. A tenant is beyond its share then where it takes more of the own traffic than of the quotas, and a busy
+// instance's tenants are not beyond it for being at a busy instance. Together the instances let pass what the quotas do, or
+// all that comes, where that is more: that it is too much is told by other means.
+func Part(own, all, perSecond, quotas float64, instances int) float64 {
+	even := 1 / float64(max(1, instances))
+	if all > 0 {
+		return min(1, (own+partPrior*even)/(all+partPrior))
+	}
+	return min(1, max(even, perSecond/max(quotas, math.SmallestNonzeroFloat64)))
+}
+
 // What a request must find at a server.
 const (
 	roomIdle    = 0.5  // expected responses that must find room at an idle server, in all: work in vain takes nothing there,
--- a/internal/overload/model.go
+++ b/internal/overload/model.go
@@ -40,6 +40,18 @@
 	}
 }
 
+// Level makes the means of classes parts of what all requests take, by their samples. Where no server reports its service
+// time that is learned from the same answers: only the product shows, and both would wander.
+func (m *Model) Level() {
+	var n, sum float64
+	for _, c := range m.Class {
+		n, sum = n+c.N, sum+c.Sum
+	}
+	for i := range m.Class {
+		m.Class[i].Sum *= (n + priorWeight) / (sum + priorWeight)
+	}
+}
+
 // Full learns from a request that was turned away at that load: the server is crowded, whatever its service time, and
 // counts as stretched so far.
 func (m *Model) Full(load, stretch float64) { m.XX, m.XY = m.XX+load*load, m.XY+load*stretch }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -48,7 +48,6 @@
 	slowMost   = 1.5    // times the median service time, at most, that a usual request is taken to need
 	peerWorth  = 1.5    // times a request's worth: classes worth more keep their room against it
 	quotaLeast = 5.0    // requests of a tenant that may come at once; else a second's quota
-	fracPrior  = 20.0   // requests, spread evenly over sidecars, that stand for an unknown load
 	fracMemory = 0.99   // weight of older samples in this sidecar's part of the fleet's traffic
 	coldFresh  = 1000.0 // ms for which a cold server's report of room counts
 	coldIdle   = 0.5    // of what it can run side by side by now: with less in flight it has room
@@ -92,15 +91,17 @@
 	hotRIF                          float64
 	removeDue, probeDue, perRequest float64    // perRequest: probes, at the present rate of requests
 	elsewhere                       limit.Luck // of probes in other zones: servers with room
-	dropWorst                       bool
+	dropWorst, told                 bool       // told: servers report their service times
 	sparse                          bool       // most servers' news is older than poolAge
 	waiting                         []*request // for answers of probes, in order of arrival
 	lastProbe                       Ms
 
 	fit                              overload.Model
+	probes                           overload.Probes
+	gauge                            overload.Gauge // where nobody reports
 	medianMiss                       float64
 	fleetLatency                     Ms      // median service time
-	fracOwn, fracAll                 float64 // own requests, and all, that probed servers held
+	fracOwn, fracAll, quotas         float64 // own requests, and all, that servers held; of all tenants
 	buckets                          []limit.Bucket
 	sendRate, arrivals               limit.Rate
 	retries                          float64
@@ -136,6 +137,9 @@
 		b.fit.Class = append(b.fit.Class, overload.Mean{Prior: c.Aim / aims})
 		b.cfg.Classes[i].Attempts = max(1, cmp.Or(c.Attempts, cfg.MaxAttempts))
 	}
+	for _, t := range cfg.Tenants {
+		b.quotas += t.Quota
+	}
 	b.buckets = slices.Repeat([]limit.Bucket{{At: math.Inf(-1)}}, len(cfg.Tenants))
 	return b, nil
 }
@@ -267,16 +271,17 @@
 
 // ---- Latency: reports leave out waiting. fit rebuilds the paper's response time at the present RIF.
 
-func (s *server) service() Ms { return cmp.Or(s.latency, serverPrior) }
+// service is the server's unhindered time for a request: known, or that of most.
+func (b *Balancer) service(s *server) Ms { return cmp.Or(s.latency, b.gauge.Unhindered(), serverPrior) }
 
 // expect is the response time that a request sent to s with rif in flight should see.
 func (b *Balancer) expect(s *server, class int, rif float64) Ms {
-	return s.service()*b.fit.Of(class)*b.fit.Stretch(rif+1) + s.network
+	return b.service(s)*b.fit.Of(class)*b.fit.Stretch(rif+1) + s.network
 }
 
-// fraction is this sidecar's part of the fleet's traffic: own requests among all that servers hold.
+// fraction is this sidecar's part of the fleet's traffic.
 func (b *Balancer) fraction() float64 {
-	return min(1, (b.fracOwn+fracPrior/float64(b.cfg.Balancers))/(b.fracAll+fracPrior))
+	return limit.Part(b.fracOwn, b.fracAll, b.arrivals.PerMs(b.now)*1000, b.quotas, b.cfg.Balancers)
 }
 
 // ---- Probe pool: one entry a server. Loads are in the server table: a use raises the RIF for later picks.
@@ -301,8 +306,12 @@
 		return
 	}
 	b.unpool(s)
+	load := e.Report.RIF
+	if e.Status == OK && !e.Report.HasRIF {
+		load = b.probes.Load(b.now, s.info.Zone, e.Took)
+	}
 	if s.rank >= 1 { // in another zone
-		b.elsewhere.Note(e.Status == OK && e.Report.RIF < b.fit.SideBySide())
+		b.elsewhere.Note(e.Status == OK && load < b.fit.SideBySide())
 	}
 	if e.Status != OK {
 		if b.shutOut(s); e.Status != Full {
@@ -314,21 +323,20 @@
 	if s.network == 0 || e.Took < s.network {
 		s.network = e.Took
 	}
-	s.rif, s.reportAt = float64(s.out), b.now
+	s.rif, s.reportAt = max(load, float64(s.out)), b.now // own requests on their way are in no report yet
 	if e.Report.HasRIF {
-		s.rif = max(e.Report.RIF, s.rif) // own requests on their way are in no report yet
 		b.fracOwn = b.fracOwn*fracMemory + float64(b.outAll)/float64(max(1, b.ready))
 		b.fracAll = b.fracAll*fracMemory + e.Report.RIF
 	}
 	if e.Report.HasLatency && e.Report.Latency > 0 {
-		s.latency, s.reported = e.Report.Latency, true
+		s.latency, s.reported, b.told = e.Report.Latency, true, true
 	}
 	if b.rifs = append(b.rifs, s.rif); len(b.rifs) > rifSamples {
 		b.rifs = slices.Delete(b.rifs, 0, 1)
 	}
 	b.hotRIF = limit.Quantile(hotQuantile, slices.Clone(b.rifs), 0)
 	if e.Report.HasErrors { // against what it answers in its service time, by Little's law
-		s.failing = e.Report.Errors / (e.Report.Errors + 1000*(s.rif+1)/s.service())
+		s.failing = e.Report.Errors / (e.Report.Errors + 1000*(s.rif+1)/b.service(s))
 	}
 	if s.info.Health != Ready {
 		return
@@ -555,11 +563,14 @@
 	if r.over {
 		worth *= b.cfg.OverShareWorth
 	}
+	if !b.told && !b.gauge.Admits(uint32(r.id), worth) {
+		return false // by what all servers have taken of late
+	}
 	if s.rif < 1 && !r.over {
 		return true // an idle server is worth a try: only a sample can correct a wrong estimate
 	}
 	margin := limit.Room(b.sparse, b.cfg.WastePrice, s.rif/b.fit.SideBySide())
-	margin *= min(1, max(slowMost*b.fleetLatency, serverPrior)/s.service()) // a few costly ones raise a mean
+	margin *= min(1, max(slowMost*b.fleetLatency, serverPrior)/b.service(s)) // a few costly ones raise a mean
 	for i, c := range b.cfg.Classes {
 		room := c.Aim
 		if i == r.class {
@@ -696,7 +707,7 @@
 
 func (b *Balancer) send(r *request, s *server) {
 	end := r.endAt - b.now
-	r.sentBase, r.sentRIF = s.service(), s.rif
+	r.sentBase, r.sentRIF = b.service(s), s.rif
 	if s.out == 0 {
 		s.quietAt = b.now
 	}
@@ -707,7 +718,9 @@
 	if w := max(timeoutTimes*r.expected, b.minAim/2); again && w < end/2 {
 		end = w
 	}
-	s.out++
+	if s.out++; !b.told {
+		b.gauge.Began(b.now, uint32(r.id), b.fit.Of(r.class))
+	}
 	b.outAll++
 	s.rif++
 	s.cold.V--
@@ -718,6 +731,7 @@
 }
 
 func (b *Balancer) onAttemptDone(e *Event) {
+	b.gauge.Ended(b.now, uint32(e.Request), e.Status == OK || e.Status == TimedOut)
 	s := b.byID[e.Server]
 	r, who := b.requests[e.Request], 0
 	if r != nil {
@@ -775,10 +789,21 @@
 
 // sample learns from the duration of an attempt. Without reports durations are all there is.
 func (b *Balancer) sample(s *server, r *request, took Ms, ended float64) {
-	if !s.reported {
-		s.latency = s.service() + latencyStep*(took-s.service())
-	} else if r != nil && r.sentAt-b.bornAt >= firstAnswers {
-		b.fit.Add(r.class, r.sentRIF+1, min(10, max(0, took-s.network)/r.sentBase), ended)
+	if r == nil {
+		return
+	}
+	took = max(0, took-s.network)
+	base := r.sentBase
+	if !s.reported { // by what all take: a server's own time and what waiting adds show as a product alone
+		base = b.gauge.Unhindered()
+		alone := took / b.fit.Of(r.class) / b.fit.Stretch(r.sentRIF+1)
+		s.latency = b.service(s) + latencyStep*(alone-b.service(s))
+	}
+	if base > 0 && r.sentAt-b.bornAt >= firstAnswers {
+		b.fit.Add(r.class, r.sentRIF+1, min(10, took/base), ended)
+		if !b.told {
+			b.fit.Level()
+		}
 	}
 }
 
@@ -835,6 +860,13 @@
 	b.age()
 	b.fit.Age(b.now)
 	b.updateMedians()
+	left := math.Inf(1)
+	for i, c := range b.cfg.Classes {
+		if !c.Dropped {
+			left = min(left, c.Aim/b.fit.Of(i))
+		}
+	}
+	b.gauge.Look(b.now, left, limit.Room(b.sparse, b.cfg.WastePrice, 1), limit.Crowd(b.sparse, 1))
 	if b.now-b.lastProbe >= idleProbe {
 		b.probe(1, b.reach())
 	}
@@ -853,8 +885,8 @@
 		}
 	}
 	if b.shed > 0 && b.now-b.lastLog >= 2000 {
-		b.logf("refused %d; part %.2f; pool %d/%d; service %.0f ms; classes %.2f; side by side %.1f", b.shed,
-			b.fraction(), len(b.pool), b.ready, b.fleetLatency, b.fit.Class, b.fit.SideBySide())
+		b.logf("refused %d; part %.2f; pool %d/%d; service %.0f ms; classes %.2f; side by side %.1f; %s", b.shed,
+			b.fraction(), len(b.pool), b.ready, b.fleetLatency, b.fit.Class, b.fit.SideBySide(), &b.gauge)
 		b.shed, b.lastLog = 0, b.now
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -66,7 +66,7 @@
 	for i := 0; i < len(acts) && len(g.b.waiting) > 0; i++ {
 		if s := g.b.byID[acts[i].Server]; acts[i].Kind == Probe {
 			acts = append(acts, g.do(Event{Kind: ProbeDone, Server: acts[i].Server, Took: 1,
-				Report: Report{HasRIF: true, HasLatency: true, RIF: s.rif, Latency: s.service()}})...)
+				Report: Report{HasRIF: true, HasLatency: true, RIF: s.rif, Latency: g.b.service(s)}})...)
 		}
 	}
 	return acts
--- /dev/null
+++ b/logic/overload_test.go
@@ -0,0 +1,178 @@
+package logic
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// fleetOfOthers plays one sidecar of many before servers that report nothing, all as slow as the others make them.
+type fleetOfOthers struct {
+	*rig
+	rng     *rand.Rand
+	stretch float64
+	queues  bool // probes wait with requests
+	due     []due
+	last    RequestID
+	sent    int
+}
+
+type due struct {
+	at Ms
+	e  Event
+}
+
+func newFleetOfOthers(t *testing.T, servers int, queues bool) *fleetOfOthers {
+	cfg := testConfig()
+	cfg.Balancers, cfg.ProbePrice, cfg.WastePrice = 300, 0.01, 0.05
+	b, err := New(cfg, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleetOfOthers{rig: &rig{t: t, b: b, now: 1000}, rng: rand.New(rand.NewPCG(5, 0)), stretch: 1, queues: queues}
+	list := make([]ServerInfo, servers)
+	for i := range list {
+		list[i] = ServerInfo{ID: ServerID(i + 1), Health: Ready}
+	}
+	f.act(f.do(Event{Kind: Started}))
+	f.act(f.do(Event{Kind: List, Full: true, Servers: list}))
+	return f
+}
+
+func (f *fleetOfOthers) act(acts []Action) {
+	for _, a := range acts {
+		switch a.Kind {
+		case Probe:
+			took := 1 + 0.2*f.rng.Float64()
+			if f.queues {
+				took *= f.stretch
+			}
+			f.due = append(f.due, due{f.now + took, Event{Kind: ProbeDone, Server: a.Server, Took: took}})
+		case Send:
+			f.sent++
+			took, status := 60*f.stretch*math.Exp(0.5*f.rng.NormFloat64()), OK
+			if took > a.After {
+				took, status = a.After, TimedOut
+			}
+			f.due = append(f.due, due{f.now + took, Event{Kind: AttemptDone, Request: a.Request, Server: a.Server, Status: status,
+				Took: took, Final: status == OK}})
+		case SetTimer:
+			f.due = append(f.due, due{f.now + a.After, Event{Kind: TimerDue, Timer: a.Timer}})
+		}
+	}
+}
+
+// run plays until that time and returns the part of the requests, one in 50 ms, that were sent somewhere.
+func (f *fleetOfOthers) run(until Ms) float64 {
+	arrived, arrive, was := 0, f.now, f.sent
+	for f.now < until {
+		next := -1
+		for i := range f.due {
+			if next < 0 || f.due[i].at < f.due[next].at {
+				next = i
+			}
+		}
+		if next < 0 || f.due[next].at >= arrive {
+			f.now, arrive = arrive, arrive+50
+			f.last++
+			arrived++
+			f.act(f.do(Event{Kind: Arrival, Request: f.last, Class: 2, Left: 900}))
+			continue
+		}
+		d := f.due[next]
+		f.due[next] = f.due[len(f.due)-1]
+		f.due = f.due[:len(f.due)-1]
+		f.now = d.at
+		f.act(f.do(d.e))
+	}
+	return float64(f.sent-was) / float64(arrived)
+}
+
+// One of many is a small part of each server's load and knows none of it by its own count. It sees by its own answers and by
+// its probes that all are crowded, turns most away then, and finds back within 5 s of the end.
+func TestOverloadIsSeenByOneOfMany(t *testing.T) {
+	for name, queues := range map[string]bool{"probes queue": true, "probes don't": false} {
+		f := newFleetOfOthers(t, 40, queues)
+		f.run(10e3)
+		if part := f.run(20e3); part < 0.97 {
+			t.Errorf("%s: %.2f are admitted while all is well", name, part)
+		}
+		f.stretch = 6
+		f.run(23e3)
+		if part := f.run(30e3); part > 0.4 {
+			t.Errorf("%s: %.2f are admitted while answers take 6 times as long", name, part)
+		}
+		f.stretch = 1
+		f.run(35e3)
+		if part := f.run(45e3); part < 0.97 {
+			t.Errorf("%s: %.2f are admitted once all is well again", name, part)
+		}
+	}
+}
+
+// Where servers report no load, the time of a probe in their queue tells which of them is crowded.
+func TestProbeTimesTellTheLoad(t *testing.T) {
+	f := newFleetOfOthers(t, 2, true)
+	f.run(3e3)
+	crowded, free := f.b.byID[1], f.b.byID[2]
+	crowded.out, free.out = 0, 0 // own requests count as well
+	f.do(Event{Kind: ProbeDone, Server: 1, Took: 30})
+	f.do(Event{Kind: ProbeDone, Server: 2, Took: 1.1})
+	if crowded.rif < 20 || free.rif > 1 {
+		t.Errorf("loads of %.1f and %.1f by probes of 30 and 1.1 ms", crowded.rif, free.rif)
+	}
+	r := &request{class: 2, aimAt: f.b.now + 400, endAt: f.b.now + 900}
+	if s := f.b.pick(r); s != free {
+		t.Errorf("the crowded server is picked")
+	}
+	if f.b.admits(crowded, r) || !f.b.admits(free, r) {
+		t.Errorf("admitted: %t at the crowded server, %t at the free one", f.b.admits(crowded, r), f.b.admits(free, r))
+	}
+}
+
+// What servers report goes before all that: neither the probes' times nor the own answers change anything there.
+func TestReportsGoBeforeOwnAnswers(t *testing.T) {
+	g := newRig(t, testConfig(), 4)
+	for id := range RequestID(200) {
+		g.now += 50
+		s := find(g.arrive(id, 0), Send)
+		if s == nil {
+			continue
+		}
+		g.now += 380
+		g.done(id, 0, s.Server, OK)
+		g.do(Event{Kind: ProbeDone, Server: s.Server, Took: 100, Report: Report{HasRIF: true, HasLatency: true, RIF: 1, Latency: 40}})
+		g.do(Event{Kind: TimerDue, Timer: tickTimer})
+		if rif := g.b.byID[s.Server].rif; rif > 2 {
+			t.Fatalf("a load of %.1f where 1 is reported", rif)
+		}
+	}
+	if got := g.b.gauge.Stretch(); got != 1 {
+		t.Errorf("stretched by %.2f", got)
+	}
+}
+
+// Where nobody tells what all send, a busy sidecar's tenants are within their shares as long as its own traffic is shared so.
+func TestSharesOfABusySidecar(t *testing.T) {
+	cfg := testConfig()
+	cfg.Balancers, cfg.Tenants = 300, []Tenant{{Quota: 300}, {Quota: 100}}
+	b, err := New(cfg, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	over := [2]int{}
+	for n := range 4000 { // 40 a second: 30 times the mean, nine in ten of the second tenant, whose share is a quarter
+		b.now += 25
+		b.arrivals.Add(b.now)
+		tenant := 1
+		if n%10 == 0 {
+			tenant = 0
+		}
+		if !b.inShare(tenant) {
+			over[tenant]++
+		}
+	}
+	if over[0] > 0 || over[1] < 2000 {
+		t.Errorf("%v requests are beyond their tenants' shares", over)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -71,7 +71,7 @@
 		follow(tenants, s.by[1:], by[1:])
 		s.by = by
 	}
-	b.cfg, b.minAim, b.margin = next.cfg, next.minAim, next.margin
+	b.cfg, b.minAim, b.margin, b.quotas = next.cfg, next.minAim, next.margin, next.quotas
 	b.buckets, b.fit.Class = next.buckets, next.fit.Class
 	return nil
 }
