--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,6 +14,7 @@
 	"plankrouter/internal/backoff"
 	"plankrouter/internal/evidence"
 	"plankrouter/internal/limit"
+	"plankrouter/internal/overload"
 )
 
 const (
@@ -38,9 +39,6 @@
 	serverPrior  = 50.0 // ms of service time assumed before any report or answer
 	latencyStep  = 0.3  // part of the way that an unreported service time moves with an answer
 	firstAnswers = 1500 // ms from the start in which the quick requests alone are answered
-	fitPrior     = 6.0  // requests side by side before any sample: waiting must be shown, not feared
-	fitWeight    = 2.0  // samples that a prior weighs
-	fitMemory    = 5e3  // ms in which samples of response times fade by e
 
 	probeWeight = 0.5  // of a failed probe, in failures
 	ejectAt     = 0.5  // probability of failure, beyond the fleet's median, that takes a server out
@@ -50,7 +48,6 @@
 	slowMost   = 1.5    // times the median service time, at most, that a usual request is taken to need
 	peerWorth  = 1.5    // times a request's worth: classes worth more keep their room against it
 	quotaLeast = 5.0    // requests of a tenant that may come at once; else a second's quota
-	fracPrior  = 20.0   // requests, spread evenly over sidecars, that stand for an unknown load
 	fracMemory = 0.99   // weight of older samples in this sidecar's part of the fleet's traffic
 	coldFresh  = 1000.0 // ms for which a cold server's report of room counts
 	coldIdle   = 0.5    // of what it can run side by side by now: with less in flight it has room
@@ -94,15 +91,17 @@
 	hotRIF                          float64
 	removeDue, probeDue, perRequest float64    // perRequest: probes, at the present rate of requests
 	elsewhere                       limit.Luck // of probes in other zones: servers with room
-	dropWorst                       bool
+	dropWorst, told                 bool       // told: servers report their service times
 	sparse                          bool       // most servers' news is older than poolAge
 	waiting                         []*request // for answers of probes, in order of arrival
 	lastProbe                       Ms
 
-	fit                              fit
+	fit                              overload.Model
+	probes                           overload.Probes
+	gauge                            overload.Gauge // where nobody reports
 	medianMiss                       float64
 	fleetLatency                     Ms      // median service time
-	fracOwn, fracAll                 float64 // own requests, and all, that probed servers held
+	fracOwn, fracAll, quotas         float64 // own requests, and all, that servers held; of all tenants
 	buckets                          []limit.Bucket
 	sendRate, arrivals               limit.Rate
 	retries                          float64
@@ -135,9 +134,12 @@
 	b.cfg.Balancers, b.cfg.Classes = max(1, cfg.Balancers), slices.Clone(cfg.Classes)
 	b.margin, b.perRequest, b.elsewhere = 2*cfg.Round+1, limit.MostProbes, 1
 	for i, c := range cfg.Classes { // who is to be answered sooner takes less time
-		b.fit.class = append(b.fit.class, classFit{prior: c.Aim / aims})
+		b.fit.Class = append(b.fit.Class, overload.Mean{Prior: c.Aim / aims})
 		b.cfg.Classes[i].Attempts = max(1, cmp.Or(c.Attempts, cfg.MaxAttempts))
 	}
+	for _, t := range cfg.Tenants {
+		b.quotas += t.Quota
+	}
 	b.buckets = slices.Repeat([]limit.Bucket{{At: math.Inf(-1)}}, len(cfg.Tenants))
 	return b, nil
 }
@@ -269,54 +271,17 @@
 
 // ---- Latency: reports leave out waiting. fit rebuilds the paper's response time at the present RIF.
 
-type fit struct {
-	xx, xy float64 // of the least-squares line through the origin: waiting over requests in flight
-	at     Ms
-	class  []classFit
-}
-
-// classFit is the mean of one class, as a part of the reported service time.
-type classFit struct{ n, sum, prior float64 }
-
-// age lets old samples fade: a sidecar that refuses for want of room gets none and must not believe its last.
-func (f *fit) age(now Ms) {
-	k := math.Exp((f.at - now) / fitMemory)
-	f.xx, f.xy, f.at = f.xx*k, f.xy*k, now
-	for i := range f.class {
-		f.class[i].n, f.class[i].sum = f.class[i].n*k, f.class[i].sum*k
-	}
-}
-
-// add learns from an attempt that took ratio times the reported service time with x requests in flight.
-func (f *fit) add(class int, x, ratio, ended float64) {
-	k := &f.class[class]
-	k.n, k.sum = k.n+ended, k.sum+ratio/f.stretch(x)
-	if 2*x >= f.sideBySide() { // few in flight tell nothing of how many would fit
-		f.xx, f.xy = f.xx+ended*x*x, f.xy+x*ratio/f.of(class)
-	}
-}
-
-func (f *fit) of(class int) float64 {
-	k := &f.class[class]
-	return (k.sum + fitWeight*k.prior) / (k.n + fitWeight)
-}
-
-// sideBySide is the number of requests that a server runs without making others wait.
-func (f *fit) sideBySide() float64 { return max(1, (f.xx+2*fitPrior*fitPrior)/(f.xy+2*fitPrior)) }
-
-// stretch is the response time over an unhindered one with x requests in flight, 1 or more.
-func (f *fit) stretch(x float64) float64 { return max(1, x/f.sideBySide()) }
-
-func (s *server) service() Ms { return cmp.Or(s.latency, serverPrior) }
+// service is the server's unhindered time for a request: known, or that of most.
+func (b *Balancer) service(s *server) Ms { return cmp.Or(s.latency, b.gauge.Unhindered(), serverPrior) }
 
 // expect is the response time that a request sent to s with rif in flight should see.
 func (b *Balancer) expect(s *server, class int, rif float64) Ms {
-	return s.service()*b.fit.of(class)*b.fit.stretch(rif+1) + s.network
+	return b.service(s)*b.fit.Of(class)*b.fit.Stretch(rif+1) + s.network
 }
 
-// fraction is this sidecar's part of the fleet's traffic: own requests among all that servers hold.
+// fraction is this sidecar's part of the fleet's traffic.
 func (b *Balancer) fraction() float64 {
-	return min(1, (b.fracOwn+fracPrior/float64(b.cfg.Balancers))/(b.fracAll+fracPrior))
+	return limit.Part(b.fracOwn, b.fracAll, b.arrivals.PerMs(b.now)*1000, b.quotas, b.cfg.Balancers)
 }
 
 // ---- Probe pool: one entry a server. Loads are in the server table: a use raises the RIF for later picks.
@@ -341,8 +306,12 @@
 		return
 	}
 	b.unpool(s)
+	load := e.Report.RIF
+	if e.Status == OK && !e.Report.HasRIF {
+		load = b.probes.Load(b.now, s.info.Zone, e.Took)
+	}
 	if s.rank >= 1 { // in another zone
-		b.elsewhere.Note(e.Status == OK && e.Report.RIF < b.fit.sideBySide())
+		b.elsewhere.Note(e.Status == OK && load < b.fit.SideBySide())
 	}
 	if e.Status != OK {
 		if b.shutOut(s); e.Status != Full {
@@ -354,21 +323,20 @@
 	if s.network == 0 || e.Took < s.network {
 		s.network = e.Took
 	}
-	s.rif, s.reportAt = float64(s.out), b.now
+	s.rif, s.reportAt = max(load, float64(s.out)), b.now // own requests on their way are in no report yet
 	if e.Report.HasRIF {
-		s.rif = max(e.Report.RIF, s.rif) // own requests on their way are in no report yet
 		b.fracOwn = b.fracOwn*fracMemory + float64(b.outAll)/float64(max(1, b.ready))
 		b.fracAll = b.fracAll*fracMemory + e.Report.RIF
 	}
 	if e.Report.HasLatency && e.Report.Latency > 0 {
-		s.latency, s.reported = e.Report.Latency, true
+		s.latency, s.reported, b.told = e.Report.Latency, true, true
 	}
 	if b.rifs = append(b.rifs, s.rif); len(b.rifs) > rifSamples {
 		b.rifs = slices.Delete(b.rifs, 0, 1)
 	}
 	b.hotRIF = limit.Quantile(hotQuantile, slices.Clone(b.rifs), 0)
 	if e.Report.HasErrors { // against what it answers in its service time, by Little's law
-		s.failing = e.Report.Errors / (e.Report.Errors + 1000*(s.rif+1)/s.service())
+		s.failing = e.Report.Errors / (e.Report.Errors + 1000*(s.rif+1)/b.service(s))
 	}
 	if s.info.Health != Ready {
 		return
@@ -418,7 +386,7 @@
 // near is among how many to probe: the preferred zone's, or more if far or if those are full and others not.
 func (b *Balancer) near(far bool) int {
 	home := min(b.reach(), max(limit.LeastReach, b.local))
-	if far || b.sparse && b.hotRIF > b.fit.sideBySide() && b.rng.Float64() < float64(b.elsewhere) {
+	if far || b.sparse && b.hotRIF > b.fit.SideBySide() && b.rng.Float64() < float64(b.elsewhere) {
 		return min(b.ready, home+min(b.reach(), b.ready-b.local))
 	}
 	return home
@@ -486,7 +454,7 @@
 // cost compares cold entries: the expected response time plus, as time, likely failures and crossings.
 func (b *Balancer) cost(s *server, r *request) float64 {
 	aim := b.cfg.Classes[r.class].Aim
-	t := b.expect(s, r.class, s.rif) * (1 + rifLean*s.rif/b.fit.sideBySide())
+	t := b.expect(s, r.class, s.rif) * (1 + rifLean*s.rif/b.fit.SideBySide())
 	if s.info.Zone != b.cfg.Zone {
 		t += b.cfg.CrossPrice * crossPerAim * aim
 	}
@@ -595,11 +563,14 @@
 	if r.over {
 		worth *= b.cfg.OverShareWorth
 	}
+	if !b.told && !b.gauge.Admits(uint32(r.id), worth) {
+		return false // by what all servers have taken of late
+	}
 	if s.rif < 1 && !r.over {
 		return true // an idle server is worth a try: only a sample can correct a wrong estimate
 	}
-	margin := limit.Room(b.sparse, b.cfg.WastePrice, s.rif/b.fit.sideBySide())
-	margin *= min(1, max(slowMost*b.fleetLatency, serverPrior)/s.service()) // a few costly ones raise a mean
+	margin := limit.Room(b.sparse, b.cfg.WastePrice, s.rif/b.fit.SideBySide())
+	margin *= min(1, max(slowMost*b.fleetLatency, serverPrior)/b.service(s)) // a few costly ones raise a mean
 	for i, c := range b.cfg.Classes {
 		room := c.Aim
 		if i == r.class {
@@ -611,7 +582,7 @@
 			return false
 		}
 	}
-	return b.fit.stretch(s.rif+1) <= limit.Crowd(b.sparse, worth)
+	return b.fit.Stretch(s.rif+1) <= limit.Crowd(b.sparse, worth)
 }
 
 // density is the worth of a class for the time its requests hold a server, over that of the best class.
@@ -619,10 +590,10 @@
 	most := math.SmallestNonzeroFloat64
 	for i, c := range b.cfg.Classes {
 		if !c.Dropped {
-			most = max(most, c.Worth/b.fit.of(i))
+			most = max(most, c.Worth/b.fit.Of(i))
 		}
 	}
-	return b.cfg.Classes[class].Worth / b.fit.of(class) / most
+	return b.cfg.Classes[class].Worth / b.fit.Of(class) / most
 }
 
 // ---- Cold-start budget (rule 4): a cold server gets a warm one's part, times what it must bear by now.
@@ -636,7 +607,7 @@
 	if w >= 1 {
 		return true
 	}
-	room := b.now-s.reportAt <= coldFresh && s.rif < coldIdle*w*b.fit.sideBySide() // as it has just said
+	room := b.now-s.reportAt <= coldFresh && s.rif < coldIdle*w*b.fit.SideBySide() // as it has just said
 	rate := limit.ColdRate(w, b.cfg.TipMultiple, room, b.sendRate.PerMs(b.now), b.arrivals.PerMs(b.now))
 	return s.cold.Fill(b.now, rate/float64(max(1, b.ready)), 1)
 }
@@ -736,7 +707,7 @@
 
 func (b *Balancer) send(r *request, s *server) {
 	end := r.endAt - b.now
-	r.sentBase, r.sentRIF = s.service(), s.rif
+	r.sentBase, r.sentRIF = b.service(s), s.rif
 	if s.out == 0 {
 		s.quietAt = b.now
 	}
@@ -747,7 +718,9 @@
 	if w := max(timeoutTimes*r.expected, b.minAim/2); again && w < end/2 {
 		end = w
 	}
-	s.out++
+	if s.out++; !b.told {
+		b.gauge.Began(b.now, uint32(r.id), b.fit.Of(r.class))
+	}
 	b.outAll++
 	s.rif++
 	s.cold.V--
@@ -758,6 +731,7 @@
 }
 
 func (b *Balancer) onAttemptDone(e *Event) {
+	b.gauge.Ended(b.now, uint32(e.Request), e.Status == OK || e.Status == TimedOut)
 	s := b.byID[e.Server]
 	r, who := b.requests[e.Request], 0
 	if r != nil {
@@ -776,9 +750,8 @@
 			s.quietAt = b.now
 			if b.learn(s, who, 1); e.Status == NoConnection {
 				b.shutOut(s)
-			}
-			if x := s.rif + 1; e.Status == Full { // a server that is full is crowded, whatever its latency
-				b.fit.xx, b.fit.xy = b.fit.xx+x*x, b.fit.xy+x*limit.CrowdMost
+			} else if e.Status == Full {
+				b.fit.Full(s.rif+1, limit.CrowdMost)
 			}
 		case TimedOut:
 			if !b.silent(s) {
@@ -816,10 +789,21 @@
 
 // sample learns from the duration of an attempt. Without reports durations are all there is.
 func (b *Balancer) sample(s *server, r *request, took Ms, ended float64) {
-	if !s.reported {
-		s.latency = s.service() + latencyStep*(took-s.service())
-	} else if r != nil && r.sentAt-b.bornAt >= firstAnswers {
-		b.fit.add(r.class, r.sentRIF+1, min(10, max(0, took-s.network)/r.sentBase), ended)
+	if r == nil {
+		return
+	}
+	took = max(0, took-s.network)
+	base := r.sentBase
+	if !s.reported { // by what all take: a server's own time and what waiting adds show as a product alone
+		base = b.gauge.Unhindered()
+		alone := took / b.fit.Of(r.class) / b.fit.Stretch(r.sentRIF+1)
+		s.latency = b.service(s) + latencyStep*(alone-b.service(s))
+	}
+	if base > 0 && r.sentAt-b.bornAt >= firstAnswers {
+		b.fit.Add(r.class, r.sentRIF+1, min(10, took/base), ended)
+		if !b.told {
+			b.fit.Level()
+		}
 	}
 }
 
@@ -874,8 +858,15 @@
 func (b *Balancer) tick() {
 	b.timer(tickTimer, tickEvery)
 	b.age()
-	b.fit.age(b.now)
+	b.fit.Age(b.now)
 	b.updateMedians()
+	left := math.Inf(1)
+	for i, c := range b.cfg.Classes {
+		if !c.Dropped {
+			left = min(left, c.Aim/b.fit.Of(i))
+		}
+	}
+	b.gauge.Look(b.now, left, limit.Room(b.sparse, b.cfg.WastePrice, 1), limit.Crowd(b.sparse, 1))
 	if b.now-b.lastProbe >= idleProbe {
 		b.probe(1, b.reach())
 	}
@@ -894,8 +885,8 @@
 		}
 	}
 	if b.shed > 0 && b.now-b.lastLog >= 2000 {
-		b.logf("refused %d; part %.2f; pool %d/%d; service %.0f ms; classes %.2f; side by side %.1f", b.shed,
-			b.fraction(), len(b.pool), b.ready, b.fleetLatency, b.fit.class, b.fit.sideBySide())
+		b.logf("refused %d; part %.2f; pool %d/%d; service %.0f ms; classes %.2f; side by side %.1f; %s", b.shed,
+			b.fraction(), len(b.pool), b.ready, b.fleetLatency, b.fit.Class, b.fit.SideBySide(), &b.gauge)
 		b.shed, b.lastLog = 0, b.now
 	}
 }
