--- a/cmd/planklab/overload.go
+++ b/cmd/planklab/overload.go
@@ -15,7 +15,7 @@
 	Sidecars []int     `default:"4,40,300,2000,6000" placeholder:"N,..." help:"Sidecars that share the traffic (${default})."`
 	Servers  int       `default:"50" placeholder:"M" help:"Servers; 0 = as many as sidecars (${default})."`
 	Loads    []float64 `default:"0.5,0.9,1.2,2" placeholder:"L,..." help:"First tries over what the servers bear (${default})."`
-	Reports  []string  `default:"none,full" placeholder:"R,..." help:"Whether probes tell a load: none, full (${default})."`
+	Reports  []string  `default:"none,full" placeholder:"R,..." help:"Whether probes tell a load: none, queued (by the time they wait), full (${default})."`
 	Events   []string  `default:"burst,zone" placeholder:"E,..." help:"What happens: none, burst, swell, zone (${default})."`
 	Seeds    []uint64  `default:"1" placeholder:"S,..." help:"Of the days (${default})."`
 	Policy   string    `default:"module" placeholder:"NAME" help:"As of emulate (${default})."`
@@ -39,13 +39,10 @@
 func (c *overloadCommand) runs() (runs []emulator.Overload, err error) {
 	for _, event := range c.Events {
 		for _, reports := range c.Reports {
-			if reports != "none" && reports != "full" {
-				return nil, fmt.Errorf("--reports: %q; want none or full", reports)
-			}
 			for _, load := range c.Loads {
 				for _, seed := range c.Seeds {
 					for _, n := range c.Sidecars {
-						o := emulator.Overload{Sidecars: n, Servers: c.Servers, Load: load, Reports: reports == "full",
+						o := emulator.Overload{Sidecars: n, Servers: c.Servers, Load: load, Reports: reports,
 							Event: event, Seed: seed, Policy: c.Policy, Worthy: c.Worthy,
 							ZoneSkew: c.ZoneSkew, Drawn: c.Drawn, Free: c.Free}
 						if o.Servers == 0 {
@@ -83,7 +80,7 @@
 	var done func(*emulator.OverloadResult)
 	if c.Progress {
 		done = func(r *emulator.OverloadResult) {
-			fmt.Fprintf(out, "%4.0f s: %s, reports %t, load %g, seed %d, %d sidecars: share %.3f, after %.3f\n",
+			fmt.Fprintf(out, "%4.0f s: %s, reports %s, load %g, seed %d, %d sidecars: share %.3f, after %.3f\n",
 				time.Since(began).Seconds(), r.Event, r.Reports, r.Load, r.Seed, r.Sidecars, r.Share, r.After)
 		}
 	}
--- a/internal/lab/emulator/config.go
+++ b/internal/lab/emulator/config.go
@@ -89,6 +89,7 @@
 	ReportEvery float64 `json:"report_ms"`    // between two refreshes of what probes report
 	ReportNoise float64 `json:"report_noise"` // standard deviation, as a part of the figure
 	NoReport    bool    `json:"no_report"`    // probes are answered without any load report
+	ProbesQueue bool    `json:"probes_queue"` // where there is none: they wait among the requests in the slots
 
 	DropsCancelled bool `json:"drops_cancelled"` // what waits for a slot leaves when its attempt ends at the sidecar
 }
--- a/internal/lab/emulator/network.go
+++ b/internal/lab/emulator/network.go
@@ -43,9 +43,10 @@
 	at      *machine
 	conn    *conn
 	began   logic.Ms
-	work    float64 // that the server puts into it
-	queued  *job    // of it, while that waits for a slot
-	written bool    // its last byte is on its way: it may run from here on
+	up      logic.Ms // when its connection came up, if it was new
+	work    float64  // that the server puts into it
+	queued  *job     // of it, while that waits for a slot
+	written bool     // its last byte is on its way: it may run from here on
 	ended   bool
 }
 
--- a/internal/lab/emulator/overload.go
+++ b/internal/lab/emulator/overload.go
@@ -19,7 +19,7 @@
 	Sidecars int     `json:"sidecars"`
 	Servers  int     `json:"servers"`
 	Load     float64 `json:"load"`    // first tries over what the servers bear, both a second
-	Reports  bool    `json:"reports"` // probes tell what is in flight
+	Reports  string  `json:"reports"` // one of OverloadReports
 	Event    string  `json:"event"`   // one of OverloadEvents
 	Seed     uint64  `json:"seed"`    // of the day
 	Policy   string  `json:"policy"`
@@ -33,6 +33,10 @@
 // as much again for five; a zone, of five, out of reach for five.
 func OverloadEvents() []string { return []string{"none", "burst", "swell", "zone"} }
 
+// OverloadReports are what probes can tell of a server's load: nothing; nothing, but that they wait among its requests; what
+// is in flight there.
+func OverloadReports() []string { return []string{"none", "queued", "full"} }
+
 const (
 	overloadLength = 30.0 // s
 	overloadFrom   = 4.0  // s from which the calm part counts,
@@ -98,17 +102,19 @@
 	if o.Free {
 		s.TableLoss, s.Handshake, s.ProbeWork = 0, 0, 0
 	}
-	s.NoReport, s.ReportEvery, s.ReportNoise = !o.Reports, 100, 0.09
+	s.NoReport, s.ProbesQueue, s.ReportEvery, s.ReportNoise = o.Reports != "full", o.Reports == "queued", 100, 0.09
 	c.Network = Network{Near: 0.2, Far: [2]float64{1.4, 2.6}, Jitter: 0.1, ConnectTimeout: 250}
 	c.Clients = Clients{Retries: retries, Wait: backoff, Patience: [2]float64{0.3, 0.55}, Impatient: 0.005}
 	r := &c.Rules
 	r.Grace, r.ColdShare, r.WarmWithin, r.TipMultiple, r.TipWindow = 1000, 0.32, 8200, 3, 2000
 	r.MaxAttempts, r.OverWorth, r.CrossPrice, r.WastePrice, r.ProbePrice = 6, 0.1, 0.01, 0.05, 0.01
 	var err error
-	c.Troubles, _, err = overloadEvent(o.Event)
-	if err != nil {
+	if c.Troubles, _, err = overloadEvent(o.Event); err != nil {
 		return c, err
 	}
+	if !slices.Contains(OverloadReports(), o.Reports) {
+		return c, fmt.Errorf("reports: there are no %q; there are %v", o.Reports, OverloadReports())
+	}
 	return c, c.Check()
 }
 
@@ -246,7 +252,7 @@
 	fmt.Fprintln(t, "event\treports\tload\tseed\tsidecars\tshare\tworth\tbest class\tbefore\tduring\tafter\tback s\trefused\tfailed\t"+
 		"tries\tattempts\ttimed out\tchoked\twaste\tprobes\thandshakes\tconns\tbroken\t")
 	for _, r := range results {
-		fmt.Fprintf(t, "%s\t%t\t%g\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%.2f\t"+
+		fmt.Fprintf(t, "%s\t%s\t%g\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%.2f\t"+
 			"%.2f\t%.2f\t%.2f\t%.0f\t%d\t\n", r.Event, r.Reports, r.Load, r.Seed, r.Sidecars, r.Share, r.Worth, r.Best, r.Before,
 			r.During, r.After, r.Back, r.Refused, r.Failed, r.Tries, r.Attempts, r.TimedOut, r.Choked, r.Waste, r.Probes,
 			r.Shakes, r.Conns, r.Broken)
@@ -262,7 +268,7 @@
 		if !bySecond {
 			break
 		}
-		fmt.Fprintf(out, "\n%s, reports %t, load %g, seed %d, %d sidecars, by second of the first try (share) or of the happening:\n",
+		fmt.Fprintf(out, "\n%s, reports %s, load %g, seed %d, %d sidecars, by second of the first try (share) or of the happening:\n",
 			r.Event, r.Reports, r.Load, r.Seed, r.Sidecars)
 		fmt.Fprintln(t, "second\tasked\tshare\ttries\tattempts\trefused\tfailed\ttimed out\theld/server\tmost\tchoked\tprobes\tconns\t")
 		for _, w := range r.Rows {
@@ -298,7 +304,7 @@
 	}
 	fmt.Fprintln(t, "most - least\t")
 	for _, row := range rows {
-		fmt.Fprintf(t, "%s\t%t\t%g\t", row.Event, row.Reports, row.Load)
+		fmt.Fprintf(t, "%s\t%s\t%g\t", row.Event, row.Reports, row.Load)
 		least, most := math.Inf(1), math.Inf(-1)
 		target := 0.0 // before the event, by any number of sidecars: what is far below it is not back
 		for _, n := range sizes {
--- a/internal/lab/emulator/overload_test.go
+++ b/internal/lab/emulator/overload_test.go
@@ -107,7 +107,7 @@
 func TestOverloadsShareOneTraffic(t *testing.T) {
 	var runs []Overload
 	for _, n := range []int{4, 40} {
-		runs = append(runs, Overload{Sidecars: n, Servers: 10, Load: 0.5, Reports: true, Event: "burst", Seed: 3,
+		runs = append(runs, Overload{Sidecars: n, Servers: 10, Load: 0.5, Reports: "full", Event: "burst", Seed: 3,
 			Policy: "least"})
 	}
 	told := 0
--- a/internal/lab/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -322,7 +322,11 @@
 	m.busy(set.ProbeWork)
 	noise := func() float64 { return max(0, 1+set.ReportNoise*m.w.rngServers.NormFloat64()) }
 	if set.NoReport {
-		m.reply(a, logic.OK, logic.Report{})
+		wait := 0.0
+		if set.ProbesQueue { // it takes its turn among those in the slots
+			wait = set.ProbeWork * max(m.cores, float64(len(m.running)+1)) / m.power()
+		}
+		m.w.after(wait, func() { m.reply(a, logic.OK, logic.Report{}) })
 		return
 	}
 	m.reply(a, logic.OK, logic.Report{HasRIF: true, RIF: math.Round(m.reportRIF * noise()),
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -885,8 +885,8 @@
 		}
 	}
 	if b.shed > 0 && b.now-b.lastLog >= 2000 {
-		b.logf("refused %d; part %.2f; pool %d/%d; service %.0f ms; classes %.2f; side by side %.1f; %s", b.shed,
-			b.fraction(), len(b.pool), b.ready, b.fleetLatency, b.fit.Class, b.fit.SideBySide(), &b.gauge)
+		b.logf("refused %d; part %.2f; pool %d/%d; service %.0f ms; classes %.2f; side by side %.1f; %s",
+			b.shed, b.fraction(), len(b.pool), b.ready, b.fleetLatency, b.fit.Class, b.fit.SideBySide(), &b.gauge)
 		b.shed, b.lastLog = 0, b.now
 	}
 }
