A server in no known zone has its probes' least time, too; a usage message's test follows it

Seen: TestTrace of internal/core went down with an index of -1: a zone that the settings don't name has that number. Least times are kept in a map by zone now; the table has a case of it, which fails on the code before. The message of planklab overload names three kinds of reports; its test wants all of them.

--- a/cmd/planklab/main_test.go
+++ b/cmd/planklab/main_test.go
@@ -56,7 +56,7 @@
 		{"fleet-scenes --sidecars 0 --watch DIR/playback.json", exitBroken, "plankrouter.watch"},
 		{"overload --help", 0, "swell"},
 		{"overload --events tea", exitUsage, `"tea"`},
-		{"overload --reports some", exitUsage, "none or full"},
+		{"overload --reports some", exitUsage, "[none queued full]"},
 		{"overload --servers 20000", exitUsage, "servers"},
 		{"overload --policy tea", exitUsage, `"tea"`},
 		{"handover --program HERE --keep /dev/null/x", exitBroken, "/dev/null"},
--- a/internal/overload/probes.go
+++ b/internal/overload/probes.go
@@ -12,31 +12,27 @@
 )
 
 // Probes keeps the least time that probes have taken, by zone: the way there and back and the unhindered probe.
-type Probes struct{ zones []least }
+type Probes struct{ zones map[int]least }
 
-type least struct {
-	took, at float64
-	known    bool
-}
+type least struct{ took, at float64 }
 
 // Load is how crowded a server of that zone is by a probe that was answered at now and took so long, its connection being
 // up. It counts as requests in flight do in reports, in units in which Model, as long as it has learned nothing else, takes a
 // request to be stretched by the waiting in the probe over the least time that any has taken. It is about 0 where probes don't
 // queue with requests.
 func (p *Probes) Load(now float64, zone int, took float64) float64 {
-	for len(p.zones) <= zone {
-		p.zones = append(p.zones, least{})
+	if p.zones == nil {
+		p.zones = map[int]least{}
 	}
-	z := &p.zones[zone]
-	if z.took *= math.Exp((now - z.at) / driftTime); !z.known || took < z.took {
-		z.took, z.known = took, true
+	z, known := p.zones[zone]
+	if z.took *= math.Exp((now - z.at) / driftTime); !known || took < z.took {
+		z.took = took
 	}
 	z.at = now
-	unit := math.Inf(1)
+	p.zones[zone] = z
+	unit := z.took
 	for _, other := range p.zones {
-		if other.known {
-			unit = min(unit, other.took)
-		}
+		unit = min(unit, other.took)
 	}
 	return sideBySidePrior * (took - z.took) / max(unit, leastTime)
 }
--- a/internal/overload/probes_test.go
+++ b/internal/overload/probes_test.go
@@ -17,6 +17,8 @@
 		{0, 0.5, 0},
 		{0, 1, 1}, // in units of the new least
 		{3, 5, 0},
+		{-1, 2, 0}, // a zone that nobody knows
+		{-1, 3, 2},
 		{3, 10, 10},
 	} {
 		if got := p.Load(1000, c.zone, c.took) / sideBySidePrior; got < c.want-1e-9 || got > c.want+1e-9 {
