What a new connection took is told beside a probe's time instead of being left out of it

Event.Dialed tells it now, and only the load read from a probe's waiting takes it off, so that where servers report nothing has changed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -524,11 +524,12 @@
 		if k != nil && k.proof.Probed.Equal(a.began) {
 			seen = s.clock.at(a.began)
 		}
-		if r.Since.After(a.began) { // its time tells the server's load, not how long the connection took to come up
-			took = millis(time.Since(r.Since))
+		dialed := 0.0
+		if r.Since.After(a.began) {
+			dialed = millis(r.Since.Sub(a.began))
 		}
-		s.step(logic.Event{Kind: logic.ProbeDone, Server: a.server, Status: r.Ending.Status(), Took: took, Seen: seen,
-			Report: r.Report})
+		s.step(logic.Event{Kind: logic.ProbeDone, Server: a.server, Status: r.Ending.Status(), Took: took, Dialed: dialed,
+			Seen: seen, Report: r.Report})
 		return
 	}
 	s.counts.Calls[r.Ending]++
--- a/internal/lab/emulator/sidecar.go
+++ b/internal/lab/emulator/sidecar.go
@@ -319,9 +319,9 @@
 		sc.w.after(sc.w.delay(sc.zone, m.zone), func() { m.drop(a, life) })
 	}
 	took := sc.w.now - a.began
-	if a.req == nil { // as the daemon's: its time tells the server's load, not how long the connection took to come up
-		sc.step(logic.Event{Kind: logic.ProbeDone, Server: a.at.id, Status: status, Took: sc.w.now - max(a.began, a.up),
-			Report: report})
+	if a.req == nil {
+		sc.step(logic.Event{Kind: logic.ProbeDone, Server: a.at.id, Status: status, Took: took,
+			Dialed: max(0, a.up-a.began), Report: report})
 		return
 	}
 	r := a.req
--- a/logic/api.go
+++ b/logic/api.go
@@ -91,7 +91,7 @@
 	AttemptDone                  // Request, Attempt, Server, Status, Took, Final, Spent, Report
 	ClientGone                   // Request
 	TimerDue                     // Timer
-	ProbeDone                    // Server, Status, Took, Seen, Report
+	ProbeDone                    // Server, Status, Took, Dialed, Seen, Report
 	Sure                         // Left: for how long; Took: for how long any server may be asked for proof
 	Flowing                      // Server: a long request is still on its way there
 )
@@ -157,6 +157,7 @@
 	Tenant  int
 	Left    Ms // until the client gives up
 	Took    Ms
+	Dialed  Ms // part of Took in which a new connection came up
 	Seen    Ms // when the probe was sent, if who answered is the process that the list names; else 0
 	Timer   uint64
 	Report  Report
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -308,7 +308,7 @@
 	b.unpool(s)
 	load := e.Report.RIF
 	if e.Status == OK && !e.Report.HasRIF {
-		load = b.probes.Load(b.now, s.info.Zone, e.Took)
+		load = b.probes.Load(b.now, s.info.Zone, e.Took-e.Dialed)
 	}
 	if s.rank >= 1 { // in another zone
 		b.elsewhere.Note(e.Status == OK && load < b.fit.SideBySide())
@@ -886,7 +886,8 @@
 	}
 	if b.shed > 0 && b.now-b.lastLog >= 2000 {
 		b.logf("refused %d; part %.2f; pool %d/%d; service %.0f ms; classes %.2f; side by side %.1f; %s",
-			b.shed, b.fraction(), len(b.pool), b.ready, b.fleetLatency, b.fit.Class, b.fit.SideBySide(), &b.gauge)
+			b.shed, b.fraction(), len(b.pool), b.ready, b.fleetLatency, b.fit.Class, b.fit.SideBySide(),
+			&b.gauge)
 		b.shed, b.lastLog = 0, b.now
 	}
 }
