--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -74,7 +74,7 @@
 // all that comes, where that is more: that it is too much is told by other means.
 func Part(own, all, perSecond, quotas float64, instances int) float64 {
 	even := 1 / float64(max(1, instances))
-	if all > 0 {
+	if own+all > 0 {
 		return min(1, (own+partPrior*even)/(all+partPrior))
 	}
 	return min(1, max(even, perSecond/max(quotas, math.SmallestNonzeroFloat64)))
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -70,3 +70,20 @@
 		}
 	}
 }
+
+// What part of the traffic an instance takes for its own: by what servers hold, as soon as one has told; else by its own
+// requests over the quotas, and never less than one of so many instances has.
+func TestPartOfTheTraffic(t *testing.T) {
+	for _, c := range []struct {
+		own, all, perSecond, quotas float64
+		instances                   int
+		want                        float64
+	}{
+		{0, 0, 0, 400, 300, 1.0 / 300}, {0, 0, 40, 400, 300, 0.1}, {0, 0, 800, 400, 300, 1}, {0, 0, 5, 0, 4, 1},
+		{0, 980, 400, 400, 10, 2.0 / 1000}, {98, 980, 0, 400, 10, 0.1}, {10, 0, 400, 400, 20, 11.0 / 20}, {0, 0, 0, 400, 0, 1},
+	} {
+		if got := Part(c.own, c.all, c.perSecond, c.quotas, c.instances); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%+v: %g", c, got)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -789,18 +789,15 @@
 
 // sample learns from the duration of an attempt. Without reports durations are all there is.
 func (b *Balancer) sample(s *server, r *request, took Ms, ended float64) {
-	if r == nil {
-		return
-	}
-	took = max(0, took-s.network)
-	base := r.sentBase
-	if !s.reported { // by what all take: a server's own time and what waiting adds show as a product alone
-		base = b.gauge.Unhindered()
-		alone := took / b.fit.Of(r.class) / b.fit.Stretch(r.sentRIF+1)
+	if alone := took; !s.reported {
+		if r != nil && !b.told { // by what all take: a server's own time and waiting show as a product alone
+			alone = max(0, took-s.network) / b.fit.Of(r.class) / b.fit.Stretch(r.sentRIF+1)
+			r.sentBase = b.gauge.Unhindered()
+		}
 		s.latency = b.service(s) + latencyStep*(alone-b.service(s))
 	}
-	if base > 0 && r.sentAt-b.bornAt >= firstAnswers {
-		b.fit.Add(r.class, r.sentRIF+1, min(10, took/base), ended)
+	if r != nil && (s.reported || !b.told && r.sentBase > 0) && r.sentAt-b.bornAt >= firstAnswers {
+		b.fit.Add(r.class, r.sentRIF+1, min(10, max(0, took-s.network)/r.sentBase), ended)
 		if !b.told {
 			b.fit.Level()
 		}
