--- a/internal/lab/capacity/page_test.go
+++ b/internal/lab/capacity/page_test.go
@@ -44,7 +44,7 @@
 
 	w := start(t, Point{Servers: 10, Instances: fleetSize, Price: cheap})
 	address := float64(len("127.123.123.123:12345") - len("127.1.1.1:1234")) // addresses differ in length
-	near("whole lists of a start that knows one", w.firstWhole(), 0)
+	near("whole lists of a start that knows one", w.firstWhole(t), 0)
 	near("answers that tell of a change", w.tellings(t), 0)
 	for i := 0; w.tiles.probes.read().Messages == 0; i++ { // a request that is refused brings no probe
 		w.ask(t, i)
@@ -59,7 +59,7 @@
 	near("bytes of the figures", float64(len(body)), 20) // as many digits as the counts have
 
 	w = start(t, Point{Servers: 100, Instances: fleetSize, Price: cheap, OnRequest: true, Unknown: true})
-	near("whole lists of a start that knows none", w.firstWhole(), 0)
+	near("whole lists of a start that knows none", w.firstWhole(t), 0)
 	raw, err := json.MarshalIndent(peers.List{Revision: 1, Complete: true, Members: w.tiles.members()}, "", "    ")
 	if err != nil {
 		t.Fatal(err)
@@ -153,7 +153,9 @@
 
 // firstWhole is 1 where the first call to the directory is for the whole list. Later ones may be for it where a busy machine lets a
 // call be given up.
-func (w *world) firstWhole() float64 {
+func (w *world) firstWhole(t *testing.T) float64 {
+	t.Helper()
+	w.await(t, func() bool { return len(w.directory.Calls()) > 0 }) // one that knows a list is ready before that
 	if w.directory.Calls()[0].Whole {
 		return 1
 	}
