The module alone says until when a repeat of a keyed request may be written

Seen on reading the whole change: the core worked out the end of a keyed request's window anew, with the module's margin written out as a sum and with a record of its own of which attempt may have run first: a decision in the part that does the sending, and the same rule in two places. Send carries Expires now, from the moment that mayRepeatAt goes by, and the core only obeys it. Ruled out: a stale class number in the core (reloads change it before the front), though that, too, is gone now.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -52,19 +52,11 @@
 	s.counts.Sent++
 	wait := duration(a.After)
 	h.attempts++
-	h.sentAt = s.now
-	h.call = s.start(k, h.inv, &attempt{request: a.Request, number: h.attempts - 1, server: a.Server, expires: s.expires(h)}, wait)
-}
-
-// expires is when the providers no longer drop a repeat of the invocation, with the module's own margin: no byte of a further
-// attempt counts as one of the same request after that. The module has looked at it as it decided, but a connection may come up
-// long after that, and a provider begins with the last byte. Zero = never.
-func (s *Pool) expires(h *held) time.Time {
-	class := s.set.Logic.Classes[h.inv.Class]
-	if !h.mayRun || class.Repeat != logic.Keyed {
-		return time.Time{}
+	one := &attempt{request: a.Request, number: h.attempts - 1, server: a.Server}
+	if a.Expires > 0 {
+		one.expires = s.now.Add(duration(a.Expires))
 	}
-	return h.firstRan.Add(duration(class.Window - 2*s.set.Logic.Round - 1))
+	h.call = s.start(k, h.inv, one, wait)
 }
 
 // start begins an attempt, for an invocation or a probe, gives it up after wait, and returns its number.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -117,8 +117,6 @@
 	call     uint64 // under way; 0 = none
 	mayRun   bool   // an attempt that has ended may have run
 	answered bool
-	sentAt   time.Time // when the last attempt was asked for,
-	firstRan time.Time // and the first of those that have ended and may have run; zero = none
 }
 
 // known is a provider that the directory has named.
@@ -535,9 +533,7 @@
 	s.counts.Calls[r.Ending]++
 	h := s.held[a.request]
 	h.call = 0
-	if !h.mayRun && !r.Ending.Status().NeverRan() {
-		h.mayRun, h.firstRan = true, h.sentAt
-	}
+	h.mayRun = h.mayRun || !r.Ending.Status().NeverRan()
 	if !h.answered && h.inv.Left() { // the word of it is still on its way
 		s.leave(a.request, h)
 	}
--- a/logic/api.go
+++ b/logic/api.go
@@ -169,7 +169,7 @@
 
 // The actions. The comments name the fields of Action that each one uses.
 const (
-	Send      ActionKind = iota // Request, Server, After = the attempt's time-out
+	Send      ActionKind = iota // Request, Server, After = the attempt's time-out, Expires
 	Cancel                      // Request, Attempt
 	Refuse                      // Request, After = advice when to come back
 	Fail                        // Request
@@ -186,6 +186,7 @@
 	Request RequestID
 	Server  ServerID
 	After   Ms
+	Expires Ms // until when, from now, its last byte has to be written; 0 = at any time
 	Timer   uint64
 	Text    string
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -269,9 +269,8 @@
 	b.fleetLatency = limit.Quantile(0.5, latencies, b.fleetLatency)
 }
 
-// ---- Latency: reports leave out waiting. fit rebuilds the paper's response time at the present RIF.
+// ---- Latency. service is without waiting; fit rebuilds the paper's response time at the present RIF.
 
-// service is the server's unhindered time for a request: known, or that of most.
 func (b *Balancer) service(s *server) Ms { return cmp.Or(s.latency, b.gauge.Unhindered(), serverPrior) }
 
 // expect is the response time that a request sent to s with rif in flight should see.
@@ -624,7 +623,7 @@
 	sentRIF, sentBase float64
 	expected          Ms
 	mayRan            bool // an attempt may have run
-	firstRan          Ms   // when the first of those was sent
+	dropped           Ms   // until then servers drop a repeat, by when the first of those was sent
 	ranZone, ranCell  int
 	waits, need       int // waits for probes so far; answers missing in this one
 	waitEnd           Ms
@@ -637,7 +636,7 @@
 		return !r.mayRan || c.Repeat == Safe
 	}
 	zone := s.info.Zone == r.ranZone
-	return b.now-r.firstRan < c.Window-b.margin && (c.Scope == ScopeAll ||
+	return b.now < r.dropped && (c.Scope == ScopeAll ||
 		zone && (c.Scope == ScopeZone || s.info.Cell == r.ranCell))
 }
 
@@ -727,7 +726,11 @@
 	b.sendRate.Add(b.now)
 	r.out, r.sentAt = true, b.now
 	r.attempts++
-	b.out = append(b.out, Action{Kind: Send, Request: r.id, Server: s.info.ID, After: max(end, 1)})
+	act := Action{Kind: Send, Request: r.id, Server: s.info.ID, After: max(end, 1)}
+	if r.mayRan && c.Repeat == Keyed { // its connection may come up long after mayRepeatAt has looked
+		act.Expires = r.dropped - b.now
+	}
+	b.out = append(b.out, act)
 }
 
 func (b *Balancer) onAttemptDone(e *Event) {
@@ -768,7 +771,8 @@
 	r.out = false
 	if !e.Status.NeverRan() && e.Status != OK {
 		if !r.mayRan && s != nil {
-			r.firstRan, r.ranZone, r.ranCell = r.sentAt, s.info.Zone, s.info.Cell
+			window := b.cfg.Classes[r.class].Window - b.margin
+			r.dropped, r.ranZone, r.ranCell = r.sentAt+window, s.info.Zone, s.info.Cell
 		}
 		r.mayRan = true
 	}
