The lab's processes, clocks and counted connections are in one place each

Seen on reading the whole change: the capacity command and the hollow fleets each had their own counted listeners, memory and CPU of a process, late timers, and starting and ending a program; cost read the CPU a third way. Now internal/lab/host and peers.Counter have them; dropped with that are a sum, a getter and an accessor that only tests used, or nobody. Ruled out: one agenda for the emulator and the module's measurement. The emulator's is embedded in its world by its fields, and the other one has thirty lines. CPU of cost's children is read in ns instead of ticks.

--- a/cmd/planklab/fleetscenes.go
+++ b/cmd/planklab/fleetscenes.go
@@ -65,7 +65,7 @@
 	return nil
 }
 
-// figures is what goes into the file.
+// fleetFigures is what goes into the file.
 type fleetFigures struct {
 	SideBySide []hollow.Comparison `json:"side_by_side,omitempty"`
 	Rows       []hollow.Row        `json:"rows"`
--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -21,13 +21,11 @@
 	"syscall"
 	"time"
 
+	"plankrouter/internal/lab/host"
 	"plankrouter/internal/lab/peers"
 )
 
-const (
-	stallTick = 10 * time.Millisecond
-	stallMost = 100 * time.Millisecond // beyond it a point is measured again
-)
+const stallMost = 100 * time.Millisecond // by which a timer may come late: beyond it a point is measured again
 
 // Setup is what a run needs to know.
 type Setup struct {
@@ -239,10 +237,11 @@
 	if err != nil {
 		return err
 	}
-	window, closed := context.WithTimeout(ctx, p.Window)
-	m.StallMs = ms(stall(window))
-	closed()
-	if err := ctx.Err(); err != nil {
+	busy := host.Watch()
+	err = peers.Pause(ctx, p.Window)
+	late, _ := busy.Look()
+	busy.Close()
+	if m.StallMs = ms(late); err != nil {
 		return err
 	}
 	to, err := w.read()
@@ -338,7 +337,7 @@
 	if err := w.configure(n); err != nil {
 		return err
 	}
-	return w.sidecar.cmd.Process.Signal(syscall.SIGHUP)
+	return w.sidecar.process.Signal(syscall.SIGHUP)
 }
 
 // change has the directory tell that one server has started anew.
@@ -400,11 +399,3 @@
 		c.Close()
 	}
 }
-
-// stall returns, at the end of ctx, the longest time by which a timer has come late.
-func stall(ctx context.Context) (longest time.Duration) {
-	for before := time.Now(); peers.Pause(ctx, stallTick) == nil; before = time.Now() {
-		longest = max(longest, time.Since(before)-stallTick)
-	}
-	return longest
-}
--- a/internal/lab/capacity/sidecar.go
+++ b/internal/lab/capacity/sidecar.go
@@ -9,31 +9,21 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
-	"strconv"
-	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"plankrouter/internal/lab/host"
 	"plankrouter/internal/lab/peers"
 )
 
-const (
-	readyWithin = 30 * time.Second
-	endWithin   = 10 * time.Second
-	tellEvery   = 50 * time.Millisecond
-)
+const readyWithin = 30 * time.Second
 
 // sidecar is one process of the program, and what it is told.
 type sidecar struct {
-	cmd            *exec.Cmd
+	process        *host.Program // nil = it has not begun
 	address, admin string
 	file           string
 	log            logCounter
-	exited         chan error
 }
 
 // logCounter counts what the program logs, and keeps it.
@@ -84,7 +74,7 @@
 
 // prepare chooses the sidecar's addresses; nothing runs yet.
 func prepare(n peers.Network, dir string) (s *sidecar, err error) {
-	s = &sidecar{file: filepath.Join(dir, "config.json"), exited: make(chan error, 1)}
+	s = &sidecar{file: filepath.Join(dir, "config.json")}
 	if s.address, err = free(n); err != nil {
 		return nil, err
 	}
@@ -97,94 +87,37 @@
 // start starts the program, on one core of the machine if that is given, and returns when it is ready.
 func (s *sidecar) start(ctx context.Context, n peers.Network, program string, core int, log io.Writer) error {
 	s.log.to = log
-	s.cmd = exec.Command(program)
-	s.cmd.Env, s.cmd.Stdout, s.cmd.Stderr = []string{"GW_CONFIG=" + s.file}, &s.log, &s.log
-	if err := startOn(s.cmd, core); err != nil {
-		return fmt.Errorf("start the program: %w", err)
+	cmd := exec.Command(program)
+	cmd.Env, cmd.Stdout, cmd.Stderr = []string{"GW_CONFIG=" + s.file}, &s.log, &s.log
+	var err error
+	if s.process, err = host.Start(cmd, core); err != nil {
+		return err
 	}
-	go func() { s.exited <- s.cmd.Wait() }()
 	ctx, cancel := context.WithTimeout(ctx, readyWithin)
 	defer cancel()
 	return peers.Ready(ctx, n, s.address)
 }
 
-// startOn starts a command that may use one core only; below 0 it may use all. A child has its parent's thread's cores.
-func startOn(cmd *exec.Cmd, core int) error {
-	if core < 0 {
-		return cmd.Start()
-	}
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	var before, one unix.CPUSet
-	if err := unix.SchedGetaffinity(0, &before); err != nil {
-		return err
-	}
-	one.Set(core)
-	if err := unix.SchedSetaffinity(0, &one); err != nil {
-		return fmt.Errorf("core %d: %w", core, err)
-	}
-	defer unix.SchedSetaffinity(0, &before)
-	return cmd.Start()
-}
-
-// stop tells it to end, again and again so that it does not wait for the kill, and sees that it does.
+// stop ends it, if it has begun.
 func (s *sidecar) stop() error {
-	if s.cmd == nil || s.cmd.Process == nil {
+	if s.process == nil {
 		return nil
 	}
-	again := time.NewTicker(tellEvery) // two signals that come at once are one
-	defer again.Stop()
-	late := time.After(endWithin)
-	for {
-		s.cmd.Process.Signal(syscall.SIGTERM)
-		select {
-		case err := <-s.exited:
-			return err
-		case <-again.C:
-		case <-late:
-			s.cmd.Process.Kill()
-			<-s.exited
-			return fmt.Errorf("the sidecar has not ended within %s of SIGTERM", endWithin)
-		}
-	}
+	return s.process.Stop()
 }
 
-// cpu is the processor time that the process has used so far, user and system. It is the clock that /proc/PID/stat shows in
-// ticks of 10 ms, read in nanoseconds.
-func (s *sidecar) cpu() (time.Duration, error) {
-	const cpuClock, perProcess = 2, 3 // clock_gettime(2): a process's CPU clock has its id's complement above three bits
-	var t unix.Timespec
-	if err := unix.ClockGettime(int32(^s.cmd.Process.Pid<<perProcess|cpuClock), &t); err != nil {
-		return 0, fmt.Errorf("the CPU clock of process %d: %w", s.cmd.Process.Pid, err)
-	}
-	return time.Duration(t.Nano()), nil
-}
+// cpu is the processor time that it has used so far.
+func (s *sidecar) cpu() (time.Duration, error) { return host.CPU(s.process.Pid()) }
 
 // resident is the memory that it holds, in bytes.
-func (s *sidecar) resident() (int64, error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", s.cmd.Process.Pid))
-	if err != nil {
-		return 0, err
-	}
-	fields := strings.Fields(string(raw))
-	if len(fields) < 2 {
-		return 0, fmt.Errorf("/proc/%d/statm: %q", s.cmd.Process.Pid, raw)
-	}
-	pages, err := strconv.ParseInt(fields[1], 10, 64)
-	return pages * int64(os.Getpagesize()), err
-}
+func (s *sidecar) resident() (int64, error) { return host.Resident(s.process.Pid()) }
 
 // scrape reads the figures for operators, and returns how many bytes went both ways for it.
 func (s *sidecar) scrape(ctx context.Context, n peers.Network) (bytes int64, body []byte, err error) {
-	var count atomic.Int64
+	var count peers.Counter
+	counted := count.Of(n)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true,
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			c, err := n.Dial(ctx, address)
-			if err != nil {
-				return nil, err
-			}
-			return countedConn{c, &count}, nil
-		}}}
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return counted.Dial(ctx, address) }}}
 	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+s.admin+"/metrics", nil)
 	if err != nil {
 		return 0, nil, err
@@ -198,5 +131,5 @@
 	if err == nil && resp.StatusCode != 200 {
 		err = fmt.Errorf("GET /metrics: %s", resp.Status)
 	}
-	return count.Load(), body, err
+	return count.In.Load() + count.Out.Load(), body, err
 }
--- a/internal/lab/capacity/standins.go
+++ b/internal/lab/capacity/standins.go
@@ -166,59 +166,16 @@
 	}
 }
 
-// counted is a network whose listeners count the bytes of all that they accept, in both directions.
-type counted struct {
-	peers.Network
-	bytes *atomic.Int64
-}
-
-func (n counted) Listen(address string) (peers.Listener, error) {
-	l, err := n.Network.Listen(address)
-	if err != nil {
-		return nil, err
-	}
-	return countedListener{l, n.bytes}, nil
-}
-
-type countedListener struct {
-	peers.Listener
-	bytes *atomic.Int64
-}
-
-func (l countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return countedConn{c, l.bytes}, nil
-}
-
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	c.bytes.Add(int64(len(p))) // before the other side can have answered
-	return c.Conn.Write(p)
-}
-
 // directory is the scripted one, counted.
 type directory struct {
 	*peers.Directory
-	bytes atomic.Int64
+	count peers.Counter
 }
 
 func newDirectory(n peers.Network, members []peers.Member) (*directory, error) {
 	d := &directory{}
 	var err error
-	d.Directory, err = peers.NewDirectory(counted{n, &d.bytes}, "", members...)
+	d.Directory, err = peers.NewDirectory(d.count.Of(n), "", members...)
 	if err == nil {
 		d.Word(true, false)
 	}
@@ -233,6 +190,6 @@
 			whole++
 		}
 	}
-	t.Bytes = d.bytes.Load()
+	t.Bytes = d.count.In.Load() + d.count.Out.Load()
 	return t, whole
 }
--- a/internal/lab/capacity/sweep.go
+++ b/internal/lab/capacity/sweep.go
@@ -58,9 +58,6 @@
 	Tries         int     `json:"tries"`    // runs of the point, of which this was held up least
 }
 
-// Control is the bytes a second of all that the sidecar does beside calls: probes and the list.
-func (m *Measured) Control() float64 { return m.ProbeBytes + m.ListBytes }
-
 // Sweep changes one size of a sidecar's world.
 type Sweep struct {
 	Name   string
--- a/internal/lab/cost/cost.go
+++ b/internal/lab/cost/cost.go
@@ -17,6 +17,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"plankrouter/internal/lab/host"
 )
 
 // RoleVariable makes a process that calls Serve a server or a proxy.
@@ -187,24 +189,8 @@
 	p.cmd.Wait()
 }
 
-// CPU is the time that the child has used so far, in the kernel's ticks of 10 ms.
-func (p *Process) CPU() (time.Duration, error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-	if err != nil {
-		return 0, err
-	}
-	_, rest, _ := strings.Cut(string(raw), ") ")
-	fields := strings.Fields(rest)
-	if len(fields) < 13 {
-		return 0, fmt.Errorf("/proc/%d/stat: %d fields", p.cmd.Process.Pid, len(fields))
-	}
-	user, err1 := strconv.ParseInt(fields[11], 10, 64)
-	system, err2 := strconv.ParseInt(fields[12], 10, 64)
-	if err1 != nil || err2 != nil {
-		return 0, fmt.Errorf("/proc/%d/stat: %v, %v", p.cmd.Process.Pid, err1, err2)
-	}
-	return time.Duration(user+system) * 10 * time.Millisecond, nil
-}
+// CPU is the time that the child has used so far.
+func (p *Process) CPU() (time.Duration, error) { return host.CPU(p.cmd.Process.Pid) }
 
 // Own is the CPU time that this process has used so far.
 func Own() time.Duration {
--- a/internal/lab/hollow/discovery.go
+++ b/internal/lab/hollow/discovery.go
@@ -45,10 +45,10 @@
 	whole    []byte         // the whole list as of now; nil = not worded yet
 	next     time.Time      // the next free turn
 
-	server                              http.Server
-	calls, wholes, turnedAway, accepted atomic.Int64
-	bytesIn, bytesOut                   atomic.Int64
-	addresses                           []string
+	server                    http.Server
+	calls, wholes, turnedAway atomic.Int64
+	count                     peers.Counter
+	addresses                 []string
 }
 
 // line is the last that is known of a server.
@@ -63,7 +63,7 @@
 	d.change(members)
 	d.server.Handler = d
 	d.server.ConnContext = withFirst
-	network := peers.Loopback()
+	network := d.count.Of(peers.Loopback())
 	for range listeners {
 		l, err := network.Listen("")
 		if err != nil {
@@ -71,7 +71,7 @@
 			return nil, fmt.Errorf("discovery: %w", err)
 		}
 		d.addresses = append(d.addresses, l.Addr().String())
-		go d.server.Serve(countedListener{l, d})
+		go d.server.Serve(l)
 	}
 	return d, nil
 }
@@ -79,7 +79,8 @@
 func (d *discovery) close() { d.server.Close() }
 
 func (d *discovery) traffic() Traffic {
-	return Traffic{d.calls.Load(), d.wholes.Load(), d.turnedAway.Load(), d.accepted.Load(), d.bytesIn.Load(), d.bytesOut.Load()}
+	return Traffic{d.calls.Load(), d.wholes.Load(), d.turnedAway.Load(), d.count.Accepted.Load(), d.count.In.Load(),
+		d.count.Out.Load()}
 }
 
 // change replaces or adds lines in a new revision, which it returns, and wakes all that wait.
@@ -192,38 +193,6 @@
 	}
 }
 
-// countedListener counts connections and what goes over them.
-type countedListener struct {
-	net.Listener
-	d *discovery
-}
-
-func (l countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	l.d.accepted.Add(1)
-	return countedConn{c, l.d}, nil
-}
-
-type countedConn struct {
-	net.Conn
-	d *discovery
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.d.bytesIn.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.d.bytesOut.Add(int64(n))
-	return n, err
-}
-
 type firstKey struct{}
 
 // withFirst marks a connection of which no call has come yet.
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -1,6 +1,7 @@
 package hollow
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -57,8 +58,11 @@
 					t.Errorf("%s: not played", w.scene)
 					continue
 				}
-				if v, is := r.Get(w.figure); !is || v < w.least || v > w.most {
-					t.Errorf("%s: %s is %g (there: %t), want %g to %g", w.scene, w.figure, v, is, w.least, w.most)
+				at := slices.IndexFunc(r.Figures, func(f Figure) bool { return f.Name == w.figure })
+				if at < 0 {
+					t.Errorf("%s: there is no %s", w.scene, w.figure)
+				} else if v := r.Figures[at].Value; v < w.least || v > w.most {
+					t.Errorf("%s: %s is %g, want %g to %g", w.scene, w.figure, v, w.least, w.most)
 				}
 			}
 		})
--- a/internal/lab/hollow/part.go
+++ b/internal/lab/hollow/part.go
@@ -11,12 +11,11 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
-	"strings"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"plankrouter/internal/lab/host"
 	"plankrouter/internal/lab/peers"
 )
 
@@ -93,13 +92,13 @@
 	return c
 }
 
-// host is what a part's process has.
-type host struct {
+// worker is what a part's process has.
+type worker struct {
 	dir       string
 	discovery *discovery
 	tiles     *tiles
 	sidecars  []*sidecar
-	busy      *neighbours
+	busy      *host.Neighbours
 }
 
 // Serve is the life of a part: it obeys the orders that it reads until they end.
@@ -108,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	h := &host{dir: dir, tiles: newTiles(), busy: watchNeighbours()}
+	h := &worker{dir: dir, tiles: newTiles(), busy: host.Watch()}
 	defer h.close()
 	orders, replies := json.NewDecoder(in), json.NewEncoder(out)
 	for {
@@ -128,8 +127,8 @@
 	}
 }
 
-func (h *host) close() {
-	h.busy.close()
+func (h *worker) close() {
+	h.busy.Close()
 	for _, s := range h.sidecars {
 		s.end()
 	}
@@ -139,7 +138,7 @@
 	os.RemoveAll(h.dir)
 }
 
-func (h *host) obey(o *order) (r reply, err error) {
+func (h *worker) obey(o *order) (r reply, err error) {
 	switch o.Op {
 	case "listen":
 		if h.discovery, err = newDiscovery(o.Listeners, o.Rate, o.Members); err == nil {
@@ -188,7 +187,7 @@
 func unixMs(t time.Time) float64 { return float64(t.UnixMicro()) / 1e3 }
 
 // build makes the sidecars' configurations.
-func (h *host) build(o *order) error {
+func (h *worker) build(o *order) error {
 	if o.Cores > 0 {
 		runtime.GOMAXPROCS(o.Cores)
 	}
@@ -207,7 +206,7 @@
 }
 
 // each does something to the first so many, some side by side.
-func (h *host) each(count int, do func(int, *sidecar) error) error {
+func (h *worker) each(count int, do func(int, *sidecar) error) error {
 	var group errgroup.Group
 	group.SetLimit(startedAtOnce)
 	for i, s := range h.sidecars[:count] {
@@ -217,7 +216,7 @@
 }
 
 // start starts the first so many and returns after how long each had the directory's first answer in force.
-func (h *host) start(count int, o *order) ([]float64, error) {
+func (h *worker) start(count int, o *order) ([]float64, error) {
 	if err := h.each(count, func(_ int, s *sidecar) error { return s.start(o.Known) }); err != nil {
 		return nil, err
 	}
@@ -237,7 +236,7 @@
 }
 
 // await returns when a revision came into force at each.
-func (h *host) await(revision uint64, within time.Duration) []float64 {
+func (h *worker) await(revision uint64, within time.Duration) []float64 {
 	times := make([]float64, len(h.sidecars))
 	for until := time.Now().Add(within); ; time.Sleep(inForceLook) {
 		missing := false
@@ -257,19 +256,17 @@
 	}
 }
 
-func (h *host) counts() (c Counts, err error) {
-	var used syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
-		return c, fmt.Errorf("getrusage: %w", err)
+func (h *worker) counts() (c Counts, err error) {
+	if c.CPU, err = host.CPU(os.Getpid()); err != nil {
+		return c, err
 	}
-	c.CPU = time.Duration(used.Utime.Nano() + used.Stime.Nano())
-	if c.MemoryMB, err = resident("self"); err != nil {
+	if c.MemoryMB, err = resident(os.Getpid()); err != nil {
 		return c, err
 	}
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	c.HeapMB = float64(memory.HeapInuse+memory.StackInuse) / (1 << 20)
-	c.Late, _ = h.busy.look()
+	c.Late, _ = h.busy.Look()
 	c.Calls, c.Probes, c.Unreached = h.tiles.counts()
 	for _, s := range h.sidecars {
 		c.Served += s.served.Load()
@@ -288,16 +285,8 @@
 	return c, nil
 }
 
-// resident is the memory of a process in MB, by its id or "self".
-func resident(pid string) (float64, error) {
-	raw, err := os.ReadFile("/proc/" + pid + "/statm")
-	if err != nil {
-		return 0, err
-	}
-	fields := strings.Fields(string(raw))
-	if len(fields) < 2 {
-		return 0, fmt.Errorf("/proc/%s/statm: %q", pid, raw)
-	}
-	pages, err := strconv.ParseFloat(fields[1], 64)
-	return pages * float64(os.Getpagesize()) / (1 << 20), err
+// resident is the memory of a process in MB.
+func resident(pid int) (float64, error) {
+	bytes, err := host.Resident(pid)
+	return float64(bytes) / (1 << 20), err
 }
--- a/internal/lab/hollow/real.go
+++ b/internal/lab/hollow/real.go
@@ -7,11 +7,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
-	"syscall"
 	"time"
 
+	"plankrouter/internal/lab/host"
 	"plankrouter/internal/lab/peers"
 )
 
@@ -28,7 +26,7 @@
 	ListIn    float64 `json:"list_bytes_in_s"`
 	ListOut   float64 `json:"list_bytes_out_s"`
 	Whole     int64   `json:"list_whole"`
-	StallMs   float64 `json:"stall_ms"`           // see neighbours
+	StallMs   float64 `json:"stall_ms"`           // see host.Neighbours
 	Machine   float64 `json:"machine_cores_busy"` // likewise
 }
 
@@ -90,8 +88,8 @@
 		}
 	}
 	time.Sleep(warmUp)
-	busy := watchNeighbours()
-	defer busy.close()
+	busy := host.Watch()
+	defer busy.Close()
 	u, long, err := w.during(func() error { time.Sleep(window); return nil })
 	if err != nil {
 		return c, err
@@ -103,8 +101,8 @@
 	return c, nil
 }
 
-func (c *Comparison) list(u used, long time.Duration, busy *neighbours) {
-	late, cores := busy.look()
+func (c *Comparison) list(u used, long time.Duration, busy *host.Neighbours) {
+	late, cores := busy.Look()
 	c.StallMs, c.Machine = ms(late), cores
 	t, s := u.Discovery.Discovery, long.Seconds()
 	c.ListCalls, c.ListIn, c.ListOut, c.Whole = float64(t.Calls)/s, float64(t.BytesIn)/s, float64(t.BytesOut)/s, t.Whole
@@ -150,20 +148,13 @@
 	cmd.Env = append(os.Environ(), "GW_CONFIG="+s.file, "GW_LISTEN="+address)
 	var log bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &log, &log
-	if err := cmd.Start(); err != nil {
+	process, err := host.Start(cmd, -1)
+	if err != nil {
 		return c, err
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- cmd.Wait() }()
 	defer func() {
-		cmd.Process.Signal(syscall.SIGTERM)
-		select {
-		case e := <-ended:
-			if err == nil && e != nil {
-				err = fmt.Errorf("the program: %w: %s", e, log.String())
-			}
-		case <-time.After(endWithin):
-			cmd.Process.Kill()
+		if ended := process.Stop(); err == nil && ended != nil {
+			err = fmt.Errorf("the program: %w: %s", ended, log.String())
 		}
 	}()
 	ready, cancel := context.WithTimeout(ctx, readyWithin)
@@ -182,19 +173,18 @@
 	}()
 	defer func() { stop(); <-done }()
 	time.Sleep(warmUp)
-	pid := strconv.Itoa(cmd.Process.Pid)
 	calls, probes := reached(fleet)
-	before, err := processors(pid)
+	before, err := host.CPU(process.Pid())
 	if err != nil {
 		return c, err
 	}
-	busy := watchNeighbours()
-	defer busy.close()
+	busy := host.Watch()
+	defer busy.Close()
 	u, long, err := w.during(func() error { time.Sleep(window); return nil })
 	if err != nil {
 		return c, err
 	}
-	after, err := processors(pid)
+	after, err := host.CPU(process.Pid())
 	if err != nil {
 		return c, err
 	}
@@ -202,7 +192,7 @@
 	c = Comparison{Which: "real", Servers: set.Servers, AskedS: rate, CPUPct: 100 * (after - before).Seconds() / long.Seconds(),
 		CallsS: float64(calls2-calls) / long.Seconds(), ProbesS: float64(probes2-probes) / long.Seconds()}
 	c.list(u, long, busy)
-	c.MemoryMB, err = resident(pid)
+	c.MemoryMB, err = resident(process.Pid())
 	return c, err
 }
 
@@ -213,28 +203,3 @@
 	}
 	return calls, probes
 }
-
-// The fields of /proc/PID/stat behind the name in brackets, and its unit: USER_HZ is 100 on Linux.
-const (
-	statUser   = 11
-	statSystem = 12
-	tick       = 10 * time.Millisecond
-)
-
-// processors is the processors' time that a process has used.
-func processors(pid string) (time.Duration, error) {
-	raw, err := os.ReadFile("/proc/" + pid + "/stat")
-	if err != nil {
-		return 0, err
-	}
-	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
-	if len(fields) <= statSystem {
-		return 0, fmt.Errorf("/proc/%s/stat: %q", pid, raw)
-	}
-	user, err := strconv.Atoi(fields[statUser])
-	if err != nil {
-		return 0, fmt.Errorf("/proc/%s/stat: %w", pid, err)
-	}
-	system, err := strconv.Atoi(fields[statSystem])
-	return time.Duration(user+system) * tick, err
-}
--- a/internal/lab/hollow/scenes.go
+++ b/internal/lab/hollow/scenes.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"plankrouter/internal/lab/host"
 	"plankrouter/internal/lab/peers"
 )
 
@@ -55,28 +56,18 @@
 	Figures  []Figure `json:"figures"`
 }
 
-// Get returns a figure.
-func (r *Row) Get(name string) (float64, bool) {
-	for _, f := range r.Figures {
-		if f.Name == name {
-			return f.Value, true
-		}
-	}
-	return 0, false
-}
-
 // play is a run of all scenes on one fleet.
 type play struct {
 	*world
 	plan Plan
 	rows []Row
-	busy *neighbours
+	busy *host.Neighbours
 }
 
 // Play plays all scenes with one fleet.
 func Play(ctx context.Context, set Setup, plan Plan) (rows []Row, err error) {
-	began, busy := time.Now(), watchNeighbours()
-	defer busy.close()
+	began, busy := time.Now(), host.Watch()
+	defer busy.Close()
 	w, times, err := build(ctx, set)
 	defer func() {
 		if ended := w.close(); err == nil {
@@ -122,7 +113,7 @@
 }
 
 func (p *play) row(scene string, figures []Figure) {
-	late, cores := p.busy.look()
+	late, cores := p.busy.Look()
 	figures = append(figures, Figure{"stall_ms", ms(max(late, p.late))}, Figure{"machine_cores_busy", cores})
 	p.late = 0
 	p.rows = append(p.rows, Row{Scene: scene, Kind: p.set.Kind, Sidecars: p.set.Sidecars, Servers: p.set.Servers, Figures: figures})
--- a/internal/overload/gauge.go
+++ b/internal/overload/gauge.go
@@ -6,11 +6,11 @@
 	"slices"
 )
 
-// unhinderedPart is the part of an aim that most answers take unhindered, at most: who aims at less would miss it with half
-// of the requests.
-const unhinderedPart = 0.5
-
 const (
+	// unhinderedPart is the part of an aim that most answers take unhindered, at most: who aims at less would miss it with half
+	// of the requests.
+	unhinderedPart = 0.5
+
 	gaugeAge    = 3e3  // ms from its start in which an answer counts, and
 	gaugeEnded  = 1e3  // from its end
 	gaugeEvery  = 50.0 // ms between two attempts that are followed: a busy instance's window is as long as a quiet one's
@@ -42,7 +42,7 @@
 	at       float64
 	times    []float64
 	stretch  float64
-	refused  float64
+	refused  float64 // part of the requests that are worth most
 }
 
 type (
@@ -79,9 +79,6 @@
 // Unhindered is the median of the times that answers take unhindered, over what is usual for their classes; 0 = not known yet.
 func (g *Gauge) Unhindered() float64 { return g.base }
 
-// Refused is the part of the requests that are refused for what answers take, of those that are worth most.
-func (g *Gauge) Refused() float64 { return g.refused }
-
 // String words what it has come to, for a log.
 func (g *Gauge) String() string {
 	return fmt.Sprintf("answers %.1f times %.0f ms, shed %.2f", g.Stretch(), g.base, g.refused)
--- a/internal/overload/gauge_test.go
+++ b/internal/overload/gauge_test.go
@@ -45,7 +45,7 @@
 		}
 		w.g.Look(w.now, w.left, 1, 2.5)
 		looks++
-		part += w.g.Refused()
+		part += w.g.refused
 	}
 	return part / looks
 }
@@ -77,7 +77,7 @@
 func TestGaugeDoesNotWaitForAnswersThatHang(t *testing.T) {
 	w := newWorld(500)
 	w.run(10e3, 0.02, 200, 1, 0)
-	for w.g.Refused() < 0.5 && w.now < 20e3 {
+	for w.g.refused < 0.5 && w.now < 20e3 {
 		w.run(w.now+50, 0.02, 200, 1, 1)
 	}
 	if w.now > 13e3 {
