Two tests of consumers that leave share what they set up and look at

They are methods of the rig now; the cases and what they assert are the same. Both tests pass under -race.

--- a/cmd/plankrouter/crossings_test.go
+++ b/cmd/plankrouter/crossings_test.go
@@ -140,6 +140,39 @@
 	return l
 }
 
+// decline has the nth request declined; the next connection is held up by stop.
+func (r *rig) decline(nth int, stop func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	well := r.answer
+	r.answer = func(n int) string {
+		if n == nth {
+			stop()
+			return "HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+		}
+		return well(n)
+	}
+}
+
+// check sees that providers got just those requests, and that the book says so of as many that were served and whose consumers had
+// gone.
+func (r *rig) check(want []string, counts string, gone, served int) {
+	r.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slices.Sort(want)
+	slices.Sort(r.seen)
+	if !slices.Equal(r.seen, want) {
+		r.Errorf("providers got %v, want %v", r.seen, want)
+	}
+	for _, word := range []string{fmt.Sprintf(" taken=%d ", gone+served), fmt.Sprintf(" consumer_gone=%d ", gone),
+		fmt.Sprintf(" served=%d refused=0 failed=0", served), " sockets=0"} {
+		if !strings.Contains(counts, word) {
+			r.Errorf("%q is not in\n%s", word, counts)
+		}
+	}
+}
+
 // provide is a provider, which takes note of a request as soon as its head is there.
 func (r *rig) provide(l net.Listener) {
 	for {
@@ -246,7 +279,6 @@
 // A consumer leaves while its request waits, wherever that is, whether or not attempts may be called off and however it goes:
 // nothing of the request reaches a provider from then on, and what is counted comes out even.
 func TestWhatNobodyWaitsForIsNotSent(t *testing.T) {
-	const declined = "HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
 	leave := map[string]func(*net.TCPConn){"FIN": func(c *net.TCPConn) { c.CloseWrite() },
 		"reset": func(c *net.TCPConn) { c.SetLinger(0); c.Close() }}
 	cases := []struct {
@@ -289,16 +321,7 @@
 					}
 					if tc.decline {
 						want = append(want, "a")
-						r.mu.Lock()
-						well := r.answer
-						r.answer = func(n int) string {
-							if n == tc.before+1 {
-								stop() // the next connection is held up
-								return declined
-							}
-							return well(n)
-						}
-						r.mu.Unlock()
+						r.decline(tc.before+1, stop)
 					}
 					c := r.consumer(tc.message)
 					var held chan struct{}
@@ -332,23 +355,11 @@
 					r.let(true)
 					r.served("z")
 					counts := r.end(words)
-					r.mu.Lock()
-					defer r.mu.Unlock()
-					slices.Sort(want)
-					slices.Sort(r.seen)
-					if !slices.Equal(r.seen, want) {
-						t.Errorf("providers got %v, want %v", r.seen, want)
-					}
 					gone := 0
 					if tc.taken {
 						gone = 1
 					}
-					for _, word := range []string{fmt.Sprintf(" taken=%d ", gone+tc.before+1), fmt.Sprintf(" consumer_gone=%d ", gone),
-						fmt.Sprintf(" served=%d refused=0 failed=0", tc.before+1), " sockets=0"} {
-						if !strings.Contains(counts, word) {
-							t.Errorf("%q is not in\n%s", word, counts)
-						}
-					}
+					r.check(want, counts, gone, tc.before+1)
 				})
 			}
 		}
@@ -358,7 +369,6 @@
 // A consumer leaves with something unread behind its request, so that its end can't be read, in the very moment before its attempt's
 // connection comes up: the attempt looks once more, and nothing of it is written, however long ago anybody else has looked.
 func TestLeftJustBeforeTheFirstByte(t *testing.T) {
-	const declined = "HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
 	long := "POST /order/1 HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nContent-Length: 120000\r\n\r\n"
 	for name, tc := range map[string]struct {
 		message string
@@ -395,16 +405,7 @@
 			}
 			if tc.before > 0 {
 				want = append(want, "a")
-				r.mu.Lock()
-				well := r.answer
-				r.answer = func(n int) string {
-					if n == tc.before+1 {
-						stop() // the next connection is held up
-						return declined
-					}
-					return well(n)
-				}
-				r.mu.Unlock()
+				r.decline(tc.before+1, stop)
 			}
 			c := r.consumer(tc.message)
 			s := sockets.NewBudget(1, nil).Adopt(wait(r, "the connection", accepted), sockets.Inward)
@@ -418,19 +419,7 @@
 			r.let(true)
 			r.served("z")
 			counts := r.end(2)
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			slices.Sort(want)
-			slices.Sort(r.seen)
-			if !slices.Equal(r.seen, want) {
-				t.Errorf("providers got %v, want %v", r.seen, want)
-			}
-			for _, word := range []string{fmt.Sprintf(" taken=%d ", tc.before+2), " consumer_gone=1 ",
-				fmt.Sprintf(" served=%d refused=0 failed=0", tc.before+1), " sockets=0"} {
-				if !strings.Contains(counts, word) {
-					t.Errorf("%q is not in\n%s", word, counts)
-				}
-			}
+			r.check(want, counts, 1, tc.before+1)
 		})
 	}
 }
