The probe pool is a module of its own, without I/O or clock

Change: internal/probepool has the entries, their age, their uses, and the removal of the oldest and the worst in turn; logic says which server is better and which may be used. Three tests that looked at the slice look at Len. Decisions and random draws are the same.

--- a/logic/admission_test.go
+++ b/logic/admission_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"plankrouter/internal/limit"
+	"plankrouter/internal/probepool"
 )
 
 // An answer after the aim earns nothing, but given up at the aim the client asks again: the work was in vain, and more
@@ -139,7 +140,7 @@
 // probe's answer, or most of them would find the pool empty and wait for probes of their own.
 func TestUsesFollowTheRateOfProbes(t *testing.T) {
 	g := newRig(t, testConfig(), 40)
-	if n := limit.Uses(poolSize, g.b.ready, g.b.perRequest, removePart); n < 1 || n > 4 {
+	if n := limit.Uses(probepool.Size, g.b.ready, g.b.perRequest, removePart); n < 1 || n > 4 {
 		t.Errorf("%.1f uses before any request", n)
 	}
 	waited := 0
--- a/logic/churn_test.go
+++ b/logic/churn_test.go
@@ -11,7 +11,7 @@
 
 func (b *Balancer) kept() kept {
 	h := kept{Servers: len(b.servers), ByID: len(b.byID), Requests: len(b.requests), Waiting: len(b.waiting),
-		Pool: len(b.pool), RIFs: len(b.rifs), OutAll: b.outAll}
+		Pool: b.pool.Len(), RIFs: len(b.rifs), OutAll: b.outAll}
 	for _, s := range b.servers {
 		h.Tallies += len(s.by)
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,10 +15,10 @@
 	"plankrouter/internal/evidence"
 	"plankrouter/internal/limit"
 	"plankrouter/internal/overload"
+	"plankrouter/internal/probepool"
 )
 
 const (
-	poolSize    = 16     // entries; the paper's m
 	knownFor    = 3000   // ms after a report in which a random pick prefers the server
 	poolAge     = 1000.0 // ms; the paper's testbed limit on an entry's age
 	staleTimes  = 2.0    // service times that also limit it: by then most of what was in flight has left
@@ -86,15 +86,15 @@
 	outAll       int // attempts out
 	askWait      Ms
 
-	pool                            []entry
-	rifs                            []float64 // ring of recently probed RIF
-	hotRIF                          float64
-	removeDue, probeDue, perRequest float64    // perRequest: probes, at the present rate of requests
-	elsewhere                       limit.Luck // of probes in other zones: servers with room
-	dropWorst, told                 bool       // told: servers report their service times
-	sparse                          bool       // most servers' news is older than poolAge
-	waiting                         []*request // for answers of probes, in order of arrival
-	lastProbe                       Ms
+	pool                 probepool.Pool[*server]
+	rifs                 []float64 // ring of recently reported RIF
+	hotRIF               float64
+	probeDue, perRequest float64    // perRequest: probes, at the present rate of requests
+	elsewhere            limit.Luck // of probes in other zones: servers with room
+	told                 bool       // told: servers report their service times
+	sparse               bool       // most servers' news is older than poolAge
+	waiting              []*request // for answers of probes, in order of arrival
+	lastProbe            Ms
 
 	fit                              overload.Model
 	probes                           overload.Probes
@@ -187,7 +187,7 @@
 			*s = server{rank: s.rank, network: s.network, out: s.out, reportAt: never, quietAt: b.now,
 				by:   make([]Tally, 1+len(b.buckets)),
 				cold: limit.Bucket{V: b.rng.Float64(), At: b.now}} // a random part: not all send at once
-			b.unpool(s)
+			b.pool.Remove(s)
 		}
 		if s.info = in; in.Returned && b.cfg.Probes {
 			b.ask(s) // else it would be found again by chance
@@ -203,7 +203,7 @@
 			}
 			return false
 		}
-		b.unpool(s)
+		b.pool.Remove(s)
 		if s.info.Health != Gone || s.out > 0 {
 			return false
 		}
@@ -283,17 +283,7 @@
 	return limit.Part(b.fracOwn, b.fracAll, b.arrivals.PerMs(b.now)*1000, b.quotas, b.cfg.Balancers)
 }
 
-// ---- Probe pool: one entry a server. Loads are in the server table: a use raises the RIF for later picks.
-
-type entry struct {
-	s    *server
-	at   Ms
-	uses int
-}
-
-func (b *Balancer) unpool(s *server) {
-	b.pool = slices.DeleteFunc(b.pool, func(e entry) bool { return e.s == s })
-}
+// ---- Probe pool. Loads are in the server table: a use raises the RIF for later picks.
 
 func (b *Balancer) onProbe(e *Event) {
 	s := b.byID[e.Server]
@@ -304,7 +294,7 @@
 		s.tryAt = b.now + retryProbe.First
 		return
 	}
-	b.unpool(s)
+	b.pool.Remove(s)
 	load := e.Report.RIF
 	if e.Status == OK && !e.Report.HasRIF {
 		load = b.probes.Load(b.now, s.info.Zone, e.Took-e.Dialed)
@@ -340,11 +330,8 @@
 	if s.info.Health != Ready {
 		return
 	}
-	if len(b.pool) >= poolSize {
-		b.pool = slices.Delete(b.pool, 0, 1) // the oldest: entries are appended in order of receipt
-	}
-	uses := limit.Uses(poolSize, b.ready, b.perRequest, removePart) // randomly rounded
-	b.pool = append(b.pool, entry{s, b.now, int(uses + b.rng.Float64())})
+	uses := limit.Uses(probepool.Size, b.ready, b.perRequest, removePart) // randomly rounded
+	b.pool.Add(s, b.now, int(uses+b.rng.Float64()))
 	for _, r := range slices.Clone(b.waiting) {
 		if r.need--; r.need <= 0 {
 			b.proceed(r)
@@ -424,28 +411,12 @@
 
 // tend ages the pool and removes the oldest and the worst entry in turn: bad servers must not collect there.
 func (b *Balancer) tend(r *request) {
-	b.age()
+	b.pool.Expire(b.now, b.entryAge())
 	b.perRequest = limit.ProbesARequest(b.cfg.ProbePrice, b.ready, b.arrivals.PerMs(b.now))
 	b.probeDue = min(b.probeDue, limit.MostProbes) + b.perRequest
 	b.sparse = b.now-b.bornAt >= firstAnswers && // as soon as the rate of requests is known
 		float64(b.ready) > poolAge*b.perRequest*b.arrivals.PerMs(b.now)
-	for b.removeDue += removePart * b.perRequest; b.removeDue >= 1; b.removeDue-- {
-		if len(b.pool) <= 2 {
-			continue
-		}
-		at := 0
-		for i := 0; b.dropWorst && i < len(b.pool); i++ {
-			if b.better(b.pool[at].s, b.pool[i].s, r) {
-				at = i
-			}
-		}
-		b.pool = slices.Delete(b.pool, at, at+1)
-		b.dropWorst = !b.dropWorst
-	}
-}
-
-func (b *Balancer) age() {
-	b.pool = slices.DeleteFunc(b.pool, func(e entry) bool { return b.now-e.at > b.entryAge() })
+	b.pool.Trim(removePart*b.perRequest, func(x, y *server) bool { return b.better(x, y, r) })
 }
 
 func (b *Balancer) entryAge() Ms { return min(poolAge, max(staleTimes*b.fleetLatency, 4*b.cfg.Round)) }
@@ -492,24 +463,15 @@
 }
 
 // best is the pool's choice by the hot-cold rule among the usable entries, and how many of those there are.
-func (b *Balancer) best(r *request) (best *entry, n int) {
-	for i := range b.pool {
-		if e := &b.pool[i]; e.s != r.avoid && b.allowed(e.s, r) && b.suits(e.s, r) {
-			if n++; best == nil || b.better(e.s, best.s, r) {
-				best = e
-			}
-		}
-	}
-	return best, n
+func (b *Balancer) best(r *request) (best *server, n int) {
+	return b.pool.Best(func(s *server) bool { return s != r.avoid && b.allowed(s, r) && b.suits(s, r) },
+		func(x, y *server) bool { return b.better(x, y, r) })
 }
 
 // pick is the pool's choice, or, below two usable entries (one for who has waited), a random server.
 func (b *Balancer) pick(r *request) *server {
-	if e, n := b.best(r); n >= 2 || n == 1 && (r.attempts > 0 || r.waits > 0) {
-		s := e.s
-		if e.uses--; e.uses <= 0 {
-			b.unpool(s)
-		}
+	if s, n := b.best(r); n >= 2 || n == 1 && (r.attempts > 0 || r.waits > 0) {
+		b.pool.Use(s)
 		return s
 	}
 	return b.draw(func(s *server) int {
@@ -858,7 +820,7 @@
 
 func (b *Balancer) tick() {
 	b.timer(tickTimer, tickEvery)
-	b.age()
+	b.pool.Expire(b.now, b.entryAge())
 	b.fit.Age(b.now)
 	b.updateMedians()
 	left := math.Inf(1)
@@ -887,7 +849,7 @@
 	}
 	if b.shed > 0 && b.now-b.lastLog >= 2000 {
 		b.logf("refused %d; part %.2f; pool %d/%d; service %.0f ms; classes %.2f; side by side %.1f; %s",
-			b.shed, b.fraction(), len(b.pool), b.ready, b.fleetLatency, b.fit.Class, b.fit.SideBySide(),
+			b.shed, b.fraction(), b.pool.Len(), b.ready, b.fleetLatency, b.fit.Class, b.fit.SideBySide(),
 			&b.gauge)
 		b.shed, b.lastLog = 0, b.now
 	}
--- a/logic/recovery_test.go
+++ b/logic/recovery_test.go
@@ -120,7 +120,7 @@
 	if three.latency != 0 || len(three.by) != 2 || three.by[0].Misses != 0 {
 		t.Errorf("another process inherits: %+v", three)
 	}
-	if one.rif != 0 || len(h.b.pool) != 0 || one.out != 0 {
+	if one.rif != 0 || h.b.pool.Len() != 0 || one.out != 0 {
 		t.Errorf("an old load is taken for a present one: %+v", one)
 	}
 	h.do(Event{Kind: TimerDue, Timer: tickTimer})
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"reflect"
 	"testing"
+
+	"plankrouter/internal/probepool"
 )
 
 // held is what the walk knows of one request: enough to judge rules 1 and 2.
@@ -233,8 +235,8 @@
 		if n := len(w.b.requests); n > len(w.order) {
 			t.Errorf("seed %d: %d requests kept, %d open", seed, n, len(w.order))
 		}
-		if len(w.b.pool) > poolSize || len(w.b.servers) > 8 {
-			t.Errorf("seed %d: pool %d, servers %d", seed, len(w.b.pool), len(w.b.servers))
+		if w.b.pool.Len() > probepool.Size || len(w.b.servers) > 8 {
+			t.Errorf("seed %d: pool %d, servers %d", seed, w.b.pool.Len(), len(w.b.servers))
 		}
 		for _, r := range w.reqs {
 			sent += r.attempts
--- a/logic/sparse_test.go
+++ b/logic/sparse_test.go
@@ -64,7 +64,7 @@
 		g.report(id, 1, 40)
 	}
 	g.b.now += 2000 // the pool's entries are too old
-	g.b.age()
+	g.b.pool.Expire(g.b.now, g.b.entryAge())
 	r := &request{class: 0, aimAt: g.b.now + 400, endAt: g.b.now + 900}
 	met := map[ServerID]bool{}
 	for range 100 {
