--- a/logic/api.go
+++ b/logic/api.go
@@ -4,7 +4,12 @@
 // This file is the whole interface; logic.go holds every decision.
 package logic
 
-import "plankrouter/internal/evidence"
+import (
+	"errors"
+	"fmt"
+
+	"plankrouter/internal/evidence"
+)
 
 // Ms is a time or a duration in milliseconds; times count from any fixed origin.
 type Ms = float64
@@ -79,6 +84,24 @@
 	Vouched Ms // for so long after it was sent, a probe stands for a list that is not sure; see Event.Seen
 }
 
+// validate names what the module can't work with.
+func (c *Config) validate() error {
+	if len(c.Classes) == 0 {
+		return errors.New("logic: no request classes")
+	}
+	for i, k := range c.Classes {
+		if !(k.Aim > 0) || !(k.Deadline > 0) || k.Repeat > Unsafe || k.Scope > ScopeCell || k.Window < 0 {
+			return fmt.Errorf("logic: class %d is malformed: %+v", i, k)
+		}
+	}
+	for _, v := range []float64{c.Round, c.WarmWithin, c.TipWindow, c.ColdShare, c.TipMultiple} {
+		if !(v >= 0) {
+			return fmt.Errorf("logic: negative or missing figure in %+v", *c)
+		}
+	}
+	return nil
+}
+
 // EventKind names what has happened.
 type EventKind uint8
 
--- /dev/null
+++ b/logic/noprobes_test.go
@@ -0,0 +1,108 @@
+package logic
+
+import (
+	"testing"
+
+	"plankrouter/internal/probepool"
+)
+
+// newFleetWithoutProbes is newFleetOfOthers where no probes are allowed: answers alone tell of servers.
+func newFleetWithoutProbes(t *testing.T, servers int) *fleetOfOthers {
+	f := newFleetOfOthers(t, servers, 300, false)
+	f.b.cfg.Probes = false
+	return f
+}
+
+// Where answers alone tell of servers, requests keep away from those that are known to be slow, though at random half of them
+// would go there.
+func TestSlowServersGetLessWithoutProbes(t *testing.T) {
+	f := newFleetWithoutProbes(t, 20)
+	f.slow = 10
+	f.run(20e3)
+	f.sentTo = map[ServerID]int{}
+	f.run(60e3)
+	slow, all := 0, 0
+	for id, n := range f.sentTo {
+		if all += n; id <= f.slow {
+			slow += n
+		}
+	}
+	if part := float64(slow) / float64(all); part > 0.25 {
+		t.Errorf("%.2f of the requests go to the slow half", part)
+	}
+}
+
+// A server that has owed an answer for long is expected to take at least as long, whatever it took before.
+func TestOverdueAnswersCount(t *testing.T) {
+	g := newRig(t, testConfig(), 2)
+	g.b.cfg.Probes = false
+	for id := RequestID(1); g.b.byID[1].out == 0; id++ {
+		g.arrive(id, 0)
+	}
+	g.b.byID[1].reported = false
+	g.now += 300
+	g.do(Event{Kind: TimerDue, Timer: tickTimer})
+	if got := g.b.expect(g.b.byID[1], 0, 0); got < 300 {
+		t.Errorf("%.0f ms are expected of a server that has owed an answer for 300 ms", got)
+	}
+	if got := g.b.expect(&server{}, 0, 0); got > 100 {
+		t.Errorf("%.0f ms are expected of one that owes none", got)
+	}
+}
+
+// A request that the drawn servers have no room for goes to one that has, also where no probe says which.
+func TestRoomIsFoundWithoutProbes(t *testing.T) {
+	g := newRig(t, testConfig(), 20)
+	g.b.cfg.Probes = false
+	g.b.pool = probepool.Pool[*server]{}
+	for id, s := range g.b.byID {
+		if s.reportAt = never; id < 20 {
+			s.rif, s.out, s.quietAt = 60, 60, g.now
+		}
+	}
+	for id := range RequestID(20) {
+		if s := find(g.arrive(id, 0), Send); s == nil || s.Server != 20 {
+			t.Fatalf("request %d: %+v, where server 20 alone has room", id, s)
+		}
+		g.done(id, 0, 20, OK)
+	}
+}
+
+// What an answer tells of its server's load counts as a probe's answer does.
+func TestReportsInAnswersAreUsed(t *testing.T) {
+	g := newRig(t, testConfig(), 4)
+	g.b.cfg.Probes, g.b.pool = false, probepool.Pool[*server]{}
+	s := find(g.arrive(1, 0), Send)
+	g.now += 50
+	g.do(Event{Kind: AttemptDone, Request: 1, Server: s.Server, Status: OK, Took: 50, Final: true,
+		Report: Report{HasRIF: true, HasLatency: true, RIF: 30, Latency: 70}})
+	of := g.b.byID[s.Server]
+	if of.rif != 30 || of.latency != 70 || of.reportAt != g.now || g.b.pool.Len() != 1 {
+		t.Errorf("30 in flight and 70 ms were reported; the server is taken to have %g and %g, the pool holds %d", of.rif,
+			of.latency, g.b.pool.Len())
+	}
+}
+
+// A class whose latency target is 1.5 times its work is admitted while servers are free, also where they report nothing.
+func TestTightTargetsAreAdmitted(t *testing.T) {
+	for name, probes := range map[string]bool{"probes": true, "no probes": false} {
+		f := newFleetOfOthers(t, 40, 300, false)
+		f.b.cfg.Probes = probes
+		cfg := f.b.cfg
+		for i := range cfg.Classes {
+			cfg.Classes[i].Aim = 90 // 60 ms unhindered
+		}
+		if err := f.b.Reconfigure(cfg, []int{0, 1, 2}, nil); err != nil {
+			t.Fatal(err)
+		}
+		f.run(10e3)
+		if part := f.run(40e3); part < 0.95 {
+			t.Errorf("%s: %.2f are admitted; %s", name, part, &f.b.gauge)
+		}
+		f.stretch = 6
+		f.run(43e3)
+		if part := f.run(50e3); part > 0.4 {
+			t.Errorf("%s: %.2f are admitted while answers take 6 times as long; %s", name, part, &f.b.gauge)
+		}
+	}
+}
--- a/logic/overload_test.go
+++ b/logic/overload_test.go
@@ -20,6 +20,7 @@
 	due     []due
 	last    RequestID
 	sent    int
+	sentTo  map[ServerID]int // first attempts; nil = they are not counted
 }
 
 type due struct {
@@ -67,6 +68,9 @@
 		case Send:
 			if f.b.requests[a.Request].attempts == 1 {
 				f.sent++
+				if f.sentTo != nil {
+					f.sentTo[a.Server]++
+				}
 			}
 			took, status := 60*f.stretch*f.times(a.Server)*math.Exp(0.5*f.rng.NormFloat64()), OK
 			if f.b.requests[a.Request].class == 0 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -64,6 +64,7 @@
 		return err
 	}
 	follow(classes, b.fit.Class, next.fit.Class)
+	b.gauge.Reconfigure(next.gauge, classes)
 	follow(tenants, b.buckets, next.buckets)
 	for _, s := range b.servers {
 		by := make([]Tally, 1+len(next.buckets))
