Overdue answers count only where no probe tells service times

Cause: a server whose own report had not come yet, with an attempt out, was expected to take at least as long as that; where probes tell service times that was not so before, and probes are the better news.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -276,9 +276,9 @@
 	return max(b.overdue(s), b.service(s)*b.fit.Of(class)*b.fit.Stretch(rif+1)+s.network)
 }
 
-// overdue is for how long at least a server that reports no service time has owed an answer.
+// overdue is for how long at least a server has owed an answer, where no probe tells its service time.
 func (b *Balancer) overdue(s *server) Ms {
-	if s.reported || s.out == 0 {
+	if s.out == 0 || b.told && b.cfg.Probes {
 		return 0
 	}
 	return b.now - s.quietAt
