http1, a codec, no longer imports invocation: the named value has a package of its own

internal/http1 took its header line, Field, and the body that follows an answer, Stream, from internal/invocation, the words between fronts and the core.

Field is now in internal/field, which http1 and invocation both import, each with an alias, so that no line elsewhere changes. Stream is an interface that http1 declares for itself, with the same methods. Ruled out: a type of http1's own with conversion at the border, which would copy the fields of every request and every answer once more on their way through; and a field declared in http1 and used by invocation, which belongs to no protocol.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -13,7 +13,7 @@
 	"strings"
 	"sync"
 
-	"plankrouter/internal/invocation"
+	"plankrouter/internal/field"
 )
 
 // The bounds. A line must also fit the reader's buffer, so readers come from NewReader.
@@ -27,7 +27,7 @@
 )
 
 // Field is one header line.
-type Field = invocation.Field
+type Field = field.Field
 
 // Header is a message's header lines in order.
 type Header []Field
@@ -106,12 +106,18 @@
 	framing
 }
 
+// Stream is a body that flows.
+type Stream interface {
+	io.Reader      // io.EOF = it was whole
+	Length() int64 // of what is left; -1 = that is not known
+}
+
 // Response is an answer.
 type Response struct {
 	Status   int
 	Header   Header
 	Body     []byte
-	Rest     invocation.Stream // what follows Body, if that is not all; nil = it is
+	Rest     Stream // what follows Body, if that is not all; nil = it is
 	Close    bool
 	Bodiless bool // it answers HEAD: Header says what a body would have had
 }
--- a/internal/invocation/invocation.go
+++ b/internal/invocation/invocation.go
@@ -6,10 +6,12 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"plankrouter/internal/field"
 )
 
 // Field is one named attribute that travels with an invocation or its answer.
-type Field struct{ Name, Value string }
+type Field = field.Field
 
 // Invocation is one request of a consumer.
 type Invocation struct {
