A tight latency target leaves no server idle where nobody reports

Change: an answer may take as long as the target leaves by the margin, or FreeTimes what the fleet's take unhindered, where that is more; only where nobody reports.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -86,7 +86,7 @@
 	roomFull    = 2.0  // and what is added to that when all its places are taken
 	roomWaste   = 8.5  // parts of the expected response to be left beyond it, for each unit of the price of waste,
 	roomSparse  = 15.0 // and where news is sparse: the server that looks best is seldom as good as it looks
-	roomTight   = 1.25 // response over an unhindered one, up to which a server makes next to nobody wait
+	FreeTimes   = 1.75 // response over what the fleet's take unhindered, up to which a server counts as free
 	CrowdMost   = 4.5  // response over an unhindered one: past it a queue only adds waiting,
 	crowdSparse = 2.5  // and where news is sparse
 	crowdPower  = 0.4  // how that falls with a request's worth
@@ -107,12 +107,6 @@
 	return min(1+waste*price, roomIdle+roomFull*load)
 }
 
-// TightRoom is that margin, but for a request whose latency target leaves less room than that over what it takes unhindered: then
-// a server that makes next to nobody wait has room for it.
-func TightRoom(margin, target, unhindered float64) float64 {
-	return min(margin, max(1, target/(roomTight*unhindered)))
-}
-
 // Crowd is the most that the response to a request of that worth may be stretched.
 func Crowd(sparse bool, worth float64) float64 {
 	most := CrowdMost
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -570,11 +570,11 @@
 		} else if c.Dropped || b.density(i) < peerWorth*worth {
 			continue // only where no worthier or equal request would find room is this one out of place
 		}
-		need := margin
-		if !b.told {
-			need = limit.TightRoom(margin, c.Aim, b.service(s)*b.fit.Of(i))
+		most := room / margin
+		if !b.told { // a target that is tight for what answers take unhindered is no reason to leave servers idle
+			most = max(most, limit.FreeTimes*b.gauge.Unhindered()*b.fit.Of(i))
 		}
-		if b.expect(s, i, s.rif)*need > room {
+		if b.expect(s, i, s.rif) > most {
 			return false
 		}
 	}
