--- a/logic/logic.go
+++ b/logic/logic.go
@@ -276,9 +276,9 @@
 	return max(b.overdue(s), b.service(s)*b.fit.Of(class)*b.fit.Stretch(rif+1)+s.network)
 }
 
-// overdue is for how long at least a server has owed an answer, where no probe tells its service time.
+// overdue is for how long at least a server has owed an answer, where only answers have told its service time.
 func (b *Balancer) overdue(s *server) Ms {
-	if s.out == 0 || b.told && b.cfg.Probes {
+	if s.out == 0 || b.told && b.cfg.Probes || s.latency == 0 && b.gauge.Unhindered() == 0 {
 		return 0
 	}
 	return b.now - s.quietAt
@@ -571,7 +571,7 @@
 			continue // only where no worthier or equal request would find room is this one out of place
 		}
 		most := room / margin
-		if !b.told { // a target that is tight for what answers take unhindered is no reason to leave servers idle
+		if !b.told { // a target that is tight for unhindered answers is no reason to leave servers idle
 			most = max(most, limit.FreeTimes*b.gauge.Unhindered()*b.fit.Of(i))
 		}
 		if b.expect(s, i, s.rif) > most {
--- a/logic/noprobes_test.go
+++ b/logic/noprobes_test.go
@@ -47,6 +47,11 @@
 	if got := g.b.expect(&server{}, 0, 0); got > 100 {
 		t.Errorf("%.0f ms are expected of one that owes none", got)
 	}
+	g.b.byID[1].latency = 0 // before any answer there is nothing to hold it against
+	if got := g.b.expect(g.b.byID[1], 0, 0); got > 100 {
+		t.Errorf("%.0f ms are expected of a server of which no answer has told", got)
+	}
+	g.b.byID[1].latency = 40
 	g.b.cfg.Probes = true // then its reports tell
 	if got := g.b.expect(g.b.byID[1], 0, 0); got > 100 {
 		t.Errorf("%.0f ms are expected where probes tell service times", got)
