--- a/logic/logic.go
+++ b/logic/logic.go
@@ -276,7 +276,7 @@
 	return max(b.overdue(s), b.service(s)*b.fit.Of(class)*b.fit.Stretch(rif+1)+s.network)
 }
 
-// overdue is for how long at least a server has owed an answer, where only answers have told its service time.
+// overdue is for how long at least a server has owed an answer, where answers alone tell service times.
 func (b *Balancer) overdue(s *server) Ms {
 	if s.out == 0 || b.told && b.cfg.Probes || s.latency == 0 && b.gauge.Unhindered() == 0 {
 		return 0
