Overload is judged for work of seconds, too; the gauge's parts are not exported

Seen on reading the whole change: TestGaugeWithWorkOfSeconds, new, refuses nothing at four times the usual time where answers take 5 s. Cause: an attempt counts once it has had the time to be slow, 1.5 times its baseline, but none older than 5 s counted, so that from 3.3 s of work on none ever did; a busy instance also forgot its attempts after 3.2 s. Change: attempts are followed, remembered and counted for at least twice the time that it takes to be slow, and what is refused changes no quicker than answers can tell. With latency targets of up to a second nothing changes.

--- a/internal/overload/baseline.go
+++ b/internal/overload/baseline.go
@@ -2,9 +2,9 @@
 
 import "math"
 
-// Baseline is what answers of one kind take unhindered, learned from the newest of them, however old they are.
-type Baseline struct {
-	Target float64 // latency target in ms
+// baseline is what answers of one kind take unhindered, learned from the newest of them, however old they are.
+type baseline struct {
+	target float64 // latency target in ms
 	took   [baselineMost]float64
 	next   int
 	known  int // of them
@@ -14,7 +14,7 @@
 }
 
 // learn takes an answer at now. The median follows the answers while they are not slow: down quickly, up slowly.
-func (b *Baseline) learn(now, took float64) {
+func (b *baseline) learn(now, took float64) {
 	b.took[b.next] = took
 	b.next = (b.next + 1) % baselineMost
 	b.known = min(b.known+1, baselineMost)
@@ -34,7 +34,7 @@
 	default:
 		b.median *= math.Exp(passed / baselineDrift)
 	}
-	if b.Target > 0 { // who starts in the middle of an overload has seen nothing else
-		b.median = min(b.median, b.Target/slowTimes)
+	if b.target > 0 { // who starts in the middle of an overload has seen nothing else
+		b.median = min(b.median, b.target/slowTimes)
 	}
 }
--- a/internal/overload/gauge.go
+++ b/internal/overload/gauge.go
@@ -12,15 +12,17 @@
 	followEvery   = 50.0 // ms between two attempts that are followed: a busy instance's window is as long as a quiet one's
 	followedMost  = 64   // attempts that are remembered
 	recentAge     = 5e3  // ms from its start for which an attempt tells the present state,
+	slowRing      = 2.0  // times as long as it takes to be slow, for which attempts are remembered and count, at least
 	recentMost    = 20   // how many of the newest do at most: one second of a busy instance,
 	recentLeast   = 3    // how many it takes,
 	recentSure    = 8    // and how many for the full rate of shedding: the same few tell nothing new with each look
 	baselineLeast = 16   // answers that tell the unhindered median,
 	baselineMost  = 64   // and how many are remembered for it
-	doubt         = 0.4  // of the median of few: its standard error in ranks, as a part of them, times the root of their number
+	doubt         = 0.4  // of the median of few: 0.8 of its standard error in ranks, as a part of them, times the root of their number
 	baselineDown  = 0.02 // part of the way down that the unhindered median goes with each answer,
 	baselineUp    = 0.002
 	baselineDrift = 60e3  // and ms in which it grows by e while answers are slow: work and servers change
+	oneSecond     = 1e3   // ms
 	shedding      = 4.0   // e-folds a second by which less is admitted, for each time too long that answers take
 	recovery      = 0.4   // part a second that is admitted again once they don't,
 	blindRecovery = 0.125 // and while there are too few to tell
@@ -34,8 +36,8 @@
 type Gauge struct {
 	followed [followedMost]attempt // a ring, in order of their starts
 	next     int                   // place in the ring
-	all      Baseline              // of all classes, over what is usual for each
-	Class    []Baseline            // by class
+	all      baseline              // of all classes, over what is usual for each
+	classes  []baseline            // by number
 	lookedAt float64
 	times    []float64 // room for a look: over the unhindered ones
 	stretch  float64
@@ -58,7 +60,7 @@
 func NewGauge(targets []float64) Gauge {
 	g := Gauge{}
 	for _, target := range targets {
-		g.Class = append(g.Class, Baseline{Target: target})
+		g.classes = append(g.classes, baseline{target: target})
 	}
 	return g
 }
@@ -69,21 +71,23 @@
 	g.followed = [followedMost]attempt{}
 	for i, old := range from {
 		if old >= 0 {
-			target := next.Class[i].Target
-			next.Class[i] = g.Class[old]
-			next.Class[i].Target = target
+			target := next.classes[i].target
+			next.classes[i] = g.classes[old]
+			next.classes[i].target = target
 		}
 	}
-	g.Class = next.Class
+	g.classes = next.classes
 }
 
 // Began takes note of the attempt at a request of a class, for which usual is what it takes over what all take. Of many in a
 // short time one is followed.
 func (g *Gauge) Began(now float64, request uint32, class int, usual float64) {
-	if last := g.newest(0); last.began > 0 && now-last.began < followEvery {
+	a := attempt{request: request, began: now, class: class, usual: usual}
+	every := max(followEvery, slowRing*slowTimes*g.unhindered(&a)/followedMost)
+	if last := g.newest(0); last.began > 0 && now-last.began < every {
 		return
 	}
-	g.followed[g.next] = attempt{request: request, began: now, class: class, usual: usual}
+	g.followed[g.next] = a
 	g.next = (g.next + 1) % followedMost
 }
 
@@ -99,13 +103,13 @@
 			return
 		}
 		a.took = now - a.began
-		g.Class[a.class].learn(now, a.took)
+		g.classes[a.class].learn(now, a.took)
 		g.all.learn(now, a.took/a.usual)
 		return
 	}
 }
 
-// Stretch is the median of late over the unhindered one, at least 1, less half its standard error.
+// Stretch is the median of late over the unhindered one, at least 1, less most of its standard error.
 func (g *Gauge) Stretch() float64 { return max(1, g.stretch) }
 
 // Unhindered is the median of the times that answers take unhindered, over what is usual for their classes; 0 = not known yet.
@@ -130,9 +134,9 @@
 // steadily, and more slowly while there are too few to tell. So it goes on growing as long as servers are crowded, however
 // little they get, and ends by itself.
 func (g *Gauge) Look(now, target float64) {
-	g.all.Target = target
-	g.collectRecent(now)
-	seconds := min(1, (now-g.lookedAt)/1000)
+	g.all.target = target
+	slow := g.collectRecent(now)
+	seconds := min(1, (now-g.lookedAt)/1000) * oneSecond / max(oneSecond, slow)
 	g.stretch, g.lookedAt = 1, now
 	if len(g.times) < recentLeast {
 		g.refused = max(0, g.refused-blindRecovery*seconds)
@@ -148,8 +152,9 @@
 }
 
 // collectRecent puts the times of the newest attempts into g.times, those that are out by their age. Only attempts count that
-// have had the time to be slow: of younger ones the quick answers alone have come.
-func (g *Gauge) collectRecent(now float64) {
+// have had the time to be slow: of younger ones the quick answers alone have come. It returns the longest of those times in ms:
+// what is refused changes no quicker than answers can tell.
+func (g *Gauge) collectRecent(now float64) (slow float64) {
 	g.times = g.times[:0]
 	for i := 0; i < followedMost && len(g.times) < recentMost; i++ {
 		a := g.newest(i)
@@ -157,28 +162,30 @@
 			continue
 		}
 		unhindered, age := g.unhindered(a), now-a.began
-		switch {
-		case age < slowTimes*unhindered:
-		case age > recentAge:
-			return
-		case a.took > 0:
-			g.times = append(g.times, a.took/unhindered)
-		default:
-			g.times = append(g.times, age/unhindered)
+		limit := slowTimes * unhindered
+		if age < limit || age > max(recentAge, slowRing*limit) {
+			continue
+		}
+		took := a.took
+		if took == 0 {
+			took = age
 		}
+		g.times = append(g.times, took/unhindered)
+		slow = max(slow, limit)
 	}
+	return slow
 }
 
 // unhindered is what the attempt would take unhindered: by its class, or, while that has too few answers, by all.
 func (g *Gauge) unhindered(a *attempt) float64 {
-	class := &g.Class[a.class]
+	class := &g.classes[a.class]
 	switch {
 	case class.median > 0:
 		return class.median
 	case g.all.median > 0:
 		return g.all.median * a.usual
 	}
-	return priorPart * class.Target
+	return priorPart * class.target
 }
 
 // quantile is the q-th of v, which it sorts; 0 if v is empty.
--- a/internal/overload/gauge_test.go
+++ b/internal/overload/gauge_test.go
@@ -154,7 +154,22 @@
 	g.Reconfigure(NewGauge([]float64{500}), []int{0})
 	g.Ended(300, 1, true)
 	g.Look(400, 500)
-	if len(g.Class) != 1 || g.Stretch() != 1 {
-		t.Errorf("%d classes, stretch %g", len(g.Class), g.Stretch())
+	if len(g.classes) != 1 || g.Stretch() != 1 {
+		t.Errorf("%d classes, stretch %g", len(g.classes), g.Stretch())
+	}
+}
+
+// Work of seconds outlives any fixed window: it is seen all the same, by a busy instance and by a quieter one.
+func TestGaugeWithWorkOfSeconds(t *testing.T) {
+	for _, perMs := range []float64{0.001, 0.02} {
+		w := newWorld(20e3)
+		w.run(60e3, perMs, 5000, 1, 0)
+		if part := w.run(200e3, perMs, 5000, 1, 0); part > 0.03 {
+			t.Errorf("%g a ms: %.3f are refused, unhindered", perMs, part)
+		}
+		w.run(230e3, perMs, 5000, 4, 0)
+		if part := w.run(280e3, perMs, 5000, 4, 0); part < 0.85 {
+			t.Errorf("%g a ms: %.3f are refused, all four times slower", perMs, part)
+		}
 	}
 }
