Shutdown counts from when its signal was sent, and each lead is the sum of its steps

Ruled out: a socket filter that keeps new connections from the listener (not supported by this kernel). Change: stopping.Quiet knows since when a signal can have been sent, by a heartbeat; leads are sums of hold-ups, and grow with the clients that are connected; one owner (shutdown) derives all from the word's moment, takes a configuration whose signal may have come before it, and passes moments on to a successor (handover protocol 3); from Last on requests are refused at once, halves too; the listener is closed first, right after a look that finds it empty; a request's time is bounded by moments, not by spans that begin anew.

--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -41,8 +41,7 @@
 )
 
 const (
-	hasten     = 500 * time.Millisecond // after SIGTERM, if it comes twice: consumers are still arriving
-	memoryPart = 0.7                    // of the limit: beyond it the collector works harder
+	memoryPart = 0.7 // of the limit: beyond it the collector works harder
 
 	listenWithin = 5 * time.Second // for a listener that can't be had for a moment: the platform waits for 10
 )
@@ -141,6 +140,9 @@
 	line     handover.Handover // of processes that take over from one another
 	moved    atomic.Bool       // a reload has named another directory than the environment
 	stop     context.CancelFunc
+	signals  signalQueues
+	reloads  chan reloaded            // for whoever ends this process
+	stopWord atomic.Pointer[stopWord] // nil = there was none
 
 	ordering     sync.Mutex // of bans
 	mu           sync.Mutex
@@ -162,7 +164,7 @@
 		log.Printf("name=%s limits.sockets=%d held=%d err=%q", cfg.Name, cfg.Limits.Sockets, held,
 			fmt.Sprintf("the least that serves needs %d: raise limits.sockets", least))
 	}
-	p := program{cfg: cfg, getenv: getenv, listener: l, stop: stop, line: handover.Handover{From: from},
+	p := program{cfg: cfg, getenv: getenv, listener: l, stop: stop, signals: signals, reloads: make(chan reloaded), line: handover.Handover{From: from},
 		budget: sockets.NewBudget(shares.places, dial), share: shares, bans: bansFor(cfg, getenv)}
 	p.rules.Logf = log.Printf
 	p.inForce.Store(cfg)
--- a/cmd/plankrouter/reload.go
+++ b/cmd/plankrouter/reload.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"log"
 	"time"
 
@@ -10,8 +11,8 @@
 	"plankrouter/internal/snapshot"
 )
 
-// reload reads the configuration anew and goes by it, or says why not and changes nothing.
-func (p *program) reload(now time.Time) {
+// reload reads the configuration anew and goes by it, or says why not and changes nothing. Its signal was sent no earlier than that.
+func (p *program) reload(ctx context.Context, now, earliest time.Time) {
 	fixed, err := p.change(now)
 	p.book.Reloaded(err == nil)
 	if err != nil {
@@ -22,6 +23,10 @@
 		log.Printf("name=%s state=reload key=%s err=%q", p.cfg.Name, key, "takes effect at the next start")
 	}
 	is := p.inForce.Load()
+	select {
+	case p.reloads <- reloaded{is.StopPlan, earliest}:
+	case <-ctx.Done():
+	}
 	log.Printf("name=%s state=reloaded discovery=%s classes=%v", p.cfg.Name, is.Discovery, is.Settings.ClassNames())
 }
 
--- /dev/null
+++ b/cmd/plankrouter/shutdown.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"log"
+	"time"
+
+	"plankrouter/internal/stopping"
+)
+
+const (
+	hasten    = 500 * time.Millisecond // after SIGTERM, if it comes twice: clients are still arriving
+	lookEvery = 10 * time.Millisecond  // at the clock and at how many clients there are, once told to stop
+)
+
+// reloaded is a configuration that has been put in force, by a signal that was sent no earlier than that.
+type reloaded struct {
+	plan     stopping.Plan
+	earliest time.Time
+}
+
+// stopWord is the word to stop as this process goes by it: both moments are those of whoever gave it.
+type stopWord struct {
+	at, kill time.Time
+}
+
+// shutdown is the end of this process, from the word to stop on. It is the one owner of all that follows from that word's moment.
+type shutdown struct {
+	program  *program
+	word     received
+	granted  stopping.Plan // by the settings that whoever gave the word goes by
+	inForce  stopping.Plan // for as many clients as there have been since
+	most     int           // clients' connections that have been open at once
+	passedOn bool          // the word is a predecessor's, and has not come from anybody else yet
+	hastened bool          // told twice
+	drained  bool
+}
+
+// stopping acts on signals to stop until ctx ends. They wait for no other.
+func (p *program) stopping(ctx context.Context, leaving context.CancelFunc, stop <-chan received) {
+	defer leaving()
+	var end *shutdown
+	var look <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-stop:
+			if end != nil {
+				end.again(s)
+				continue
+			}
+			end = p.beginShutdown(s)
+			leaving()
+			notify("STOPPING=1")
+			p.front.Stay()
+			ticker := time.NewTicker(lookEvery)
+			defer ticker.Stop()
+			look = ticker.C
+			end.follow(time.Now())
+		case r := <-p.reloads:
+			if end != nil {
+				end.reconsider(r)
+			}
+		case now := <-look:
+			end.follow(now)
+		}
+	}
+}
+
+// beginShutdown notes the word to stop, and by when the process may be killed for it.
+func (p *program) beginShutdown(word received) *shutdown {
+	end := &shutdown{program: p, word: word, passedOn: !word.kill.IsZero(), granted: p.inForce.Load().StopPlan}
+	if !word.kill.IsZero() {
+		end.granted = end.granted.Sooner(stopping.For(0, max(word.kill.Sub(word.earliest), 1)))
+	}
+	log.Printf("name=%s state=stopping signal=%q sent_ms_ago=%d last_request_after=%s answers_after=%s kill_after=%s", p.cfg.Name, word.Signal,
+		time.Since(word.earliest).Milliseconds(), end.granted.Last, end.granted.Answer, end.granted.Kill)
+	end.adopt(end.granted)
+	return end
+}
+
+// again is a further word to stop: it hastens the end, unless one of the two is the other, passed on by a predecessor.
+func (s *shutdown) again(word received) {
+	passedOn := !word.kill.IsZero()
+	if passedOn != s.passedOn {
+		s.passedOn = false
+		return
+	}
+	s.hastened = s.hastened || !passedOn
+}
+
+// adopt goes by the plan from now on.
+func (s *shutdown) adopt(plan stopping.Plan) {
+	s.inForce = plan
+	s.program.stopWord.Store(&stopWord{at: s.word.earliest, kill: s.word.earliest.Add(plan.Kill)})
+	s.program.core.Stopping(plan, s.word.earliest)
+}
+
+// reconsider goes by a configuration whose signal may have been sent before the word to stop, if the kill comes sooner by it: whoever
+// sent both goes by that.
+func (s *shutdown) reconsider(r reloaded) {
+	if r.earliest.After(s.word.read) || r.plan.Kill >= s.granted.Kill {
+		return
+	}
+	s.granted = r.plan
+	log.Printf("name=%s state=stopping_sooner last_request_after=%s answers_after=%s kill_after=%s", s.program.cfg.Name, s.granted.Last,
+		s.granted.Answer, s.granted.Kill)
+	s.adopt(s.granted.Among(s.most))
+	s.follow(time.Now())
+}
+
+// follow leaves more time where more clients have come, and closes the front once its time has come.
+func (s *shutdown) follow(now time.Time) {
+	if s.drained {
+		return
+	}
+	p := s.program
+	s.most = max(s.most, p.front.Open())
+	if plan := s.granted.Among(s.most); plan.Last < s.inForce.Last-lookEvery {
+		s.adopt(plan)
+	}
+	last := s.inForce.Last
+	if s.hastened {
+		last = min(last, hasten)
+	}
+	since := now.Sub(s.word.earliest)
+	if since < last {
+		return
+	}
+	s.drained = true
+	log.Printf("name=%s state=leaving after_ms=%d clients=%d sockets=%d", p.cfg.Name, since.Milliseconds(), p.front.Open(), p.budget.Used())
+	go p.lastSnapshot() // while there is time: what is still under way matters less than that it is there
+	p.front.Drain(p.listener)
+}
--- a/cmd/plankrouter/signals.go
+++ b/cmd/plankrouter/signals.go
@@ -9,71 +9,68 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"plankrouter/internal/stopping"
 )
 
 // signalQueues are the signals that have come and are not obeyed yet. Each kind waits at a place of its own, so that none keeps out
 // another; one that finds no room there is covered by what waits.
 type signalQueues struct {
-	stop                     chan stopSignal // two of them say more than one
-	reload, report, handOver chan os.Signal
+	stop             chan received // two of them say more than one
+	reload           chan received
+	report, handOver chan os.Signal
 }
 
-// stopSignal is a signal to stop. Who sends it counts from the moment at which it came, however late it is obeyed.
-type stopSignal struct {
+// received is a signal with the time in which it was sent: whoever sent it counts from then, however late it is read or obeyed.
+type received struct {
 	os.Signal
-	at time.Time
+	earliest time.Time // that it can have been sent
+	read     time.Time // by which it had been
+	kill     time.Time // that whoever passed the word to stop on has reckoned with; zero = nobody did
 }
 
 func newSignalQueues() signalQueues {
-	return signalQueues{stop: make(chan stopSignal, 2), reload: make(chan os.Signal, 1), report: make(chan os.Signal, 1),
+	return signalQueues{stop: make(chan received, 2), reload: make(chan received, 1), report: make(chan os.Signal, 1),
 		handOver: make(chan os.Signal, 1)}
 }
 
 // listen takes this process's signals from now on.
 func (w signalQueues) listen() {
-	signal.Notify(w.reload, syscall.SIGHUP) // first: it would end the process, and is ignored until here where the deploy file has it so
+	reload, stop := make(chan os.Signal, cap(w.reload)), make(chan os.Signal, cap(w.stop))
+	signal.Notify(reload, syscall.SIGHUP) // first: it would end the process, and is ignored until here where the deploy file has it so
 	signal.Notify(w.report, syscall.SIGUSR1)
 	signal.Notify(w.handOver, syscall.SIGUSR2)
-	stop := make(chan os.Signal, cap(w.stop))
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		for s := range stop {
-			w.stop <- stopSignal{s, time.Now()}
-		}
-	}()
+	go w.date(reload, stop, stopping.NewQuiet(time.Now()))
 }
 
-// stopping acts on signals to stop until ctx ends. They wait for no other.
-func (p *program) stopping(ctx context.Context, leaving context.CancelFunc, stop <-chan stopSignal) {
-	defer leaving()
-	plan := p.inForce.Load().StopPlan
-	var leave <-chan time.Time
-	var stopAt time.Time
+// date notes of each signal to stop or to reload since when it can have been sent.
+func (w signalQueues) date(reload, stop <-chan os.Signal, quiet *stopping.Quiet) {
+	beat := time.NewTicker(stopping.BeatEvery)
+	defer beat.Stop()
 	for {
 		select {
-		case <-ctx.Done():
-			return
+		case s := <-reload:
+			put(w.reload, received{Signal: s, earliest: quiet.Since(), read: time.Now()})
 		case s := <-stop:
-			if leave != nil { // told twice: as soon as the first word's new connections have come in
-				leave = time.After(min(hasten, plan.Last) - time.Since(stopAt))
-				continue
+			put(w.stop, received{Signal: s, earliest: quiet.Since(), read: time.Now()})
+		case <-beat.C:
+			if len(reload)+len(stop) == 0 {
+				quiet.Beat(time.Now())
 			}
-			plan, stopAt = p.inForce.Load().StopPlan, s.at
-			log.Printf("name=%s state=stopping signal=%q last_request_after=%s", p.cfg.Name, s, plan.Last)
-			leaving()
-			notify("STOPPING=1")
-			p.core.Stopping(plan, stopAt)
-			p.front.Stay()
-			leave = time.After(plan.Last - time.Since(stopAt))
-		case <-leave:
-			log.Printf("name=%s state=leaving sockets=%d", p.cfg.Name, p.budget.Used())
-			go p.lastSnapshot() // while there is time: what is still under way matters less than that it is there
-			p.front.Drain(p.listener)
 		}
 	}
 }
 
-// obey acts on all other signals until ctx ends.
+// put adds a signal unless those that wait cover it.
+func put(queue chan<- received, s received) {
+	select {
+	case queue <- s:
+	default:
+	}
+}
+
+// obey acts on all signals but those to stop until ctx ends.
 func (p *program) obey(ctx context.Context, group *errgroup.Group, w signalQueues) {
 	for {
 		select {
@@ -81,8 +78,8 @@
 			return
 		case <-w.report:
 			p.report()
-		case <-w.reload:
-			p.reload(time.Now())
+		case s := <-w.reload:
+			p.reload(ctx, time.Now(), s.earliest)
 		case <-w.handOver:
 			if p.told.Err() == nil {
 				group.Go(func() error { p.handOver(p.told); return nil })
--- a/cmd/plankrouter/succession.go
+++ b/cmd/plankrouter/succession.go
@@ -139,6 +139,9 @@
 	if from.Met() {
 		p.budget.Limit(p.share.places - p.share.places/shareIdle)
 	}
+	from.Stopped = func(word handover.Stop) {
+		put(p.signals.stop, received{Signal: syscall.SIGTERM, earliest: word.At, read: time.Now(), kill: word.Kill})
+	}
 	done := p.front.Expect()
 	group.Go(func() error {
 		defer done()
@@ -193,16 +196,14 @@
 		p.budget.Limit(p.share.places / shareIdle)
 		defer p.budget.Limit(p.share.places) // if it serves on
 	}
+	passed := p.passStopOn(to)
 	left := p.front.HandOver(func(c net.Conn, note []byte) error { return to.Pass(c.(syscall.Conn), note) })
 	l.SetDeadline(time.Unix(1, 0)) // accepts no more, but keeps the listener
 	select {
 	case <-left:
 		if err := to.Done(); err == nil {
 			log.Printf("name=%s handover=done successor=%d", p.cfg.Name, to.Pid())
-			if ctx.Err() != nil && meeting(p.getenv) == "" { // told to stop when it was too late to call the handover off: the service was meant
-				log.Printf("name=%s handover=told_to_stop successor=%d err=%v", p.cfg.Name, to.Pid(),
-					syscall.Kill(to.Pid(), syscall.SIGTERM))
-			}
+			passed()
 			p.stop()
 			return
 		}
@@ -213,6 +214,32 @@
 	p.front.Resume()
 }
 
+// passStopOn has the successor told of a word to stop that comes when it is too late to call the handover off: the service is meant. What
+// it returns is called once the handover is done, and sees to it that a word that has come by then has got through.
+func (p *program) passStopOn(to *handover.Predecessor) (done func()) {
+	if meeting(p.getenv) != "" { // the platform tells each process by itself
+		return func() {}
+	}
+	ended := make(chan struct{})
+	cancel := context.AfterFunc(p.told, func() {
+		defer close(ended)
+		word := p.stopWord.Load()
+		if word == nil { // the process ends without having been told to
+			return
+		}
+		err := to.Stop(handover.Stop{At: word.at, Kill: word.kill})
+		log.Printf("name=%s handover=told_to_stop successor=%d err=%v", p.cfg.Name, to.Pid(), err)
+		if err != nil { // it reads no more of this process: it counts from when it gets the signal
+			syscall.Kill(to.Pid(), syscall.SIGTERM)
+		}
+	})
+	return func() {
+		if !cancel() {
+			<-ended
+		}
+	}
+}
+
 // environment is the successor's: this process's, but for a directory that a reload has replaced.
 func (p *program) environment() []string {
 	env := os.Environ()
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -39,6 +39,7 @@
 	// written; Invocation.Look says so at the moment. nil = a probe: the provider is asked for its load.
 	Invocation *invocation.Invocation
 	Wait       time.Duration // after which the attempt is going to be stopped, for the provider to know
+	Until      time.Time     // when it is going to be stopped: no last byte later than this; zero = after Wait from when it is sent
 	NotAfter   time.Time     // no first byte later than this; zero = any time
 	Expires    time.Time     // neither the first nor the last byte later than this; zero = any time
 	Flowed     func()        // with a Source: called when its last byte is written; nil = nobody asks
--- a/internal/consumer/conn.go
+++ b/internal/consumer/conn.go
@@ -39,6 +39,8 @@
 	upload  *upload                // the rest of its body; nil = it is there
 	paced   *flow.Pace             // of the body that is being read; nil = none is
 	idleAt  time.Time              // since when no message is under way; guarded by server.mu
+	last    bool                   // accepted as the front was being closed; likewise
+	reading bool                   // a message has begun and is not there yet; likewise
 	answers chan answer            // at most one is under way; nil = no writer yet
 	written chan ending.Ending     // how writing it ended; Open = the connection goes on
 	done    chan struct{}
@@ -84,6 +86,7 @@
 		}
 		c.setBusy(true)
 		inv, turned, e := c.message()
+		c.setReading(false)
 		switch {
 		case e != ending.Open:
 			return e
@@ -231,8 +234,9 @@
 			until = first
 		}
 	}
-	if !c.socket.Extend(until) {
-		c.socket.SetReadDeadline(began.Add(lingerFor))
+	c.setReading(true)
+	if !c.extend(until) {
+		c.extendLeaving(began.Add(lingerFor))
 	}
 	c.upload, c.paced = nil, nil
 	c.letGo() // of a message that was turned away
@@ -251,9 +255,11 @@
 		return nil, c.turn(413, true), ending.Open
 	case errors.Is(err, http1.ErrMalformed):
 		return nil, c.turn(400, true), ending.Open
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.server.isClosing(): // it was never sent to a server
+		return nil, c.turn(503, true), ending.Open
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, c.turn(408, true), ending.Open
-	case err != nil || !c.socket.Busy() || c.socket.SetReadDeadline(time.Time{}) != nil:
+	case err != nil || !c.socket.Busy() || c.endReading() != nil:
 		return nil, nil, ending.BadInput
 	}
 	c.brought = true
@@ -379,6 +385,44 @@
 	}
 }
 
+// extend gives the message that is being read until t, or less once the front is being closed. False means that the connection is to make
+// room.
+func (c *conn) extend(t time.Time) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.socket.Extend(c.server.readUntil(t))
+}
+
+// extendLeaving is extend for a connection whose place has been given away.
+func (c *conn) extendLeaving(t time.Time) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.socket.SetReadDeadline(c.server.readUntil(t))
+}
+
+// readUntil bounds the time for a message by the end of the front. It is called with mu held.
+func (s *Server) readUntil(t time.Time) time.Time {
+	if s.closing && s.halfAt.Before(t) {
+		return s.halfAt
+	}
+	return t
+}
+
+// endReading notes that the message is there, and takes its deadline back. Both at once: see Drain.
+func (c *conn) endReading() error {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.reading = false
+	return c.socket.SetReadDeadline(time.Time{})
+}
+
+// setReading notes whether a message has begun and is not there yet.
+func (c *conn) setReading(reading bool) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.reading = reading
+}
+
 // setBusy notes whether a message is under way. One that is not ends when the front is being closed.
 func (c *conn) setBusy(busy bool) {
 	s := c.server
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -36,9 +36,9 @@
 	closingFor  = 50 * time.Millisecond // instead of lingerFor, once the front is being closed: the process may be killed soon
 	acceptPause = 5 * time.Millisecond
 	leftEvery   = 100 * time.Millisecond // whether a consumer has left behind something that is still unread
-	acceptLast  = 10 * time.Millisecond  // for what has knocked before Drain and could not be accepted yet
-	lastLook    = time.Millisecond       // at the kernel's backlog, once that has passed
-	acceptAgain = 80 * time.Millisecond  // for as long, if that look fails: what lies there has been taken, and the kill is 0.1 s away or more
+	lastLook    = time.Millisecond       // at the kernel's backlog, once the front is being closed
+	acceptAgain = 300 * time.Millisecond // for as long, if that look fails: what lies there has been taken, and the kill is 0.5 s away or more
+	halfFor     = 20 * time.Millisecond  // for the rest of a request that has begun, once the front is being closed
 
 	// A consumer opens a connection when all it has are busy. One that has just been answered is thus about to carry a
 	// request, which would be lost if the connection were closed to make room. But a new one waits to carry one now:
@@ -76,7 +76,8 @@
 	running errgroup.Group               // the connections' goroutines
 	serving bool                         // Serve has been called
 	closing bool
-	closeAt time.Time // then the listener is closed, unless more lies in its backlog
+	closeAt time.Time // since then the listener is about to be closed, once nothing lies in its backlog
+	halfAt  time.Time // then half a request is read no further
 	endings ending.Counts
 }
 
@@ -103,65 +104,102 @@
 	s.serving = true
 	s.mu.Unlock()
 	failures := 0 // of accept, in a row
-	for {
-		for !s.budget.Reserve(sockets.Inward) { // the kernel's backlog holds the consumer until there is room
-			if s.pastLast(acceptAgain) {
-				return nil
-			}
-			pause := acceptPause
-			if s.isLast() {
-				pause = lastLook
-			}
+	for !s.isLast() {
+		if !s.budget.Reserve(sockets.Inward) { // the kernel's backlog holds the consumer until there is room
 			select {
 			case <-s.budget.Freed():
-			case <-time.After(pause): // some connection may have been idle for long enough now
+			case <-time.After(acceptPause): // some connection may have been idle for long enough now
 			case <-ctx.Done():
 				return nil
 			}
-		}
-		last := s.isLast() // its deadline has passed, perhaps before anybody looked
-		if d, ok := l.(deadliner); ok && last {
-			d.SetDeadline(time.Now().Add(lastLook))
+			continue
 		}
 		nc, err := accept(l)
-		if err != nil {
-			s.budget.Release(sockets.Inward)
-			if resumed := s.pause(); resumed != nil {
-				select {
-				case <-resumed:
-					continue
-				case <-s.closed:
-				case <-ctx.Done():
-				}
-				return nil
-			}
-			late := errors.Is(err, os.ErrDeadlineExceeded)
-			switch {
-			case errors.Is(err, net.ErrClosed), last && (late || s.pastLast(acceptAgain)):
-				return nil
-			case late && s.isClosing():
-				continue
-			}
-			if failures++; failures == 1 {
-				log.Printf("listen=%s state=accept_failed err=%q", l.Addr(), err)
+		if err == nil {
+			if failures > 0 {
+				log.Printf("listen=%s state=accepts_again failures=%d", l.Addr(), failures)
+				failures = 0
 			}
+			s.admitNew(nc)
+			continue
+		}
+		s.budget.Release(sockets.Inward)
+		if resumed := s.pause(); resumed != nil {
 			select {
-			case <-time.After(acceptPause):
+			case <-resumed:
+				continue
+			case <-s.closed:
 			case <-ctx.Done():
 			}
+			return nil
+		}
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded) && s.isClosing():
 			continue
 		}
-		if failures > 0 {
-			log.Printf("listen=%s state=accepts_again failures=%d", l.Addr(), failures)
-			failures = 0
+		if failures++; failures == 1 {
+			log.Printf("listen=%s state=accept_failed err=%q", l.Addr(), err)
+		}
+		select {
+		case <-time.After(acceptPause):
+		case <-ctx.Done():
+		}
+	}
+	s.acceptLast(ctx, l)
+	return nil
+}
+
+// acceptLast takes in what lies in the listener's backlog and closes it, then the connections that are idle: a client whose connection
+// is closed may knock at once, and would be lost between the last look at the backlog and the close. Where accepts fail or places are
+// short, idle connections make room first.
+func (s *Server) acceptLast(ctx context.Context, l net.Listener) {
+	defer s.closeIdle()
+	defer l.Close()
+	for !s.pastLast(acceptAgain) && ctx.Err() == nil {
+		if s.acceptRest(l) {
+			return
+		}
+		s.closeIdle()
+		select {
+		case <-s.budget.Freed():
+		case <-time.After(lastLook):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// acceptRest accepts until nothing is left, and reports whether that was so; false = it is to be tried again.
+func (s *Server) acceptRest(l net.Listener) (empty bool) {
+	for {
+		closed, err := sockets.CloseEmpty(l)
+		if closed {
+			return true
+		}
+		if !s.budget.Reserve(sockets.Inward) {
+			return false
+		}
+		if d, ok := l.(deadliner); ok {
+			d.SetDeadline(time.Now().Add(lastLook))
 		}
-		s.Connections.Add(1)
-		s.mu.Lock()
-		s.admit(nc, "")
-		s.mu.Unlock()
+		nc, failed := accept(l)
+		if failed != nil {
+			s.budget.Release(sockets.Inward)
+			return errors.Is(failed, net.ErrClosed) || errors.Is(err, errors.ErrUnsupported) && errors.Is(failed, os.ErrDeadlineExceeded)
+		}
+		s.admitNew(nc)
 	}
 }
 
+// admitNew serves a connection that has just been accepted.
+func (s *Server) admitNew(nc net.Conn) {
+	s.Connections.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.admit(nc, "")
+}
+
 // accept is l.Accept, which a soak may fail.
 func accept(l net.Listener) (net.Conn, error) {
 	if err := faults.Inject(faults.Accept); err != nil {
@@ -184,7 +222,8 @@
 	case s.closing && note != "": // between two messages, as those that Drain closes
 		c.wind(0)
 	case s.closing: // accepted at the last moment: it may still bring one request
-		c.wind(time.Until(s.closeAt) + closingFor - acceptLast)
+		c.last = true
+		c.wind(time.Until(s.closeAt) + closingFor)
 	case s.pass != nil:
 		c.wind(0)
 	default:
@@ -287,23 +326,40 @@
 	return s.closing && !time.Now().Before(s.closeAt.Add(while))
 }
 
-// Drain closes the listener and the connections that are between two messages. The others end with their answer. What the
-// kernel has accepted by then would be lost with the listener, with requests that count as taken: Serve takes that in first,
+// Drain closes the listener and the connections that are between two messages. The others end with their answer; of half a request that
+// is a refusal, since its rest may come at any time up to the kill. What the kernel has accepted by then would be lost with the listener, with requests that count as taken: Serve takes that in first,
 // and closes the listener. During a handover the successor holds the backlog too.
 func (s *Server) Drain(l net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.closing {
-		s.closing, s.closeAt = true, time.Now().Add(acceptLast)
+	if now := time.Now(); !s.closing {
+		s.closing, s.closeAt, s.halfAt = true, now, now.Add(halfFor)
 		s.budget.Hurry() // others wait in a backlog that is about to be closed
 		close(s.closed)
 	}
-	if d, ok := l.(deadliner); !ok || s.pass != nil || d.SetDeadline(s.closeAt) != nil {
-		l.Close()
+	if d, ok := l.(deadliner); s.serving && ok && s.pass == nil && d.SetDeadline(s.closeAt) == nil {
+		return // Serve closes the listener, and then what is idle
 	}
+	l.Close()
+	s.windIdle()
+}
+
+// closeIdle is windIdle for who does not hold mu.
+func (s *Server) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.windIdle()
+}
+
+// windIdle ends the connections that are between two messages, and has half a message be the last that is read of its connection. One that
+// has been accepted since has a moment for its one request: see admit. It is called with mu held.
+func (s *Server) windIdle() {
 	for c, busy := range s.conns {
-		if !busy {
+		switch {
+		case !busy && !c.last:
 			c.wind(0)
+		case c.reading:
+			c.socket.SetReadDeadline(s.halfAt)
 		}
 	}
 }
@@ -327,6 +383,13 @@
 	return s.endings
 }
 
+// Open is the number of clients' connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Taking reports whether connections are still accepted here.
 func (s *Server) Taking() bool {
 	s.mu.Lock()
--- a/internal/consumer/long.go
+++ b/internal/consumer/long.go
@@ -86,11 +86,21 @@
 	n, err := c.socket.Read(p)
 	if c.paced != nil && n > 0 {
 		c.paced.Got += int64(n)
-		c.socket.Extend(c.paced.Until(time.Now()))
+		c.extendBody(c.paced.Until(time.Now()))
 	}
 	return n, err
 }
 
+// extendBody gives a body until t. Once the front is being closed, one that belongs to no request yet gets less: see extend. One that flows to a
+// server goes on until its request is answered.
+func (c *conn) extendBody(t time.Time) {
+	if c.upload == nil {
+		c.extend(t)
+	} else {
+		c.socket.Extend(t)
+	}
+}
+
 // keep reserves the memory for the part of the body that is kept, unless that is here already, and reports whether there is
 // any left.
 func (c *conn) keep(req *http1.Request) bool {
@@ -119,7 +129,7 @@
 	if req.Length() < 0 || req.Length() > int64(c.br.Buffered()) {
 		now := time.Now()
 		c.paced = &flow.Pace{Began: now}
-		c.socket.Extend(c.paced.Until(now))
+		c.extend(c.paced.Until(now))
 	}
 	return req.ReadFirst(c.br)
 }
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -86,7 +86,11 @@
 	if t := s.trust.NotAfter(k.proof, s.set.DrainGrace); inv != nil && !t.IsZero() && (notAfter.IsZero() || t.Before(notAfter)) {
 		notAfter = t
 	}
-	a.call = k.at.Start(caller.Task{Invocation: inv, Wait: wait, NotAfter: notAfter, Expires: a.expires,
+	var until time.Time
+	if inv != nil && inv.Rest == nil {
+		until = s.now.Add(wait)
+	}
+	a.call = k.at.Start(caller.Task{Invocation: inv, Wait: wait, Until: until, NotAfter: notAfter, Expires: a.expires,
 		Flowed: func() { s.send(flowed{number}) },
 		Ended: func(r caller.Result) {
 			if !s.send(callEnded{number, r}) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -402,6 +402,9 @@
 		next := s.pending[0]
 		s.pending = s.pending[1:]
 		s.now = time.Now()
+		if h := s.held[next.Request]; next.Kind == logic.Arrival && h != nil { // as of the time from which the module counts it
+			next.Left = millis(s.left(h.inv, s.now))
+		}
 		s.actions = s.bal.Handle(s.clock.at(s.now), &next, s.actions[:0])
 		for i := range s.actions {
 			s.do(&s.actions[i])
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -34,19 +34,38 @@
 	s.counts.Taken++
 	s.next++
 	s.held[s.next], s.byInv[inv] = &held{inv: inv}, s.next
-	s.traceRequest(inv, "taken", "class=%d tenant=%d left_ms=%.0f", inv.Class, inv.Tenant, millis(s.left(inv)))
-	s.step(logic.Event{Kind: logic.Arrival, Request: s.next, Class: inv.Class, Tenant: inv.Tenant,
-		Left: millis(s.left(inv)), Again: inv.Again})
+	now := time.Now()
+	s.traceRequest(inv, "taken", "class=%d tenant=%d left_ms=%.0f", inv.Class, inv.Tenant, millis(s.left(inv, now)))
+	if s.pastLast(now) {
+		s.refuseAtEnd(s.next)
+		return
+	}
+	s.step(logic.Event{Kind: logic.Arrival, Request: s.next, Class: inv.Class, Tenant: inv.Tenant, Again: inv.Again})
+}
+
+// pastLast reports whether this process may be killed so soon that it sends nothing new.
+func (s *Pool) pastLast(now time.Time) bool {
+	return !s.stopAt.IsZero() && now.Sub(s.stopAt) >= s.stopPlan.Last
+}
+
+// Ending is why a request is refused that comes in when this process may be killed soon. The module is not asked: it knows nothing of
+// processes.
+const Ending logic.Reason = "ending"
+
+// refuseAtEnd refuses a request of which nothing was sent.
+func (s *Pool) refuseAtEnd(id logic.RequestID) {
+	s.unserved(&logic.Action{Request: id, Why: Ending})
+	s.answer(id, invocation.Answer{Kind: invocation.Refused})
 }
 
-// left is how long the invocation's consumer still waits. What it still sends it does not wait for yet: see flowed.
-func (s *Pool) left(inv *invocation.Invocation) time.Duration {
+// left is how long the invocation's consumer still waits at now. What it still sends it does not wait for yet: see flowed.
+func (s *Pool) left(inv *invocation.Invocation, now time.Time) time.Duration {
 	if inv.Rest != nil && s.stopAt.IsZero() {
 		return flowMost
 	} else if inv.Rest != nil {
-		return s.stopPlan.Answer - time.Since(s.stopAt)
+		return s.stopPlan.Answer - now.Sub(s.stopAt)
 	}
-	return s.patience(inv) - time.Since(inv.SentAt)
+	return s.patience(inv) - now.Sub(inv.SentAt)
 }
 
 // patience is how long it waits in all, as long as this process lives.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -30,7 +30,7 @@
 
 const (
 	// Version is that of the protocol between the two processes. Only the same versions hand over to one another.
-	Version = 2
+	Version = 3
 	// Variable names, in a successor's environment, the descriptor of its control socket.
 	Variable = "GW_HANDOVER"
 
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -31,6 +31,7 @@
 	kindTaken  kind = 'a' // S: the connection of that number is its own
 	kindLeft   kind = 'x' // S: the connection of that number did not arrive, and why
 	kindDone   kind = 'd' // P: that was all; S: so it was
+	kindStop   kind = 'e' // P: a Stop in CBOR
 )
 
 var errMalformed = errors.New("malformed message on the control socket")
@@ -66,7 +67,7 @@
 		return maxBody
 	case kindConn:
 		return MaxNote
-	case kindRefuse, kindLeft:
+	case kindRefuse, kindLeft, kindStop:
 		return maxReason
 	case kindReady, kindServe, kindTaken, kindDone:
 		return 0
--- a/internal/handover/successor.go
+++ b/internal/handover/successor.go
@@ -17,6 +17,9 @@
 
 // Successor is the new process's side of a handover.
 type Successor struct {
+	// Stopped is told of a word to stop that the predecessor has got, from within Conns; nil = nobody is. Set it before Conns.
+	Stopped func(Stop)
+
 	control   *control
 	hello     Hello
 	listener  *net.TCPListener
@@ -179,6 +182,10 @@
 			if err = s.takeOver(m, f, take); err == nil {
 				continue
 			}
+		case err == nil && m.kind == kindStop:
+			if err = s.stopped(m.body); err == nil {
+				continue
+			}
 		case err == nil && m.kind == kindDone:
 			err = s.answer(message{kind: kindDone, number: m.number})
 		case err == nil:
--- a/internal/provider/call.go
+++ b/internal/provider/call.go
@@ -85,10 +85,15 @@
 		return c
 	}
 	c.bodiless = inv.Verb == "HEAD"
+	wait := t.Wait
 	if c.upload, c.flowed = inv.Rest, t.Flowed; c.upload == nil { // else its client's time has not begun
-		c.endsAt = time.Now().Add(t.Wait)
+		now := time.Now()
+		if c.endsAt = t.Until; c.endsAt.IsZero() {
+			c.endsAt = now.Add(wait)
+		}
+		wait = c.endsAt.Sub(now)
 	}
-	c.compose(t.Wait)
+	c.compose(wait)
 	return c
 }
 
@@ -261,6 +266,8 @@
 	case first && c.notAfter.Over(now): // the list said so while the connection came up
 		rules.Held(guard.DrainGrace)
 		return ending.Drained
+	case !c.endsAt.IsZero() && !now.Before(c.endsAt): // it is about to be stopped
+		return ending.Withdrawn
 	}
 	return ending.Open
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -258,6 +258,27 @@
 	return left
 }
 
+// CloseEmpty closes the listener if nothing lies in its backlog, and reports whether it has. Between the look and the close nothing else is
+// done: what knocks there is lost. errors.ErrUnsupported says that the listener is no socket of the kernel's.
+func CloseEmpty(l net.Listener) (closed bool, err error) {
+	sys, ok := l.(syscall.Conn)
+	if !ok {
+		return false, errors.ErrUnsupported
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	waiting := 0
+	if e := raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		waiting, err = transient.Interrupted(func() (int, error) { return poll(p, 0) })
+	}); e != nil || err != nil || waiting > 0 {
+		return false, errors.Join(e, err)
+	}
+	return true, l.Close()
+}
+
 // SinceArrival is how long ago the last bytes came in, read or not, as the kernel has it; 0 = it does not say.
 func (s *Socket) SinceArrival() (since time.Duration) {
 	s.control(func(fd int) {
