The grace of a drain bears a hold-up before a first byte, and news count from when they can have come

Change: ByteLead is a hold-up and 50 ms; a server is picked for as long as a first byte may be written, since a connection that comes up too late is not written to, so that a list that is not sure is relied on for as long as before (550 of 750 ms). Where the kernel does not tell when bytes came (TCP_INFO answers nothing), news and requests count from a hold-up before they were read.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"plankrouter/internal/backoff"
+	"plankrouter/internal/stopping"
 )
 
 const (
@@ -281,17 +282,22 @@
 	}
 }
 
+// ByteLead is the time in which a first byte that is about to be written goes out: the process may be held up there, and it has a part of
+// a core. A connection usually comes up within it, too.
+const ByteLead = stopping.HoldUp + 50*time.Millisecond
+
+// A grace that is hardly longer than ByteLead leaves one part in shortPart for first bytes, and one no longer than leastLead none.
 const (
-	// ByteLead is the time in which a first byte that is about to be written goes out, on a part of a core.
-	ByteLead = 100 * time.Millisecond
-	dialLead = 100 * time.Millisecond // in which a connection usually comes up
+	shortPart = 4
+	leastLead = 100 * time.Millisecond
 )
 
 // Leave says for how long after the word of a drain, which has that grace, a provider may still be picked and a first byte
-// still be written. The same goes for a word that may count unheard: from Sure on, or since the provider was last Probed.
+// still be written. The same goes for a word that may count unheard: from Sure on, or since the provider was last Probed. A connection that
+// comes up too late is not written to.
 func Leave(grace time.Duration) (pick, write time.Duration) {
-	write = max(0, grace-ByteLead)
-	return max(write/2, write-dialLead), write
+	write = max(0, grace-ByteLead, min(grace/shortPart, grace-leastLead))
+	return write, write
 }
 
 func wait(first, most time.Duration, nth int, random float64) time.Duration {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"plankrouter/internal/faults"
+	"plankrouter/internal/stopping"
 	"plankrouter/internal/transient"
 )
 
@@ -279,10 +280,15 @@
 	return true, l.Close()
 }
 
-// SinceArrival is how long ago the last bytes came in, read or not, as the kernel has it; 0 = it does not say.
+// SinceArrival is how long ago the last bytes came in, read or not. Where the kernel does not tell, it is the most that it can be by the
+// operators' word: the process was held up before it read them.
 func (s *Socket) SinceArrival() (since time.Duration) {
 	s.control(func(fd int) {
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		switch {
+		case err != nil || info.State == 0: // no state of a connection: nothing was told
+			since = stopping.HoldUp
+		default:
 			since = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
 	})
