The soak aims at the ends of processes, and its judge sees what is lost at a kill

Cause: a request that was open as its process was killed was sent once more, found nobody, and passed for one that nobody had taken: the soak could see no loss at an end at all. Its troubles of one process excluded each other, and its clients were hardly ever on a connection at the kill.

Change: aimed_end (signals of other kinds close to SIGTERM, hold-ups and failing accepts on the edges of the shutdown, dense clients until the kill at its earliest, some runs with a crowd), leave_held, slow_connects, reloads beside all else; the seed draws the longest deadline and how long connects may take; judgeCrossing; the judge allows for the harness's own hold-ups where they were, not for the longest of the whole run.

--- a/internal/faults/control.go
+++ b/internal/faults/control.go
@@ -71,5 +71,10 @@
 	c.words[1+o].Store(n<<timesShift | uint64(errno))
 }
 
-// Heal lets the operation fail no more.
+// Hold lets each call of an operation that may be held take so much longer, in whole milliseconds, until Heal.
+func (c *Control) Hold(o Op, long time.Duration) {
+	c.words[1+o].Store(uint64(always)<<timesShift | uint64(long.Milliseconds()))
+}
+
+// Heal lets the operation fail no more, nor hold.
 func (c *Control) Heal(o Op) { c.words[1+o].Store(0) }
--- a/internal/faults/control_test.go
+++ b/internal/faults/control_test.go
@@ -27,6 +27,14 @@
 	if c.Heal(Poll); c.words.take(Poll) != 0 || c.words.take(SyncFile) != 0 {
 		t.Error("what is healed, or was never told to fail, fails")
 	}
+	for _, held := range []time.Duration{120 * time.Millisecond, 300 * time.Millisecond} {
+		if c.Hold(SlowConnect, held); time.Duration(c.words.take(SlowConnect))*time.Millisecond != held {
+			t.Errorf("%s: not held for so long", held)
+		}
+	}
+	if c.Heal(SlowConnect); c.words.take(SlowConnect) != 0 {
+		t.Error("what is healed is held")
+	}
 	for _, d := range []time.Duration{-time.Hour, time.Hour} {
 		if c.Step(d); c.words.wallOffset() != d {
 			t.Errorf("stepped by %s, read %s", d, c.words.wallOffset())
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -22,10 +22,12 @@
 	ReadFile  // of state that lasts: operators' orders, snapshots
 	WriteFile // likewise, also creating and renaming
 	SyncFile
+	SlowConnect // not failed but held: see Control.Hold
 	ops
 )
 
-var names = [ops]string{"accept", "listen", "connect", "poll", "peek", "read_config", "read_file", "write_file", "sync_file"}
+var names = [ops]string{"accept", "listen", "connect", "poll", "peek", "read_config", "read_file", "write_file",
+	"sync_file", "slow_connect"}
 
 func (o Op) String() string { return names[o] }
 
--- a/internal/faults/on.go
+++ b/internal/faults/on.go
@@ -3,6 +3,7 @@
 package faults
 
 import (
+	"context"
 	"os"
 	"syscall"
 	"time"
@@ -40,6 +41,23 @@
 	return nil
 }
 
+// Wait holds an operation for as long as it is to take more; an error is that of ctx, which has ended before.
+func Wait(ctx context.Context, o Op) error {
+	if shared == nil {
+		return nil
+	}
+	held := time.Duration(shared.take(o)) * time.Millisecond
+	if held == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(held):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Wall reads the wall clock.
 func Wall() time.Time {
 	if shared == nil {
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -26,12 +26,13 @@
 	part     float64 // of all requests
 }
 
-const longestDeadline = 1500 * time.Millisecond
-
-var classes = []class{
-	{"tile", "GET", "pure", longestDeadline, 0.6},
-	{"claim", "POST", "token", 1200 * time.Millisecond, 0.2},
-	{"order", "POST", "side_effect", time.Second, 0.2},
+// classesFor are the classes of a deployment whose longest deadline is that.
+func classesFor(longest time.Duration) []class {
+	return []class{
+		{"tile", "GET", "pure", longest, 0.6},
+		{"claim", "POST", "token", longest * 4 / 5, 0.2},
+		{"order", "POST", "side_effect", longest * 2 / 3, 0.2},
+	}
 }
 
 // manner is how a client sends a request and waits for its answer.
@@ -52,6 +53,9 @@
 	manner      manner
 	fresh       bool      // on a new connection, at last
 	again       bool      // sent once more, behind a kept connection that was closed
+	crossed     span      // from when it was first sent until that connection ended; zero = it was not sent twice
+	leaveAt     time.Time // when a client that leaves does; zero = after a while
+	seed        uint64    // of how it is sent
 	begunAt     time.Time // its first byte
 	sentAt      time.Time // its last byte was written; zero = it was not
 	leftAt      time.Time // the client ended its connection; zero = it did not
@@ -65,10 +69,11 @@
 // clients are those of one sidecar.
 type clients struct {
 	sidecar *sidecar
-	rng     *rand.Rand
 	rate    float64
+	classes []class
 
 	mu    sync.Mutex
+	rng   *rand.Rand
 	idle  []*clientConn
 	all   []*request
 	count int
@@ -81,17 +86,16 @@
 	br *bufio.Reader
 }
 
-func newClients(s *sidecar, seed uint64, rate float64) *clients {
-	return &clients{sidecar: s, rng: rand.New(rand.NewPCG(seed, uint64(s.number))), rate: rate}
+func newClients(s *sidecar, seed uint64, rate float64, classes []class) *clients {
+	return &clients{sidecar: s, rng: rand.New(rand.NewPCG(seed, uint64(s.number))), rate: rate, classes: classes}
 }
 
 // run sends requests until ctx ends, and returns once all are answered.
 func (c *clients) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		r := c.draw()
-		seed := c.rng.Uint64()
-		c.wg.Go(func() { c.send(r, rand.New(rand.NewPCG(seed, 1))) })
-		if peers.Pause(ctx, time.Duration(c.rng.ExpFloat64()/c.rate*float64(time.Second))) != nil {
+		r, pause := c.draw()
+		c.wg.Go(func() { c.send(r) })
+		if peers.Pause(ctx, pause) != nil {
 			break
 		}
 	}
@@ -103,14 +107,43 @@
 	}
 }
 
-// draw makes the next request.
-func (c *clients) draw() *request {
+// dense has so many clients send one request after another with a pause, each on a connection that it keeps, until then.
+func (c *clients) dense(number int, pause time.Duration, until time.Time) {
+	var all sync.WaitGroup
+	for range number {
+		all.Go(func() {
+			for time.Now().Before(until) {
+				r, _ := c.draw()
+				r.manner = waits
+				c.send(r)
+				time.Sleep(pause)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// leaveAt has so many clients send a request at once and leave at that moment.
+func (c *clients) leaveAt(number int, at time.Time) {
+	var all sync.WaitGroup
+	for range number {
+		all.Go(func() {
+			r, _ := c.draw()
+			r.manner, r.leaveAt = leaves, at
+			c.send(r)
+		})
+	}
+	all.Wait()
+}
+
+// draw makes the next request, and the pause after it.
+func (c *clients) draw() (r *request, pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count++
-	r := &request{id: fmt.Sprintf("%s-%d", c.sidecar.name, c.count), sidecar: c.sidecar.number}
+	r = &request{id: fmt.Sprintf("%s-%d", c.sidecar.name, c.count), sidecar: c.sidecar.number, seed: c.rng.Uint64()}
 	p := c.rng.Float64()
-	for _, k := range classes {
+	for _, k := range c.classes {
 		if r.class = k; p < k.part {
 			break
 		}
@@ -125,11 +158,12 @@
 		r.manner = pieces
 	}
 	c.all = append(c.all, r)
-	return r
+	return r, time.Duration(c.rng.ExpFloat64() / c.rate * float64(time.Second))
 }
 
 // send sends the request, once more if a kept connection was closed under it, and waits for the answer.
-func (c *clients) send(r *request, rng *rand.Rand) {
+func (c *clients) send(r *request) {
+	rng := rand.New(rand.NewPCG(r.seed, 1))
 	until := time.Now().Add(r.class.deadline)
 	k := c.take()
 	r.fresh = k == nil
@@ -143,7 +177,10 @@
 	if !closed || r.fresh || c.sidecar.wasKilled(r.begunAt, time.Now()) {
 		return
 	}
-	if k = c.dial(r, until); k != nil { // it crossed the end of its connection
+	if !r.sentAt.IsZero() { // it crossed the end of its connection, or was lost with it: see judgeCrossing
+		r.crossed = span{r.sentAt, time.Now()}
+	}
+	if k = c.dial(r, until); k != nil {
 		r.fresh, r.again, r.err, r.sentAt = true, true, "", time.Time{}
 		c.try(r, k, until, rng)
 	}
@@ -190,7 +227,10 @@
 	}
 	r.sentAt = time.Now()
 	if r.manner == leaves || r.manner == resets {
-		time.Sleep(time.Duration(rng.Float64() * float64(left) / 3))
+		if r.leaveAt.IsZero() {
+			time.Sleep(time.Duration(rng.Float64() * float64(left) / 3))
+		}
+		time.Sleep(time.Until(r.leaveAt))
 		if r.manner == resets {
 			k.Conn.(*net.TCPConn).SetLinger(0)
 		}
--- /dev/null
+++ b/internal/lab/soak/ending.go
@@ -0,0 +1,234 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"plankrouter/internal/faults"
+	"plankrouter/internal/lab/peers"
+	"plankrouter/internal/stopping"
+)
+
+const (
+	denseClients  = 12
+	densePause    = 20 * time.Millisecond // after each answer
+	crowdClients  = 150
+	crowdPause    = 100 * time.Millisecond
+	denseBefore   = 300 * time.Millisecond // of the word to end
+	holdFor       = stopping.HoldUp
+	holdMost      = 165 * time.Millisecond // what was held up for longer, by the harness's own fault, says nothing
+	holdApart     = 20 * time.Millisecond
+	seriesWithin  = 150 * time.Millisecond // of the word, before or after it, that other signals come
+	seriesClose   = 5 * time.Millisecond   // half of them so close to it
+	failAcceptMax = 60 * time.Millisecond
+	lookAfter     = 60 * time.Millisecond // of the word, whether the process has handed over meanwhile
+	shorterPart   = 2                     // one part in so many of the deadlines, where a reload makes them shorter
+	groupGone     = 2 * time.Second
+)
+
+// signalAt is a signal that comes so long after the word to end, or before it.
+type signalAt struct {
+	signal syscall.Signal
+	at     time.Duration
+}
+
+// ending is how the end of a process is aimed at.
+type ending struct {
+	series      []signalAt
+	holds       []time.Duration // after the word, at which the process is stopped for holdFor
+	failAccepts time.Duration   // for so long around the last accept; 0 = none does
+	failFrom    time.Duration
+	interrupted bool // looks at sockets end with EINTR around the last accept
+	shorter     bool // a reload before the word makes deadlines shorter
+	kill        time.Duration
+	clients     int           // that send until the kill
+	pause       time.Duration // of each, after an answer
+}
+
+// drawEnding draws the end of a process with that longest deadline. Its edges are the word, the last accept, the last answer and the kill.
+func drawEnding(rng *rand.Rand, longest time.Duration, crowd bool) ending {
+	e := ending{clients: denseClients, pause: densePause, shorter: rng.IntN(6) == 0}
+	if crowd {
+		e.clients, e.pause = crowdClients, crowdPause
+	}
+	if e.shorter {
+		longest /= shorterPart
+		e.series = append(e.series, signalAt{syscall.SIGHUP, -time.Duration(rng.Float64() * float64(seriesWithin))})
+	}
+	plan := stopping.For(longest, 0)
+	e.kill = killAfter(longest)
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2} {
+		if rng.IntN(5) < 2 {
+			e.series = append(e.series, signalAt{s, nearby(rng)})
+		}
+	}
+	edges := []time.Duration{0, plan.Last, plan.Answer, e.kill - 350*time.Millisecond, e.kill - 200*time.Millisecond, e.kill - 100*time.Millisecond}
+	rng.Shuffle(len(edges), func(i, j int) { edges[i], edges[j] = edges[j], edges[i] })
+	for _, edge := range edges[:1+rng.IntN(3)] {
+		e.hold(edge - time.Duration(rng.Float64()*float64(holdFor)))
+	}
+	if rng.IntN(3) == 0 {
+		e.failFrom = plan.Last - time.Duration(rng.Float64()*float64(holdApart))
+		e.failAccepts = time.Duration(rng.Float64() * float64(failAcceptMax))
+	}
+	e.interrupted = rng.IntN(4) == 0
+	return e
+}
+
+// nearby is a moment around the word, half of the time very close to it.
+func nearby(rng *rand.Rand) time.Duration {
+	within := seriesWithin
+	if rng.IntN(2) == 0 {
+		within = seriesClose
+	}
+	return time.Duration((2*rng.Float64() - 1) * float64(within))
+}
+
+// hold adds a hold-up unless it would run into another one.
+func (e *ending) hold(at time.Duration) {
+	for _, other := range e.holds {
+		if at < other+holdFor+holdApart && other < at+holdFor+holdApart {
+			return
+		}
+	}
+	e.holds = append(e.holds, at)
+}
+
+// aimedEnd tells a process to end among dense clients, with what was drawn on the edges, kills it at the earliest and starts another.
+func (w *world) aimedEnd(ctx context.Context, t Trouble, s *sidecar) {
+	rng := rand.New(rand.NewPCG(w.options.Seed, uint64(t.At)))
+	e := drawEnding(rng, w.variant.longest, w.variant.crowd)
+	p := s.present()
+	group, err := syscall.Getpgid(p.Pid)
+	if err != nil {
+		s.fault("process %d: %v", p.Pid, err)
+		return
+	}
+	s.mu.Lock()
+	p.told = true
+	s.mu.Unlock()
+	offset, _ := s.log.Seek(0, io.SeekCurrent)
+	word := time.Now().Add(denseBefore)
+	var all sync.WaitGroup
+	at := func(after time.Duration, do func()) {
+		all.Go(func() {
+			time.Sleep(time.Until(word.Add(after)))
+			do()
+		})
+	}
+	all.Go(func() { w.clients[s.number].dense(e.clients, e.pause, word.Add(e.kill)) })
+	for i, one := range e.series {
+		at(one.at, func() {
+			if i == 0 && e.shorter {
+				w.reconfigure(s, t, classesFor(w.variant.longest/shorterPart))
+			}
+			if one.signal == syscall.SIGUSR2 {
+				s.born()
+			}
+			p.Signal(one.signal)
+		})
+	}
+	for _, after := range e.holds {
+		at(after, func() { w.holdUp(s, p) })
+	}
+	if e.failAccepts > 0 {
+		at(e.failFrom, func() {
+			w.fail(s, faults.Accept, syscall.ENFILE, func() { time.Sleep(e.failAccepts) })
+		})
+	}
+	if e.interrupted {
+		at(stopping.For(w.variant.longest, 0).Last-holdApart, func() { w.interrupt(ctx, s, 4*holdApart) })
+	}
+	time.Sleep(time.Until(word))
+	sent := time.Now()
+	p.Signal(syscall.SIGTERM)
+	if slices.ContainsFunc(e.series, func(one signalAt) bool { return one.signal == syscall.SIGUSR2 }) {
+		sent = s.followHandover(p, offset, sent)
+	}
+	time.Sleep(time.Until(sent.Add(e.kill)))
+	s.killGroup(p, group, sent)
+	all.Wait()
+	if e.shorter {
+		w.reconfigure(s, t, w.classes)
+	}
+	s.start(ctx)
+}
+
+// holdUp stops a process for holdFor. One that this process has made longer counts as a crash: what was lost then says nothing.
+func (w *world) holdUp(s *sidecar, p *process) {
+	from := time.Now()
+	p.Signal(syscall.SIGSTOP)
+	time.Sleep(holdFor)
+	p.Signal(syscall.SIGCONT)
+	if to := time.Now(); to.Sub(from) > holdMost {
+		s.mu.Lock()
+		s.killed = append(s.killed, span{from, to.Add(holdFor)})
+		s.mu.Unlock()
+		w.note(func(r *record) { r.longHolds++ })
+	}
+}
+
+// followHandover returns when the process that serves was told to end. Where the one that was told has just handed over and ended, as whoever
+// told it sees, its successor is told.
+func (s *sidecar) followHandover(p *process, offset int64, sent time.Time) time.Time {
+	select {
+	case <-p.exited:
+	case <-time.After(lookAfter):
+		return sent
+	}
+	raw, _ := os.ReadFile(s.path("log"))
+	raw = raw[min(int(offset), len(raw)):]
+	found := successor.FindSubmatch(raw)
+	if found == nil || bytes.Contains(raw, []byte("handover=told_to_stop successor="+string(found[1])+" err=<nil>")) {
+		return sent
+	}
+	pid, _ := strconv.Atoi(string(found[1]))
+	now := time.Now()
+	if syscall.Kill(pid, syscall.SIGTERM) != nil {
+		return sent
+	}
+	return now
+}
+
+// killGroup kills what is left of the process and its successors, and returns once all are gone.
+func (s *sidecar) killGroup(p *process, group int, told time.Time) {
+	now := time.Now()
+	if err := syscall.Kill(-group, syscall.SIGKILL); err == nil || err == syscall.EPERM {
+		s.mu.Lock()
+		s.ended = append(s.ended, span{told, now})
+		s.mu.Unlock()
+	}
+	<-p.exited
+	for began := time.Now(); time.Since(began) < groupGone; time.Sleep(time.Millisecond) { // successors are this process's to reap
+		if _, err := syscall.Wait4(-group, nil, syscall.WNOHANG, nil); err == syscall.ECHILD {
+			return
+		}
+	}
+	s.fault("processes of group %d are left %s after SIGKILL", group, groupGone)
+}
+
+// leaveHeld has clients leave while their sidecar is stopped, and the connections to servers come up over which their requests would go.
+func (w *world) leaveHeld(ctx context.Context, n int, s *sidecar) {
+	const (
+		clients = 40
+		slow    = 100 * time.Millisecond
+		before  = 60 * time.Millisecond // the requests are read, connections are on their way
+		leaving = 10 * time.Millisecond // after the stop
+	)
+	began := time.Now()
+	s.control.Hold(faults.SlowConnect, slow)
+	defer s.control.Heal(faults.SlowConnect)
+	var all sync.WaitGroup
+	all.Go(func() { w.clients[n].leaveAt(clients, began.Add(before+leaving)) })
+	peers.Pause(ctx, before)
+	w.holdUp(s, s.present())
+	all.Wait()
+}
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -19,6 +19,7 @@
 	deadlineSlack   = 150 * time.Millisecond
 	toldAtLatest    = 6 * time.Second // of a change, while the watch is silent
 	badClientWithin = 3 * time.Second
+	stallNear       = 300 * time.Millisecond // of a moment, in which a hold-up of this process blurs it
 )
 
 // Rule is one that the judge looks at.
@@ -86,7 +87,8 @@
 type record struct {
 	start     time.Time
 	onRequest bool          // discovery is asked: its word counts as told later
-	slack     time.Duration // by which this process's own clocks and the machine's load blur what it has measured
+	slack     time.Duration // by which the machine's load blurs what is measured at the other end of a socket
+	stalls    []span        // in which this process itself was held up
 	requests  []*request
 	attempts  []attempt
 	leavings  []leaving
@@ -96,7 +98,9 @@
 	births    map[int][]time.Time     // of sidecars' processes, by number
 	heard     map[heardOf][]time.Time // when a sidecar has logged that a server leaves
 	killed    func(sidecar int, from, to time.Time) bool
-	owed      int // clients that sent half a request and had neither answer nor end
+	ended     map[int][]span // from a word to end to the kill in its time, by sidecar
+	longHolds int            // hold-ups that this process made longer than they were to be
+	owed      int            // clients that sent half a request and had neither answer nor end
 	faults    map[string][]string
 }
 
@@ -113,6 +117,7 @@
 		tries := byID[q.id]
 		slices.SortFunc(tries, func(a, b attempt) int { return a.Sent.Compare(b.Sent) })
 		r.judgeAnswer(q, add)
+		r.judgeCrossing(q, tries, add)
 		r.judgeEffect(q, tries, add)
 		r.judgeTimes(q, tries, add)
 	}
@@ -135,7 +140,8 @@
 
 // judgeAnswer looks for the one final answer.
 func (r *record) judgeAnswer(q *request, add adder) {
-	latest := q.begunAt.Add(q.class.deadline + answerSlack + r.slack)
+	latest := q.begunAt.Add(q.class.deadline + answerSlack)
+	latest = latest.Add(r.slackAt(latest))
 	switch {
 	case q.unreachable || q.sentAt.IsZero() || !q.leftAt.IsZero() || r.killed(q.sidecar, q.begunAt, latest):
 	case q.status == 0 && !q.truncated:
@@ -147,6 +153,38 @@
 	}
 }
 
+// judgeCrossing looks at a request whose kept connection ended without an answer, so that its client sent it again. It may have crossed the
+// end of a connection that was at rest; but what was forwarded had been read, and what was open when its process was killed is lost.
+func (r *record) judgeCrossing(q *request, tries []attempt, add adder) {
+	first := q.crossed
+	if first.from.IsZero() || r.killed(q.sidecar, first.from, first.to) {
+		return
+	}
+	for _, a := range tries {
+		if a.Sent.Before(first.to) {
+			add(Lost, first.from, "%s: forwarded to %s, and its connection ended without an answer %s after it was sent", q.id, a.Server, first.to.Sub(first.from))
+			return
+		}
+	}
+	for _, e := range r.ended[q.sidecar] {
+		if first.from.Before(e.to) && !first.to.Before(e.to) {
+			add(Lost, first.from, "%s: sent %s after the word to end, open as the process was killed", q.id, first.from.Sub(e.from))
+			return
+		}
+	}
+}
+
+// slackAt is what is allowed for at a moment: more where this process was held up then.
+func (r *record) slackAt(at time.Time) time.Duration {
+	slack := r.slack
+	for _, s := range r.stalls {
+		if s.from.Before(at.Add(stallNear)) && s.to.After(at.Add(-stallNear)) {
+			slack = max(slack, r.slack+2*s.to.Sub(s.from))
+		}
+	}
+	return slack
+}
+
 // mayRun reports whether an attempt may have run, as far as its sidecar can tell.
 func (a *attempt) mayRun() bool { return a.Outcome != peers.Declined && a.Outcome != peers.Nameless }
 
@@ -169,7 +207,7 @@
 			add(Promise, q.answeredAt, "%s: refused with %d, %s by %s", q.id, q.status, ran[0].Outcome, ran[0].Server)
 		}
 	case q.class.repeat == "token":
-		if late := tries[len(tries)-1].Sent.Sub(ran[0].Sent) - tokenWindow; late > drainSlack+r.slack {
+		if late := tries[len(tries)-1].Sent.Sub(ran[0].Sent) - tokenWindow; late > drainSlack+r.slackAt(tries[len(tries)-1].Sent) {
 			add(Window, tries[len(tries)-1].Sent, "%s: repeated %s beyond its window", q.id, late)
 		}
 	}
@@ -178,12 +216,12 @@
 // judgeTimes looks at each attempt's moment and the deadline that it tells.
 func (r *record) judgeTimes(q *request, tries []attempt, add adder) {
 	for _, a := range tries {
-		if late := a.Sent.Sub(q.leftAt); !q.leftAt.IsZero() && late > goneSlack+r.slack {
+		if late := a.Sent.Sub(q.leftAt); !q.leftAt.IsZero() && late > goneSlack+r.slackAt(a.Sent) {
 			add(Gone, a.Sent, "%s: begun %s after its client had left", q.id, late)
 		}
 		told, err := strconv.ParseFloat(a.Deadline, 64)
 		left := q.class.deadline - a.Sent.Sub(q.begunAt)
-		if over := time.Duration(told*float64(time.Second)) - left; err == nil && over > deadlineSlack+r.slack {
+		if over := time.Duration(told*float64(time.Second)) - left; err == nil && over > deadlineSlack+r.slackAt(a.Sent) {
 			add(Deadline, a.Sent, "%s: %s is told %s, %s are left", q.id, a.Server, a.Deadline, left)
 		}
 	}
@@ -245,7 +283,7 @@
 				}
 			}
 			since = later(since, r.born(a.sidecar, a.Sent))
-			if late := a.Sent.Sub(since) - drainGrace; late > drainSlack+r.slack {
+			if late := a.Sent.Sub(since) - drainGrace; late > drainSlack+r.slackAt(a.Sent) {
 				add(Drain, a.Sent, "%s: begun at %s %s after the grace", a.ID, a.Server, late)
 			}
 		}
@@ -256,7 +294,7 @@
 	for _, o := range r.orders {
 		for _, a := range r.attempts {
 			late := a.Sent.Sub(o.from) - drainGrace
-			if a.sidecar == o.sidecar && a.Server == o.server && late > drainSlack+r.slack && (o.to.IsZero() || a.Sent.Before(o.to)) {
+			if a.sidecar == o.sidecar && a.Server == o.server && late > drainSlack+r.slackAt(a.Sent) && (o.to.IsZero() || a.Sent.Before(o.to)) {
 				add(Order, a.Sent, "%s: n%d sends to %s, which operators have taken out %s before", a.ID, o.sidecar, o.server,
 					a.Sent.Sub(o.from))
 			}
--- a/internal/lab/soak/judge_test.go
+++ b/internal/lab/soak/judge_test.go
@@ -18,7 +18,7 @@
 // sound is a record in which nothing is broken: an order that was served by s1.
 func sound() *record {
 	return &record{start: epoch, slack: ms(10),
-		requests: []*request{{id: "n0-1", class: classes[2], begunAt: after(100), sentAt: after(101), answeredAt: after(130), status: 200}},
+		requests: []*request{{id: "n0-1", class: classesFor(1500 * time.Millisecond)[2], begunAt: after(100), sentAt: after(101), answeredAt: after(130), status: 200}},
 		attempts: []attempt{{peers.Request{ID: "n0-1", Server: "s1", Sent: after(103), Deadline: "0.997", Outcome: peers.Answered}, 0}},
 		starts:   map[string][]time.Time{}, births: map[int][]time.Time{0: {epoch}}, heard: map[heardOf][]time.Time{},
 		killed: func(int, time.Time, time.Time) bool { return false }, faults: map[string][]string{}}
@@ -48,13 +48,19 @@
 		"refused after":   {func(r *record) { r.requests[0].status = 503; r.attempts[0].Outcome = peers.Reset }, Promise},
 		"refused, unsent": {func(r *record) { r.requests[0].status = 503; r.attempts = nil }, ""},
 		"failed after":    {func(r *record) { r.requests[0].status = 502; r.attempts[0].Outcome = peers.Reset }, ""},
-		"within a window": {func(r *record) { r.requests[0].class = classes[1]; r.again("s2", 900, peers.Answered) }, ""},
-		"past a window":   {func(r *record) { r.requests[0].class = classes[1]; r.again("s2", 1100, peers.Answered) }, Window},
-		"for one gone":    {func(r *record) { r.requests[0].leftAt = after(90); r.attempts[0].Sent = after(205) }, Gone},
-		"just gone":       {func(r *record) { r.requests[0].leftAt = after(90); r.attempts[0].Sent = after(195) }, ""},
-		"told too much":   {func(r *record) { r.attempts[0].Sent = after(300); r.requests[0].answeredAt = after(310) }, Deadline},
-		"drained, grace":  {func(r *record) { r.leavings = []leaving{{"s1", after(-700)}} }, ""},
-		"drained":         {func(r *record) { r.leavings = []leaving{{"s1", after(-710)}}; r.births[0][0] = after(-2000) }, Drain},
+		"within a window": {func(r *record) {
+			r.requests[0].class = classesFor(1500 * time.Millisecond)[1]
+			r.again("s2", 900, peers.Answered)
+		}, ""},
+		"past a window": {func(r *record) {
+			r.requests[0].class = classesFor(1500 * time.Millisecond)[1]
+			r.again("s2", 1100, peers.Answered)
+		}, Window},
+		"for one gone":   {func(r *record) { r.requests[0].leftAt = after(90); r.attempts[0].Sent = after(205) }, Gone},
+		"just gone":      {func(r *record) { r.requests[0].leftAt = after(90); r.attempts[0].Sent = after(195) }, ""},
+		"told too much":  {func(r *record) { r.attempts[0].Sent = after(300); r.requests[0].answeredAt = after(310) }, Deadline},
+		"drained, grace": {func(r *record) { r.leavings = []leaving{{"s1", after(-700)}} }, ""},
+		"drained":        {func(r *record) { r.leavings = []leaving{{"s1", after(-710)}}; r.births[0][0] = after(-2000) }, Drain},
 		"drained, silent": {func(r *record) {
 			r.leavings, r.births[0][0] = []leaving{{"s1", after(-710)}}, after(-9000)
 			r.outages = []outage{{Silent, after(-1000), after(50)}}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -13,6 +13,7 @@
 // The kinds: of sidecars, of their system calls and clocks, of servers, of discovery and of the proxy.
 const (
 	Terminate      Kind = "terminate"       // SIGTERM, SIGKILL at its time, and a start
+	AimedEnd       Kind = "aimed_end"       // likewise, with hold-ups, failing calls and other signals on the edges: see ending.go
 	Crash          Kind = "crash"           // SIGKILL and a start
 	Reload         Kind = "reload"          // SIGHUP, with another discovery or other targets
 	ReloadBurst    Kind = "reload_burst"    // several in a row
@@ -21,7 +22,8 @@
 	OperatorsOrder Kind = "operators_order" // a server is taken out by hand and put back
 	AcceptFails    Kind = "accept_fails"
 	ConnectFails   Kind = "connect_fails"
-	Interrupted    Kind = "interrupted" // polls end with EINTR
+	SlowConnects   Kind = "slow_connects" // connections to servers come up late
+	Interrupted    Kind = "interrupted"   // polls end with EINTR
 	DiskFails      Kind = "disk_fails"
 	ConfigFails    Kind = "config_fails" // the configuration can't be read as SIGHUP comes
 	ClockStep      Kind = "clock_step"   // of all machines
@@ -38,6 +40,7 @@
 	Late           Kind = "discovery_late"
 	CutAnswers     Kind = "cut_answers" // the proxy resets connections within an answer
 	Dribble        Kind = "dribble"     // it passes answers on in pieces
+	LeaveHeld      Kind = "leave_held"  // clients leave while their sidecar is stopped and its connections come up
 	Leave          Kind = "leave"       // many clients leave
 	Flood          Kind = "flood"       // many connections that say nothing, or half a request
 )
@@ -61,7 +64,7 @@
 // shares are all kinds. Accepts fail for a moment, as the operators' terms have it: what lies in the kernel until its client has long
 // stopped waiting, or until its process is killed, can't be answered by anybody.
 var shares = []share{
-	{Terminate, 3, 0, 0}, {Crash, 2, 0, 0}, {Reload, 2, 0, 0}, {ReloadBurst, 1, 0, 0}, {HandOver, 2, 0, 0},
+	{Terminate, 2, 0, 0}, {AimedEnd, 5, 0, 0}, {SlowConnects, 3, 300 * time.Millisecond, 1500 * time.Millisecond}, {LeaveHeld, 3, 0, 0}, {Crash, 2, 0, 0}, {Reload, 2, 0, 0}, {ReloadBurst, 1, 0, 0}, {HandOver, 2, 0, 0},
 	{Pause, 2, 50 * time.Millisecond, 150 * time.Millisecond}, {OperatorsOrder, 3, time.Second, 3 * time.Second},
 	{AcceptFails, 4, 5 * time.Millisecond, 60 * time.Millisecond}, {ConnectFails, 2, 20 * time.Millisecond, 600 * time.Millisecond},
 	{Interrupted, 2, 500 * time.Millisecond, 3 * time.Second}, {DiskFails, 2, 500 * time.Millisecond, 4 * time.Second},
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -13,15 +13,15 @@
 )
 
 const (
-	stallTick = 5 * time.Millisecond
-	baseSlack = 60 * time.Millisecond // of what is measured at the other end of a socket, on a busy machine
+	stallTick  = 5 * time.Millisecond
+	stallLeast = 3 * time.Millisecond  // below that it is no hold-up
+	baseSlack  = 30 * time.Millisecond // of what is measured at the other end of a socket, on a busy machine
 )
 
 // Report is what a run has shown.
 type Report struct {
-	Seed                              uint64
-	Sockets                           int  // that each sidecar may hold
-	OnRequest                         bool // discovery is asked
+	Seed uint64
+	variant
 	Troubles                          map[Kind]int
 	Requests, Served, Refused, Failed int
 	Left, Unreachable, Attempts       int
@@ -38,16 +38,20 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &Report{Seed: o.Seed, Sockets: o.variant().sockets, OnRequest: o.variant().onRequest, Troubles: map[Kind]int{}}
+	out := &Report{Seed: o.Seed, variant: w.variant, Troubles: map[Kind]int{}}
 	loading, endLoad := context.WithTimeout(ctx, o.For)
 	defer endLoad()
 	w.record.start = time.Now()
 	var stall time.Duration
+	var stalls []span
 	stalled := make(chan struct{})
 	go func() {
 		defer close(stalled)
 		for before := time.Now(); peers.Pause(loading, stallTick) == nil; before = time.Now() {
-			stall = max(stall, time.Since(before)-stallTick)
+			late := time.Since(before) - stallTick
+			if stall = max(stall, late); late > stallLeast {
+				stalls = append(stalls, span{time.Now().Add(-late), time.Now()})
+			}
 		}
 	}()
 	for _, c := range w.clients {
@@ -64,7 +68,7 @@
 	<-stalled
 	w.close()
 	r := w.finish()
-	out.Stall, r.slack = stall, cmp.Or(o.Slack, baseSlack)+stall
+	out.Stall, r.stalls, r.slack = stall, stalls, cmp.Or(o.Slack, baseSlack)
 	out.count(r)
 	out.Violations = r.judge()
 	return out, ctx.Err()
@@ -91,8 +95,8 @@
 
 // Write words the report.
 func (p *Report) Write(to io.Writer) {
-	fmt.Fprintf(to, "seed %d, %d sockets, on request %t: %d requests, %d served, %d refused, %d failed, %d left, %d found nobody; %d attempts; held up %s at most\n",
-		p.Seed, p.Sockets, p.OnRequest, p.Requests, p.Served, p.Refused, p.Failed, p.Left, p.Unreachable, p.Attempts, p.Stall.Round(time.Millisecond))
+	fmt.Fprintf(to, "seed %d, %d sockets, on request %t, deadlines up to %s, connections within %s, crowds %t: %d requests, %d served, %d refused, %d failed, %d left, %d found nobody; %d attempts; held up %s at most\n",
+		p.Seed, p.sockets, p.onRequest, p.longest, p.connect, p.crowd, p.Requests, p.Served, p.Refused, p.Failed, p.Left, p.Unreachable, p.Attempts, p.Stall.Round(time.Millisecond))
 	fmt.Fprint(to, "  troubles:")
 	for _, k := range slices.Sorted(maps.Keys(p.Troubles)) {
 		fmt.Fprintf(to, " %s %d", k, p.Troubles[k])
--- a/internal/lab/soak/sidecar.go
+++ b/internal/lab/soak/sidecar.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -26,8 +27,9 @@
 	readyWithin = 10 * time.Second
 	adminWithin = 3 * time.Second
 
-	listenFailures = 3                                      // of a process that starts after a crash
-	killAfter      = longestDeadline + 700*time.Millisecond // of SIGTERM
+	listenFailures = 3                      // of a process that starts after a crash
+	afterLongest   = 700 * time.Millisecond // of the longest deadline, the kill after SIGTERM
+	mostCounted    = 3 * time.Second        // of the longest deadline
 )
 
 // identity is what a sidecar is from its first process to its last.
@@ -35,9 +37,12 @@
 	number       int
 	program, dir string // dir: of all sidecars
 	known        peers.List
-	sockets      int
+	variant
 }
 
+// killAfter is when the process may be killed after SIGTERM at the earliest, by its longest deadline.
+func killAfter(longest time.Duration) time.Duration { return min(longest, mostCounted) + afterLongest }
+
 // sidecar is one real process after another under one name, with its folder, its configuration and its faults.
 type sidecar struct {
 	identity
@@ -45,13 +50,15 @@
 	folder               string
 	control              *faults.Control
 	log                  *os.File
-	edits                int    // of the configuration, so far
-	born                 func() // told as a process is about to begin
+	writing              sync.Mutex // of the configuration
+	edits                int        // of it, so far
+	born                 func()     // told as a process is about to begin
 
 	mu      sync.Mutex
 	current *process
 	busy    bool // being ended, started or handed over
 	killed  []span
+	ended   []span   // from a word to end until the process was killed in its time, since it had not ended by itself
 	faults  []string // what a process did that it must not
 }
 
@@ -95,7 +102,7 @@
 // configure writes the configuration in one step, as whoever replaces a file that others read.
 func (s *sidecar) configure(discovery string, seed uint64, edit func(map[string]any)) error {
 	raw, err := peers.Config(peers.Sidecar{Name: s.name, Listen: s.address, Seed: seed, Directory: discovery, Known: s.known,
-		Sockets: s.sockets, ConnIdle: connIdle, Connect: connectIn, DrainGrace: drainGrace, WarmIn: warmIn,
+		Sockets: s.sockets, ConnIdle: connIdle, Connect: s.connect, DrainGrace: drainGrace, WarmIn: warmIn,
 		Edit: func(d map[string]any) {
 			d["admin_addr"] = s.admin
 			d["plankrouter"] = map[string]any{"snapshot": map[string]any{"path": s.path("snapshot"), "every_ms": 500}}
@@ -117,6 +124,7 @@
 	cmd.Env = append(os.Environ(), "GW_CONFIG="+s.path("config.json"), "TMPDIR="+s.path("tmp"), "GW_TRACE=1",
 		faults.File+"="+s.path("faults"))
 	cmd.Stdout, cmd.Stderr = s.log, s.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // its successors are killed with it
 	s.born()
 	if err := cmd.Start(); err != nil {
 		return err
@@ -217,11 +225,14 @@
 		if p.state != nil && !p.state.Success() {
 			s.fault("process %d, told to end: %s", p.Pid, p.state)
 		}
-	case <-time.After(killAfter):
+	case <-time.After(killAfter(s.longest)):
+		s.mu.Lock()
+		s.ended = append(s.ended, span{from, time.Now()})
+		s.mu.Unlock()
 		p.Kill()
 		<-p.exited
 	}
-	peers.Pause(ctx, killAfter-time.Since(from))
+	peers.Pause(ctx, killAfter(s.longest)-time.Since(from))
 	s.start(ctx)
 }
 
@@ -245,6 +256,13 @@
 	s.mu.Unlock()
 }
 
+// endings returns the times from a word to end to the kill of a process that had not ended by itself.
+func (s *sidecar) endings() []span {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.ended)
+}
+
 // wasKilled reports whether the process was killed between two moments, or was being started again.
 func (s *sidecar) wasKilled(from, to time.Time) bool {
 	s.mu.Lock()
@@ -319,10 +337,10 @@
 			if p.state != nil && !p.state.Success() {
 				s.fault("process %d, told to end: %s", p.Pid, p.state)
 			}
-		case <-time.After(killAfter + time.Second):
+		case <-time.After(killAfter(s.longest) + time.Second):
 			p.Kill()
 			<-p.exited
-			s.fault("process %d has not ended by itself %s after SIGTERM", p.Pid, killAfter+time.Second)
+			s.fault("process %d has not ended by itself %s after SIGTERM", p.Pid, killAfter(s.longest)+time.Second)
 		}
 	}
 	if s.control != nil {
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -18,22 +18,22 @@
 // The nature of servers and the settings of sidecars. A server in slow start bears so little that one which is taken for warm gets
 // more than it may.
 const (
-	cores         = 2
-	queue         = 24
-	meanWork      = 15 * time.Millisecond
-	capacity      = float64(cores) / 0.015 // requests of mean work a second
-	startCapacity = 0.05
-	tipMultiple   = 1.5
-	fallFor       = 3 * time.Second
-	warmIn        = 9 * time.Second
-	connIdle      = 10 * time.Second
-	connectIn     = 400 * time.Millisecond
-	drainGrace    = 750 * time.Millisecond
-	tokenWindow   = 900 * time.Millisecond
-	listDelay     = 200 * time.Millisecond // of discovery, while it is late
-	proxied       = 3                      // one in so many servers stands behind a proxy
-	slowTimes     = 6
-	floodMost     = 120
+	cores           = 2
+	queue           = 24
+	meanWork        = 15 * time.Millisecond
+	capacity        = float64(cores) / 0.015 // requests of mean work a second
+	startCapacity   = 0.05
+	tipMultiple     = 1.5
+	fallFor         = 3 * time.Second
+	warmIn          = 9 * time.Second
+	connIdle        = 10 * time.Second
+	drainGrace      = 750 * time.Millisecond
+	tokenWindow     = 900 * time.Millisecond
+	listDelay       = 200 * time.Millisecond // of discovery, while it is late
+	proxied         = 3                      // one in so many servers stands behind a proxy
+	slowTimes       = 6
+	slowConnectMost = 900 * time.Millisecond
+	floodMost       = 120
 
 	startTries = 100 // of a server that comes back
 	startPause = 20 * time.Millisecond
@@ -57,14 +57,21 @@
 // variant is what the seed decides of the deployment.
 type variant struct {
 	sockets   int
-	onRequest bool // discovery is asked, and not an agent on the own machine
+	onRequest bool          // discovery is asked, and not an agent on the own machine
+	longest   time.Duration // deadline of a class
+	connect   time.Duration // within which a connection has to come up
+	crowd     bool          // many clients at a process that ends
 }
 
 func (o Options) variant() variant {
 	rng := rand.New(rand.NewPCG(o.Seed, 0x7a))
-	return variant{sockets: []int{96, 192, 512}[rng.IntN(3)], onRequest: rng.IntN(3) == 0}
+	return variant{sockets: one(rng, 96, 192, 512), onRequest: rng.IntN(3) == 0,
+		longest: one(rng, 500*time.Millisecond, 1500*time.Millisecond, 1500*time.Millisecond, 3*time.Second),
+		connect: one(rng, 150*time.Millisecond, 400*time.Millisecond, 1200*time.Millisecond), crowd: rng.IntN(3) == 0}
 }
 
+func one[T any](rng *rand.Rand, from ...T) T { return from[rng.IntN(len(from))] }
+
 // Check says what makes no sense.
 func (o Options) Check() error {
 	switch {
@@ -98,6 +105,8 @@
 // world is a run.
 type world struct {
 	options     Options
+	variant     variant
+	classes     []class
 	network     peers.Network
 	servers     []*stand
 	directories []*peers.Directory
@@ -114,8 +123,9 @@
 func (w *world) wall() time.Time { return time.Now().Add(time.Duration(w.offset.Load())) }
 
 func build(ctx context.Context, o Options) (w *world, err error) {
-	w = &world{options: o, network: peers.Loopback()}
-	w.record = record{onRequest: o.variant().onRequest, starts: map[string][]time.Time{}, births: map[int][]time.Time{}, faults: map[string][]string{}}
+	w = &world{options: o, network: peers.Loopback(), variant: o.variant()}
+	w.classes = classesFor(w.variant.longest)
+	w.record = record{onRequest: w.variant.onRequest, starts: map[string][]time.Time{}, births: map[int][]time.Time{}, faults: map[string][]string{}}
 	defer func() {
 		if err != nil {
 			w.close()
@@ -145,13 +155,13 @@
 		w.directories = append(w.directories, d)
 	}
 	for i := range o.Sidecars {
-		s, err := newSidecar(identity{number: i, program: o.Program, dir: o.Dir, sockets: o.variant().sockets,
+		s, err := newSidecar(identity{number: i, program: o.Program, dir: o.Dir, variant: w.variant,
 			known: peers.List{Revision: 1, Members: members}}, o.Seed+uint64(i), w.network, w.edit(0), w.directories[0].Address())
 		if err != nil {
 			return w, err
 		}
 		w.sidecars = append(w.sidecars, s)
-		w.clients = append(w.clients, newClients(s, o.Seed, o.Rate))
+		w.clients = append(w.clients, newClients(s, o.Seed, o.Rate, w.classes))
 		s.born = func() { w.born(i) }
 		if err := s.start(ctx); err != nil {
 			return w, fmt.Errorf("%s: %w; see %s", s.name, err, s.path("log"))
@@ -166,7 +176,10 @@
 }
 
 // edit changes what a sidecar's configuration says; times tells one configuration from another.
-func (w *world) edit(times int) func(map[string]any) {
+func (w *world) edit(times int) func(map[string]any) { return w.editWith(times, w.classes) }
+
+// editWith is edit with other classes.
+func (w *world) editWith(times int, classes []class) func(map[string]any) {
 	return func(d map[string]any) {
 		settings := d["settings"].(map[string]any)
 		settings["Balancers"] = w.options.Sidecars
@@ -211,12 +224,20 @@
 	n, s, v := t.Target%len(w.sidecars), at(w.sidecars, t.Target), at(w.servers, t.Target)
 	pause := func() { peers.Pause(ctx, t.For) }
 	switch t.Kind {
-	case Terminate, Crash, HandOver, Reload, ReloadBurst, ConfigFails:
+	case Terminate, Crash, HandOver, AimedEnd:
 		if !s.claim() {
 			return
 		}
 		defer s.release()
 		w.process(ctx, t, s)
+	case Reload, ReloadBurst, ConfigFails: // whatever else befalls the process
+		w.process(ctx, t, s)
+	case SlowConnects:
+		s.control.Hold(faults.SlowConnect, time.Duration(t.Draw*float64(min(w.variant.connect, slowConnectMost))))
+		pause()
+		s.control.Heal(faults.SlowConnect)
+	case LeaveHeld:
+		w.leaveHeld(ctx, n, s)
 	case Pause:
 		p := s.present()
 		p.Signal(syscall.SIGSTOP)
@@ -286,6 +307,8 @@
 	switch t.Kind {
 	case Terminate:
 		s.terminate(ctx)
+	case AimedEnd:
+		w.aimedEnd(ctx, t, s)
 	case Crash:
 		s.crash(ctx, time.Duration(t.Draw*float64(time.Second)))
 	case HandOver:
@@ -307,12 +330,19 @@
 
 // reload gives the sidecar another configuration.
 func (w *world) reload(s *sidecar, t Trouble) {
+	w.reconfigure(s, t, w.classes)
+	s.signal(syscall.SIGHUP)
+}
+
+// reconfigure writes the sidecar another configuration, with these classes.
+func (w *world) reconfigure(s *sidecar, t Trouble, classes []class) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
 	s.edits++
 	to := w.directories[(int(t.Draw*10)+s.edits)%len(w.directories)]
-	if err := s.configure(to.Address(), w.options.Seed+uint64(s.number), w.edit(s.edits)); err != nil {
+	if err := s.configure(to.Address(), w.options.Seed+uint64(s.number), w.editWith(s.edits, classes)); err != nil {
 		s.fault("configuration: %v", err)
 	}
-	s.signal(syscall.SIGHUP)
 }
 
 // order has operators take a server out at a sidecar, and put it back.
@@ -472,6 +502,10 @@
 			r.heard[heardOf{c.number, server}] = at
 		}
 	}
+	r.ended = map[int][]span{}
+	for _, s := range w.sidecars {
+		r.ended[s.number] = s.endings()
+	}
 	r.killed = func(sidecar int, from, to time.Time) bool { return w.sidecars[sidecar].wasKilled(from, to) }
 	slices.SortFunc(r.outages, func(a, b outage) int { return a.from.Compare(b.from) })
 	return r
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -60,7 +60,15 @@
 	if err := faults.Inject(faults.Connect); err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", err)}
 	}
-	return (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", address)
+	c, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := faults.Wait(ctx, faults.SlowConnect); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
 }
 
 // Budget is the limit and what is held under it. It is safe for concurrent use.
