--- a/cmd/plankrouter/shutdown_test.go
+++ b/cmd/plankrouter/shutdown_test.go
@@ -45,16 +45,23 @@
 func afterWord(at time.Duration) pause  { return pause{at: at} }
 func beforeKill(at time.Duration) pause { return pause{at: at, beforeKill: true} }
 
+// early is a signal that comes so long before SIGTERM.
+type early struct {
+	syscall.Signal
+	by time.Duration
+}
+
 // shutdownCase is a row: what befalls a process as it is told to end.
 type shutdownCase struct {
 	pauses   []pause
-	before   []syscall.Signal // sent just before SIGTERM,
-	gap      time.Duration    // so long before it and one another
+	before   []early          // other signals, before SIGTERM
+	group    bool             // SIGTERM goes to the whole group: the process may have handed over
 	shorter  time.Duration    // the longest deadline that a configuration written before them has; 0 = as it was
 	after    []syscall.Signal // sent just after SIGTERM
 	halves   bool             // clients that send the rest of a request late
 	clients  int              // 0 = 24
 	service  time.Duration    // of the servers; 0 = 250 ms
+	late     time.Duration    // likewise from SIGTERM on; 0 = as before
 	deadline time.Duration    // the longest; 0 = shutdownRow
 }
 
@@ -81,13 +88,16 @@
 		"halves of requests":               {halves: true},
 		"halves, held up until the kill":   {halves: true, pauses: []pause{beforeKill(160 * time.Millisecond)}},
 		"halves, held up":                  {halves: true, pauses: []pause{beforeKill(300 * time.Millisecond)}},
-		"a shorter deadline is in the way": {deadline: 1200 * time.Millisecond, service: 700 * time.Millisecond, shorter: shutdownRow, before: []syscall.Signal{syscall.SIGHUP}, gap: time.Millisecond},
+		"a shorter deadline is in the way": {deadline: 1200 * time.Millisecond, service: 700 * time.Millisecond, shorter: shutdownRow, before: []early{{syscall.SIGHUP, time.Millisecond}}},
 		"a shorter deadline, seen late": {deadline: 1200 * time.Millisecond, service: 700 * time.Millisecond, shorter: shutdownRow,
-			before: []syscall.Signal{syscall.SIGHUP}, gap: time.Millisecond, pauses: []pause{afterWord(-5 * time.Millisecond)}},
-		"a reload comes behind it":       {after: []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2}, pauses: []pause{afterWord(-5 * time.Millisecond)}},
-		"a handover has begun":           {before: []syscall.Signal{syscall.SIGUSR2}, gap: 5 * time.Millisecond},
-		"a handover is passing":          {before: []syscall.Signal{syscall.SIGUSR2}, gap: 120 * time.Millisecond},
-		"a handover, a reload, a report": {before: []syscall.Signal{syscall.SIGUSR2, syscall.SIGHUP, syscall.SIGUSR1}, gap: 40 * time.Millisecond},
+			before: []early{{syscall.SIGHUP, time.Millisecond}}, pauses: []pause{afterWord(-5 * time.Millisecond)}},
+		"a reload comes behind it": {after: []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2}, pauses: []pause{afterWord(-5 * time.Millisecond)}},
+		"a handover has begun":     {before: []early{{syscall.SIGUSR2, 5 * time.Millisecond}}},
+		"a reload within a handover": {deadline: 1200 * time.Millisecond, service: 150 * time.Millisecond, shorter: shutdownRow, group: true, late: 900 * time.Millisecond,
+			before: []early{{syscall.SIGUSR2, 300 * time.Millisecond}, {syscall.SIGHUP, 240 * time.Millisecond}}},
+		"a handover is passing": {before: []early{{syscall.SIGUSR2, 120 * time.Millisecond}}},
+		"a handover, a reload, a report": {before: []early{{syscall.SIGUSR2, 120 * time.Millisecond},
+			{syscall.SIGHUP, 80 * time.Millisecond}, {syscall.SIGUSR1, 40 * time.Millisecond}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -225,13 +235,15 @@
 func (w *endingWorld) shutDown() (valid bool) {
 	pid, longest := w.cmd.Process.Pid, w.row.deadline
 	if w.row.shorter > 0 {
-		w.configure(w.row.shorter)
 		longest = w.row.shorter
 	}
 	kill := longest + killMargin
 	valid, stopped := true, sync.WaitGroup{}
 	var mu sync.Mutex
-	word := time.Now().Add(20*time.Millisecond + w.row.gap*time.Duration(len(w.row.before)))
+	word := time.Now().Add(20 * time.Millisecond)
+	if len(w.row.before) > 0 {
+		word = word.Add(w.row.before[0].by)
+	}
 	for _, p := range w.row.pauses {
 		at := word.Add(p.at)
 		if p.beforeKill {
@@ -248,13 +260,24 @@
 			valid = valid && time.Since(began) < holdUpMost
 		})
 	}
-	for i, s := range w.row.before {
-		time.Sleep(time.Until(word.Add(-w.row.gap * time.Duration(len(w.row.before)-i))))
-		syscall.Kill(pid, s)
+	for _, s := range w.row.before {
+		time.Sleep(time.Until(word.Add(-s.by)))
+		if s.Signal == syscall.SIGHUP && w.row.shorter > 0 {
+			w.configure(w.row.shorter)
+		}
+		syscall.Kill(pid, s.Signal)
 	}
 	time.Sleep(time.Until(word))
-	sent := time.Now()
-	syscall.Kill(pid, syscall.SIGTERM)
+	sent, to := time.Now(), pid
+	if w.row.group {
+		to = -pid
+	}
+	syscall.Kill(to, syscall.SIGTERM)
+	if w.row.late > 0 {
+		for _, p := range w.servers {
+			p.Change(func(b *peers.Behaviour) { b.Slow = float64(w.row.late) / float64(w.row.service) })
+		}
+	}
 	for _, s := range w.row.after {
 		time.Sleep(2 * time.Millisecond)
 		syscall.Kill(pid, s)
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -470,6 +470,8 @@
 
 // replace has a server drain, ends it, and starts another under a new id in its place.
 func (w *world) replace(v *stand, pause func()) {
+	v.Change(func(b *peers.Behaviour) { b.Probes = peers.ProbesUnavailable }) // as one that drains does, which serves what it gets
+	defer v.Behave(peers.Behaviour{})
 	leave := w.member(v, peers.Draining, 0)
 	w.note(func(r *record) { r.leavings = append(r.leavings, leaving{leave.ID, time.Now()}) })
 	w.list(leave)
