A predecessor passes a word to reload on to its successor

Change: a SIGHUP that is read after a handover has begun goes on to the successor before the handover is done, over the control socket and with its moment, as a SIGTERM does. Left: one that comes in the milliseconds between that and the predecessor's end.

--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -121,30 +121,29 @@
 
 // program is the running parts.
 type program struct {
-	cfg      *config.Config                // as at the start
-	inForce  atomic.Pointer[config.Config] // since the last reload; obey alone changes it
-	numbers  config.Numbering
-	getenv   func(string) string
-	listener net.Listener
-	budget   *sockets.Budget
-	share    share           // of the descriptors, while no other process shares them
-	told     context.Context // ends with the word to stop
-	caller   *provider.Caller
-	core     *core.Pool
-	watch    *directory.Watch
-	book     figures.Book
-	rules    guard.Book
-	bans     *bans.Store
-	front    *consumer.Server
-	writer   *snapshot.Writer  // nil = snapshots are not kept
-	line     handover.Handover // of processes that take over from one another
-	moved    atomic.Bool       // a reload has named another directory than the environment
-	stop     context.CancelFunc
-	signals  signalQueues
-	reloads  chan reloaded            // for whoever ends this process
-	stopWord atomic.Pointer[stopWord] // nil = there was none
-
-	ordering     sync.Mutex // of bans
+	cfg          *config.Config                // as at the start
+	inForce      atomic.Pointer[config.Config] // since the last reload; obey alone changes it
+	numbers      config.Numbering
+	getenv       func(string) string
+	listener     net.Listener
+	budget       *sockets.Budget
+	share        share           // of the descriptors, while no other process shares them
+	told         context.Context // ends with the word to stop
+	caller       *provider.Caller
+	core         *core.Pool
+	watch        *directory.Watch
+	book         figures.Book
+	rules        guard.Book
+	bans         *bans.Store
+	front        *consumer.Server
+	writer       *snapshot.Writer  // nil = snapshots are not kept
+	line         handover.Handover // of processes that take over from one another
+	moved        atomic.Bool       // a reload has named another directory than the environment
+	stop         context.CancelFunc
+	signals      signalQueues
+	reloads      chan reloaded            // for whoever ends this process
+	stopWord     atomic.Pointer[stopWord] // nil = there was none
+	ordering     sync.Mutex               // of bans
 	mu           sync.Mutex
 	endSnapshots func() // writes the last one; nil = none is kept, or it is written
 }
--- a/cmd/plankrouter/program_test.go
+++ b/cmd/plankrouter/program_test.go
@@ -20,6 +20,7 @@
 	now := received{Signal: s, earliest: time.Now(), read: time.Now()}
 	switch s {
 	case syscall.SIGHUP:
+		w.lastReload.Store(&now)
 		w.reload <- now
 	case syscall.SIGUSR1:
 		w.report <- s
--- a/cmd/plankrouter/signals.go
+++ b/cmd/plankrouter/signals.go
@@ -5,6 +5,7 @@
 	"log"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,8 @@
 	stop             chan received // two of them say more than one
 	reload           chan received
 	report, handOver chan os.Signal
+
+	lastReload *atomic.Pointer[received] // obeyed or not; nil in it = there was none
 }
 
 // received is a signal with the time in which it was sent: whoever sent it counts from then, however late it is read or obeyed.
@@ -31,7 +34,7 @@
 
 func newSignalQueues() signalQueues {
 	return signalQueues{stop: make(chan received, 2), reload: make(chan received, 1), report: make(chan os.Signal, 1),
-		handOver: make(chan os.Signal, 1)}
+		handOver: make(chan os.Signal, 1), lastReload: new(atomic.Pointer[received])}
 }
 
 // listen takes this process's signals from now on.
@@ -51,7 +54,7 @@
 	for {
 		select {
 		case s := <-reload:
-			put(w.reload, received{Signal: s, earliest: quiet.Since(), read: time.Now()})
+			w.addReload(received{Signal: s, earliest: quiet.Since(), read: time.Now()})
 		case s := <-stop:
 			put(w.stop, received{Signal: s, earliest: quiet.Since(), read: time.Now()})
 		case <-beat.C:
@@ -62,6 +65,12 @@
 	}
 }
 
+// addReload adds a signal to reload.
+func (w signalQueues) addReload(s received) {
+	w.lastReload.Store(&s)
+	put(w.reload, s)
+}
+
 // put adds a signal unless those that wait cover it.
 func put(queue chan<- received, s received) {
 	select {
--- a/cmd/plankrouter/succession.go
+++ b/cmd/plankrouter/succession.go
@@ -142,6 +142,9 @@
 	from.Stopped = func(word handover.Stop) {
 		put(p.signals.stop, received{Signal: syscall.SIGTERM, earliest: word.At, read: time.Now(), kill: word.Kill})
 	}
+	from.Reloaded = func(word handover.Reload) {
+		p.signals.addReload(received{Signal: syscall.SIGHUP, earliest: word.At, read: time.Now()})
+	}
 	done := p.front.Expect()
 	group.Go(func() error {
 		defer done()
@@ -185,6 +188,7 @@
 		log.Printf("name=%s handover=without_state err=%q", p.cfg.Name, err)
 	}
 	log.Printf("name=%s handover=begun state_bytes=%d", p.cfg.Name, len(state))
+	begun := time.Now()
 	to, err := begin(l, handover.Options{ReadyWithin: p.cfg.ReadyWithin, Name: p.cfg.Name, Address: p.cfg.Listen,
 		State: state, Env: p.environment(), Open: p.core.Open})
 	if err != nil {
@@ -201,6 +205,7 @@
 	l.SetDeadline(time.Unix(1, 0)) // accepts no more, but keeps the listener
 	select {
 	case <-left:
+		p.passReloadOn(to, begun)
 		if err := to.Done(); err == nil {
 			log.Printf("name=%s handover=done successor=%d", p.cfg.Name, to.Pid())
 			passed()
@@ -240,6 +245,16 @@
 	}
 }
 
+// passReloadOn has the successor read its configuration, if this process was told to since the handover began: the successor may have read
+// it before.
+func (p *program) passReloadOn(to *handover.Predecessor, begun time.Time) {
+	last := p.signals.lastReload.Load()
+	if meeting(p.getenv) != "" || last == nil || last.read.Before(begun) { // the platform tells each process by itself
+		return
+	}
+	log.Printf("name=%s handover=told_to_reload successor=%d err=%v", p.cfg.Name, to.Pid(), to.Reload(handover.Reload{At: last.earliest}))
+}
+
 // environment is the successor's: this process's, but for a directory that a reload has replaced.
 func (p *program) environment() []string {
 	env := os.Environ()
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -32,6 +32,7 @@
 	kindLeft   kind = 'x' // S: the connection of that number did not arrive, and why
 	kindDone   kind = 'd' // P: that was all; S: so it was
 	kindStop   kind = 'e' // P: a Stop in CBOR
+	kindReload kind = 'f' // P: a Reload in CBOR
 )
 
 var errMalformed = errors.New("malformed message on the control socket")
@@ -67,7 +68,7 @@
 		return maxBody
 	case kindConn:
 		return MaxNote
-	case kindRefuse, kindLeft, kindStop:
+	case kindRefuse, kindLeft, kindStop, kindReload:
 		return maxReason
 	case kindReady, kindServe, kindTaken, kindDone:
 		return 0
--- a/internal/handover/successor.go
+++ b/internal/handover/successor.go
@@ -17,8 +17,9 @@
 
 // Successor is the new process's side of a handover.
 type Successor struct {
-	// Stopped is told of a word to stop that the predecessor has got, from within Conns; nil = nobody is. Set it before Conns.
-	Stopped func(Stop)
+	// Stopped and Reloaded are told of words that the predecessor has got, from within Conns; nil = nobody is. Set them before Conns.
+	Stopped  func(Stop)
+	Reloaded func(Reload)
 
 	control   *control
 	hello     Hello
@@ -182,8 +183,8 @@
 			if err = s.takeOver(m, f, take); err == nil {
 				continue
 			}
-		case err == nil && m.kind == kindStop:
-			if err = s.stopped(m.body); err == nil {
+		case err == nil && (m.kind == kindStop || m.kind == kindReload):
+			if err = s.hear(m); err == nil {
 				continue
 			}
 		case err == nil && m.kind == kindDone:
--- /dev/null
+++ b/internal/handover/words.go
@@ -0,0 +1,101 @@
+package handover
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sys/unix"
+)
+
+// Stop is a word to stop that a predecessor has got and that is meant for its successor, too. Both moments are those of whoever gave it: a
+// successor that counted from when it hears of it would reckon with a later kill.
+type Stop struct {
+	At   time.Time // that the word was sent, at the earliest
+	Kill time.Time // by which the processes may be killed
+}
+
+// Reload is a word to read the configuration anew that a predecessor has got after its successor may have read it.
+type Reload struct {
+	At time.Time // that the word was sent, at the earliest
+}
+
+// wordMessage is a Stop or a Reload as it goes over the control socket, in nanoseconds of the machine's monotonic clock, which all processes
+// share.
+type wordMessage struct {
+	At   int64 `cbor:"1,keyasint"`
+	Kill int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// monotonic reads the clock.
+func monotonic() (int64, error) {
+	var t unix.Timespec
+	err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t)
+	return t.Nano(), err
+}
+
+// clock places moments of this process on that clock, and back.
+type clock struct {
+	now   time.Time
+	nanos int64
+}
+
+// readClock reads both clocks. The process's own comes first: one that is held up between the two must not take a word for later than it was.
+func readClock() (clock, error) {
+	c := clock{now: time.Now()}
+	var err error
+	c.nanos, err = monotonic()
+	return c, err
+}
+
+func (c clock) encode(t time.Time) int64 { return c.nanos + int64(t.Sub(c.now)) }
+
+func (c clock) decode(nanos int64) time.Time { return c.now.Add(time.Duration(nanos - c.nanos)) }
+
+func decodeWord(b []byte) (at, kill time.Time, err error) {
+	var m wordMessage
+	if err := cbor.Unmarshal(b, &m); err != nil {
+		return at, kill, fmt.Errorf("%w: a word passed on: %v", errMalformed, err)
+	}
+	c, err := readClock()
+	return c.decode(m.At), c.decode(m.Kill), err
+}
+
+// Stop passes a word to stop on to the successor, which has begun to serve. An error says that it has not got it.
+func (p *Predecessor) Stop(s Stop) error {
+	return p.passOn(kindStop, func(c clock) wordMessage { return wordMessage{c.encode(s.At), c.encode(s.Kill)} })
+}
+
+// Reload is Stop for a word to read the configuration anew.
+func (p *Predecessor) Reload(r Reload) error {
+	return p.passOn(kindReload, func(c clock) wordMessage { return wordMessage{At: c.encode(r.At)} })
+}
+
+func (p *Predecessor) passOn(k kind, word func(clock) wordMessage) error {
+	c, err := readClock()
+	var body []byte
+	if err == nil {
+		body, err = cbor.Marshal(word(c))
+	}
+	if err == nil {
+		err = p.control.send(message{kind: k, body: body}, -1)
+	}
+	if err != nil {
+		return fmt.Errorf("handover: a word passed on: %w", err)
+	}
+	return nil
+}
+
+// hear tells whoever asked for it of a word that the predecessor has passed on.
+func (s *Successor) hear(m message) error {
+	at, kill, err := decodeWord(m.body)
+	switch {
+	case err != nil:
+		return err
+	case m.kind == kindStop && s.Stopped != nil:
+		s.Stopped(Stop{at, kill})
+	case m.kind == kindReload && s.Reloaded != nil:
+		s.Reloaded(Reload{at})
+	}
+	return nil
+}
