--- /dev/null
+++ b/internal/consumer/accept.go
@@ -0,0 +1,166 @@
+package consumer
+
+// Accepting connections, up to the last that lie in the listener's backlog as the front is closed.
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"os"
+	"time"
+
+	"plankrouter/internal/faults"
+	"plankrouter/internal/sockets"
+)
+
+// Serve accepts connections until Drain or the end of ctx, and returns when the last one has ended.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	defer context.AfterFunc(ctx, func() { s.hangUp(l) })()
+	defer s.running.Wait()
+	defer l.Close()
+	s.mu.Lock()
+	s.serving = true
+	s.mu.Unlock()
+	failures := 0 // of accept, in a row
+	for !s.isLast() {
+		if !s.budget.Reserve(sockets.Inward) { // the kernel's backlog holds the consumer until there is room
+			select {
+			case <-s.budget.Freed():
+			case <-time.After(acceptPause): // some connection may have been idle for long enough now
+			case <-ctx.Done():
+				return nil
+			}
+			continue
+		}
+		nc, err := accept(l)
+		if err == nil {
+			if failures > 0 {
+				log.Printf("listen=%s state=accepts_again failures=%d", l.Addr(), failures)
+				failures = 0
+			}
+			s.admitNew(nc)
+			continue
+		}
+		s.budget.Release(sockets.Inward)
+		if resumed := s.pause(); resumed != nil {
+			select {
+			case <-resumed:
+				continue
+			case <-s.closed:
+			case <-ctx.Done():
+			}
+			return nil
+		}
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded) && s.isClosing():
+			continue
+		}
+		if failures++; failures == 1 {
+			log.Printf("listen=%s state=accept_failed err=%q", l.Addr(), err)
+		}
+		select {
+		case <-time.After(acceptPause):
+		case <-ctx.Done():
+		}
+	}
+	s.acceptLast(ctx, l)
+	return nil
+}
+
+// acceptLast takes in what lies in the listener's backlog and closes it, then the connections that are idle: a client whose connection
+// is closed may knock at once, and would be lost between the last look at the backlog and the close. Where accepts fail or places are
+// short, idle connections make room first.
+func (s *Server) acceptLast(ctx context.Context, l net.Listener) {
+	defer s.closeIdle()
+	defer l.Close()
+	for !s.pastLast(acceptAgain) && ctx.Err() == nil {
+		if s.acceptRest(l) {
+			return
+		}
+		s.closeIdle()
+		select {
+		case <-s.budget.Freed():
+		case <-time.After(lastLook):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// acceptRest accepts until nothing is left, and reports whether that was so; false = it is to be tried again.
+func (s *Server) acceptRest(l net.Listener) (empty bool) {
+	for !s.pastLast(acceptAgain) {
+		closed, err := sockets.CloseEmpty(l)
+		if closed {
+			return true
+		}
+		if !s.budget.Reserve(sockets.Inward) {
+			return false
+		}
+		if d, ok := l.(deadliner); ok {
+			d.SetDeadline(time.Now().Add(lastLook))
+		}
+		nc, failed := accept(l)
+		if failed != nil {
+			s.budget.Release(sockets.Inward)
+			return errors.Is(failed, net.ErrClosed) || errors.Is(err, errors.ErrUnsupported) && errors.Is(failed, os.ErrDeadlineExceeded)
+		}
+		s.admitNew(nc)
+	}
+	return false
+}
+
+// admitNew serves a connection that has just been accepted.
+func (s *Server) admitNew(nc net.Conn) {
+	s.Connections.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.admit(nc, "")
+}
+
+// accept is l.Accept, which a soak may fail.
+func accept(l net.Listener) (net.Conn, error) {
+	if err := faults.Inject(faults.Accept); err != nil {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+	}
+	return l.Accept()
+}
+
+// admit serves a connection, with the note of the process that had it before. It is called with mu held.
+func (s *Server) admit(nc net.Conn, note string) {
+	c := &conn{server: s, socket: s.budget.Adopt(nc, sockets.Inward), began: time.Now(), brought: note != "",
+		known: note == noteKnown}
+	if c.known {
+		c.socket.Idle(spareAfter)
+	} else {
+		c.socket.Stranger(strangerAfter)
+	}
+	s.conns[c] = false
+	switch c.idleAt = c.began; {
+	case s.closing && note != "": // between two messages, as those that Drain closes
+		c.wind(0)
+	case s.closing: // accepted at the last moment: it may still bring one request
+		c.last = true
+		c.wind(time.Until(s.closeAt) + closingFor)
+	case s.pass != nil:
+		c.wind(0)
+	default:
+		c.socket.Extend(c.began.Add(lookEvery))
+	}
+	s.running.Go(func() error { c.run(); return nil })
+}
+
+// deadliner is a listener that can be told until when it accepts.
+type deadliner interface{ SetDeadline(time.Time) error }
+
+// isLast reports whether what lies in the backlog by now is the last that is accepted.
+func (s *Server) isLast() bool { return s.pastLast(0) }
+
+// pastLast reports whether that has been so for a while.
+func (s *Server) pastLast(while time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing && !time.Now().Before(s.closeAt.Add(while))
+}
--- a/internal/consumer/conn.go
+++ b/internal/consumer/conn.go
@@ -271,7 +271,9 @@
 		return nil, &http1.Response{Status: status, Close: req.Close}, ending.Open
 	}
 	words := c.server.dialect.Load()
-	inv, status := words.invocation(req, time.Now().Add(-c.socket.SinceArrival()))
+	now := time.Now()
+	since, _ := c.socket.SinceArrival()
+	inv, status := words.invocation(req, now.Add(-since))
 	if status != 0 {
 		return nil, c.turn(status, req.Close || status == 400), ending.Open
 	}
--- /dev/null
+++ b/internal/consumer/succession.go
@@ -0,0 +1,85 @@
+package consumer
+
+// Connections that go from one process to the next.
+
+import (
+	"net"
+	"sync"
+
+	"plankrouter/internal/sockets"
+)
+
+// Stay keeps the connections that are open, however long they are idle, until Drain.
+func (s *Server) Stay() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staying = true
+}
+
+// Expect keeps Serve from returning until done is called: a predecessor may still pass connections to Adopt.
+func (s *Server) Expect() (done func()) {
+	wait := make(chan struct{})
+	s.running.Go(func() error { <-wait; return nil })
+	return sync.OnceFunc(func() { close(wait) })
+}
+
+// Adopt serves a connection that a predecessor had, whether or not the limit on sockets leaves room: it is there already,
+// and may have brought a request. It is called between Expect and its done.
+func (s *Server) Adopt(nc net.Conn, note []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Force(sockets.Inward)
+	s.Adopted.Add(1)
+	s.admit(nc, string(note))
+}
+
+// HandOver passes every connection on as soon as it is between two messages, with a note for the successor's Adopt, and
+// returns a channel that is closed when none is left. What pass fails for stays. The caller then stops the listener by a
+// deadline, which Resume's caller takes back.
+func (s *Server) HandOver(pass func(c net.Conn, note []byte) error) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	empty := make(chan struct{})
+	s.pass, s.empty, s.resumed = pass, empty, make(chan struct{})
+	for c, busy := range s.conns {
+		if !busy {
+			c.wind(0)
+		}
+	}
+	return empty
+}
+
+// Resume ends HandOver: the successor is gone, and this process serves on.
+func (s *Server) Resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pass, s.empty, s.paused = nil, nil, false
+	close(s.resumed)
+}
+
+// Passing reports whether a successor is being given the connections.
+func (s *Server) Passing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pass != nil
+}
+
+// pause notes that no connection comes in any more, and returns a channel that is closed by Resume; nil without HandOver.
+func (s *Server) pause() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pass == nil {
+		return nil
+	}
+	s.paused = true
+	s.leftEmpty()
+	return s.resumed
+}
+
+// leftEmpty tells the one who hands over that no connection is left nor to come. It is called with mu held.
+func (s *Server) leftEmpty() {
+	if s.empty != nil && s.paused && len(s.conns) == 0 {
+		close(s.empty)
+		s.empty = nil
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -17,6 +17,7 @@
 	"plankrouter/internal/http1"
 	"plankrouter/internal/members"
 	"plankrouter/internal/sockets"
+	"plankrouter/internal/stopping"
 )
 
 const (
@@ -98,6 +99,16 @@
 	}
 }
 
+// arrival is when what has just been read from the directory came, at the earliest: this process may have been held up before it read that.
+func arrival(s *sockets.Socket) time.Time {
+	now := time.Now()
+	since, known := s.SinceArrival()
+	if !known {
+		since = stopping.HoldUp
+	}
+	return now.Add(-since)
+}
+
 // Source is the directory that told the present list.
 func (w *Watch) Source() string {
 	w.mu.Lock()
@@ -296,7 +307,7 @@
 	conn.due, conn.pause = due, 0
 	begun := func(begun bool) { // a long list is no silence, and an interim answer none that counts
 		if conn.due, conn.pause = due, 0; begun {
-			heard = time.Now().Add(-conn.SinceArrival()) // this process may have been held up
+			heard = arrival(conn.Socket)
 			conn.due, conn.pause = heard.Add(transferMost), c.Pause
 		}
 	}
--- a/internal/lab/soak/judge_test.go
+++ b/internal/lab/soak/judge_test.go
@@ -42,6 +42,28 @@
 		"process killed": {func(r *record) {
 			r.requests[0].status, r.killed = 0, func(int, time.Time, time.Time) bool { return true }
 		}, ""},
+		"forwarded, and its connection ended": {func(r *record) {
+			r.requests[0].crossed, r.requests[0].unreachable = span{after(101), after(140)}, true
+		}, Lost},
+		"crossed the end of its connection": {func(r *record) {
+			r.requests[0].crossed, r.attempts[0].Sent = span{after(101), after(102)}, after(103)
+		}, ""},
+		"open at the kill": {func(r *record) {
+			r.requests[0].crossed, r.requests[0].unreachable, r.attempts = span{after(101), after(140)}, true, nil
+			r.ended = map[int][]span{0: {{after(-2000), after(139)}}}
+		}, Lost},
+		"sent behind the kill": {func(r *record) {
+			r.requests[0].crossed, r.requests[0].unreachable, r.attempts = span{after(141), after(142)}, true, nil
+			r.ended = map[int][]span{0: {{after(-2000), after(139)}}}
+		}, ""},
+		"told too much, the judge held up": {func(r *record) {
+			r.attempts[0].Sent, r.requests[0].answeredAt = after(300), after(310)
+			r.stalls = []span{{after(250), after(290)}}
+		}, ""},
+		"told too much, held up long before": {func(r *record) {
+			r.start, r.attempts[0].Sent, r.requests[0].answeredAt = after(-2000), after(300), after(310)
+			r.stalls = []span{{after(-1000), after(-900)}}
+		}, Deadline},
 		"another's":       {func(r *record) { r.requests[0].err = "an answer of another request" }, Foreign},
 		"sent twice":      {func(r *record) { r.again("s2", 120, peers.Answered) }, Twice},
 		"declined before": {func(r *record) { r.attempts[0].Outcome = peers.Declined; r.again("s2", 120, peers.Answered) }, ""},
--- a/internal/lab/soak/run_test.go
+++ b/internal/lab/soak/run_test.go
@@ -19,25 +19,30 @@
 	os.Exit(m.Run())
 }
 
-// TestShortSoak plays two short runs. The limits on time are wide, since the machine that runs a suite may be crowded; all other
-// rules are the soak's.
+// TestShortSoak plays some short runs, over a minute in all: two of all troubles, the others of the ends of processes alone, with deadlines
+// short and long and with a crowd. The limits on time are wide, since the machine that runs a suite may be crowded; all other rules are the
+// soak's.
 func TestShortSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "plankrouter")
 	build := exec.Command("go", "build", "-tags", "faultinjection", "-o", program, "plankrouter/cmd/plankrouter")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	for _, seed := range []uint64{1, 2} {
-		report, err := Run(t.Context(), Options{Program: program, Dir: t.TempDir(), Seed: seed, Sidecars: 4, Servers: 5, Rate: 15,
-			For: 8 * time.Second, Slack: time.Second})
+	ends := []Kind{AimedEnd, LeaveHeld, SlowConnects, Reload, CutAnswers}
+	for _, run := range []struct {
+		seed uint64
+		only []Kind
+	}{{1, nil}, {2, nil}, {8, ends}, {12, ends}, {14, ends}} {
+		report, err := Run(t.Context(), Options{Program: program, Dir: t.TempDir(), Seed: run.seed, Sidecars: 4, Servers: 5, Rate: 15,
+			For: 12 * time.Second, Only: run.only, Slack: time.Second})
 		if err != nil {
 			t.Fatal(err)
 		}
 		if report.Served == 0 || len(report.Troubles) == 0 {
-			t.Errorf("seed %d: nothing was played: %+v", seed, report)
+			t.Errorf("seed %d: nothing was played: %+v", run.seed, report)
 		}
 		for _, v := range report.Violations {
-			t.Errorf("seed %d: %s", seed, v)
+			t.Errorf("seed %d: %s", run.seed, v)
 		}
 	}
 }
--- /dev/null
+++ b/internal/lab/soak/troubles.go
@@ -0,0 +1,279 @@
+package soak
+
+// How each kind of trouble is played; the ends of processes that are aimed at stand in ending.go.
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"syscall"
+	"time"
+
+	"plankrouter/internal/faults"
+	"plankrouter/internal/lab/peers"
+)
+
+// begin plays a trouble, in its own time.
+func (w *world) begin(ctx context.Context, t Trouble) {
+	n, s, v := t.Target%len(w.sidecars), at(w.sidecars, t.Target), at(w.servers, t.Target)
+	pause := func() { peers.Pause(ctx, t.For) }
+	switch t.Kind {
+	case Terminate, Crash, HandOver, AimedEnd:
+		if !s.claim() {
+			return
+		}
+		defer s.release()
+		w.process(ctx, t, s)
+	case Reload, ReloadBurst, ConfigFails: // whatever else befalls the process
+		w.process(ctx, t, s)
+	case SlowConnects:
+		s.control.Hold(faults.SlowConnect, time.Duration(t.Draw*float64(min(w.variant.connect, slowConnectMost))))
+		pause()
+		s.control.Heal(faults.SlowConnect)
+	case LeaveHeld:
+		w.leaveHeld(ctx, n, s)
+	case Pause:
+		p := s.present()
+		p.Signal(syscall.SIGSTOP)
+		pause()
+		p.Signal(syscall.SIGCONT)
+	case OperatorsOrder:
+		w.order(ctx, t, n, s, v)
+	case AcceptFails:
+		w.fail(s, faults.Accept, pick(t.Draw, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.EPROTO), pause)
+	case ConnectFails:
+		w.fail(s, faults.Connect, pick(t.Draw, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENETUNREACH, syscall.ENFILE), pause)
+	case Interrupted:
+		w.interrupt(ctx, s, t.For)
+	case DiskFails:
+		errno := pick(t.Draw, syscall.EIO, syscall.ENOSPC)
+		s.control.Fail(faults.SyncFile, errno, -1)
+		s.control.Fail(faults.ReadFile, syscall.EIO, -1)
+		w.fail(s, faults.WriteFile, errno, pause)
+		s.control.Heal(faults.SyncFile)
+		s.control.Heal(faults.ReadFile)
+	case ClockStep:
+		step := pick(t.Draw, -time.Hour, -5*time.Second, 5*time.Second, time.Hour)
+		total := w.offset.Add(int64(step))
+		for _, s := range w.sidecars {
+			s.control.Step(time.Duration(total))
+		}
+	case Silent, Down, Late:
+		w.outage(t.Kind, pause)
+	case CutAnswers, Dribble:
+		w.spoil(t.Kind, v, pause)
+	case Leave:
+		w.clients[n].leave(true)
+		pause()
+		w.clients[n].leave(false)
+	case Flood:
+		owed := w.clients[n].flood(ctx, int(t.Draw*floodMost), badClientWithin)
+		w.note(func(r *record) { r.owed += owed })
+	default:
+		w.server(ctx, t, v, pause)
+	}
+}
+
+func pick[T any](draw float64, from ...T) T { return from[int(draw*float64(len(from)))] }
+
+// fail lets a sidecar's operation fail until pause returns.
+func (w *world) fail(s *sidecar, o faults.Op, errno syscall.Errno, pause func()) {
+	s.control.Fail(o, errno, -1)
+	pause()
+	s.control.Heal(o)
+}
+
+// interrupt has signals interrupt a sidecar's looks at its sockets, a few in a row now and then.
+func (w *world) interrupt(ctx context.Context, s *sidecar, long time.Duration) {
+	for began := time.Now(); time.Since(began) < long; {
+		s.control.Fail(faults.Poll, syscall.EINTR, interruptions)
+		s.control.Fail(faults.Peek, syscall.EINTR, interruptions)
+		if peers.Pause(ctx, interruptEvery) != nil {
+			break
+		}
+	}
+	s.control.Heal(faults.Poll)
+	s.control.Heal(faults.Peek)
+}
+
+// process plays what ends, replaces or reloads a sidecar's process.
+func (w *world) process(ctx context.Context, t Trouble, s *sidecar) {
+	switch t.Kind {
+	case Terminate:
+		s.terminate(ctx)
+	case AimedEnd:
+		w.aimedEnd(ctx, t, s)
+	case Crash:
+		s.crash(ctx, time.Duration(t.Draw*float64(time.Second)))
+	case HandOver:
+		s.handOver(ctx)
+	case ConfigFails:
+		s.control.Fail(faults.ReadConfig, pick(t.Draw, syscall.ENFILE, syscall.EIO), -1)
+		w.reload(s, t)
+		peers.Pause(ctx, t.For)
+		s.control.Heal(faults.ReadConfig)
+	case Reload:
+		w.reload(s, t)
+	case ReloadBurst:
+		for i := range 4 {
+			w.reload(s, t)
+			peers.Pause(ctx, time.Duration(i)*30*time.Millisecond)
+		}
+	}
+}
+
+// reload gives the sidecar another configuration.
+func (w *world) reload(s *sidecar, t Trouble) {
+	w.reconfigure(s, t, w.classes)
+	s.signal(syscall.SIGHUP)
+}
+
+// reconfigure writes the sidecar another configuration, with these classes.
+func (w *world) reconfigure(s *sidecar, t Trouble, classes []class) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	s.edits++
+	to := w.directories[(int(t.Draw*10)+s.edits)%len(w.directories)]
+	if err := s.configure(to.Address(), w.options.Seed+uint64(s.number), w.editWith(s.edits, classes)); err != nil {
+		s.fault("configuration: %v", err)
+	}
+}
+
+// order has operators take a server out at a sidecar, and put it back.
+func (w *world) order(ctx context.Context, t Trouble, n int, s *sidecar, v *stand) {
+	server := v.ID()
+	if s.order("disable", server) != 200 {
+		return
+	}
+	var number int
+	w.note(func(r *record) {
+		number = len(r.orders)
+		r.orders = append(r.orders, order{sidecar: n, server: server, from: time.Now()})
+	})
+	peers.Pause(ctx, t.For)
+	now := time.Now()
+	for range 40 { // the sidecar may be starting, or its disk may fail
+		if s.order("enable", server) == 200 {
+			w.note(func(r *record) { r.orders[number].to = now })
+			return
+		}
+		peers.Pause(ctx, 100*time.Millisecond)
+		now = time.Now()
+	}
+}
+
+// outage keeps discovery from telling what it has.
+func (w *world) outage(kind Kind, pause func()) {
+	from := time.Now()
+	set := func(on bool) {
+		for _, d := range w.directories {
+			switch kind {
+			case Silent:
+				d.LoseAnswers(on)
+			case Down:
+				d.Down(on)
+			case Late:
+				delay := time.Duration(0)
+				if on {
+					delay = listDelay
+				}
+				d.Delay(delay)
+			}
+		}
+	}
+	set(true)
+	pause()
+	set(false)
+	w.note(func(r *record) { r.outages = append(r.outages, outage{kind, from, time.Now()}) })
+}
+
+// spoil has a server's proxy spoil answers, or all proxies where the server has none.
+func (w *world) spoil(kind Kind, v *stand, pause func()) {
+	set := func(on bool) {
+		for _, s := range w.servers {
+			if s.proxy == nil || v.proxy != nil && s != v {
+				continue
+			}
+			if kind == CutAnswers {
+				s.proxy.cut.Store(on)
+			} else {
+				s.proxy.dribble.Store(on)
+			}
+		}
+	}
+	set(true)
+	pause()
+	set(false)
+}
+
+// server plays a server's trouble. One at a time befalls a server.
+func (w *world) server(ctx context.Context, t Trouble, v *stand, pause func()) {
+	if !v.busy.CompareAndSwap(false, true) {
+		return
+	}
+	defer v.busy.Store(false)
+	behave := func(how func(*peers.Behaviour)) {
+		v.Change(how)
+		pause()
+		v.Behave(peers.Behaviour{})
+	}
+	switch t.Kind {
+	case Restart:
+		w.restart(v, v.ID(), pause)
+	case Replace:
+		w.replace(v, pause)
+	case Vanish:
+		v.Vanish(true)
+		pause()
+		v.Vanish(false)
+	case ResetKept:
+		v.ResetKept()
+		if v.proxy != nil {
+			v.proxy.reset()
+		}
+	case Stall:
+		behave(func(b *peers.Behaviour) { b.Stall = true })
+	case Decline:
+		behave(func(b *peers.Behaviour) { b.Decline = true })
+	case ProbesFail:
+		behave(func(b *peers.Behaviour) { b.Probes = peers.ProbesCutOff })
+	case Slow:
+		behave(func(b *peers.Behaviour) { b.Slow = slowTimes })
+	}
+}
+
+// restart ends a server's process and starts one, cold, which discovery tells at once.
+func (w *world) restart(v *stand, id string, pause func()) {
+	v.Kill()
+	pause()
+	err := v.Start(id)
+	for range startTries { // its address may be held for a moment by what has just ended there
+		if err == nil {
+			break
+		}
+		time.Sleep(startPause)
+		err = v.Start(id)
+	}
+	if err != nil {
+		w.note(func(r *record) { r.faults["harness"] = append(r.faults["harness"], err.Error()) })
+		return
+	}
+	w.note(func(r *record) { r.starts[id] = append(r.starts[id], time.Now()) })
+	w.list(w.member(v, peers.Serving, w.wall().UnixMilli()))
+}
+
+// replace has a server drain, ends it, and starts another under a new id in its place.
+func (w *world) replace(v *stand, pause func()) {
+	v.Change(func(b *peers.Behaviour) { b.Probes = peers.ProbesUnavailable }) // as one that drains does, which serves what it gets
+	defer v.Behave(peers.Behaviour{})
+	leave := w.member(v, peers.Draining, 0)
+	w.note(func(r *record) { r.leavings = append(r.leavings, leaving{leave.ID, time.Now()}) })
+	w.list(leave)
+	pause()
+	v.Kill()
+	leave.Phase = peers.Deleted
+	w.list(leave)
+	v.lives++
+	place, _, _ := strings.Cut(leave.ID, "-")
+	w.restart(v, fmt.Sprintf("%s-%d", place, v.lives), func() {})
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -15,7 +15,6 @@
 	"golang.org/x/sys/unix"
 
 	"plankrouter/internal/faults"
-	"plankrouter/internal/stopping"
 	"plankrouter/internal/transient"
 )
 
@@ -288,19 +287,17 @@
 	return true, l.Close()
 }
 
-// SinceArrival is how long ago the last bytes came in, read or not. Where the kernel does not tell, it is the most that it can be by the
-// operators' word: the process was held up before it read them.
-func (s *Socket) SinceArrival() (since time.Duration) {
+// SinceArrival is how long ago the last bytes came in, read or not. Where the kernel does not tell, and the process may have been held up before
+// it read them, it is not known.
+func (s *Socket) SinceArrival() (since time.Duration, known bool) {
+	known = true // of a connection within the process, by which bytes come at once
 	s.control(func(fd int) {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		switch {
-		case err != nil || info.State == 0: // no state of a connection: nothing was told
-			since = stopping.HoldUp
-		default:
+		if known = err == nil && info.State != 0; known { // no state of a connection: nothing was told
 			since = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
 	})
-	return since
+	return since, known
 }
 
 // control calls f with the descriptor, and reports whether there is one.
