A failing test: two processes of a handover share a listener as both are told to end

Told to stop, the successor closes its copy after a look that finds the backlog empty; the predecessor, which accepts no more but still answers half requests, keeps its own copy until its own, later moment, and what the kernel accepts in between is reset with it.

The soak: hold-ups in a row before the kill, half of the servers hang as a process ends, half requests whose rest comes late; connects that come up later, a shorter window of repeats.

--- a/cmd/plankrouter/shutdown_test.go
+++ b/cmd/plankrouter/shutdown_test.go
@@ -95,7 +95,8 @@
 		"a handover has begun":     {before: []early{{syscall.SIGUSR2, 5 * time.Millisecond}}},
 		"a reload within a handover": {deadline: 1200 * time.Millisecond, service: 150 * time.Millisecond, shorter: shutdownRow, group: true, late: 900 * time.Millisecond,
 			before: []early{{syscall.SIGUSR2, 300 * time.Millisecond}, {syscall.SIGHUP, 240 * time.Millisecond}}},
-		"a handover is passing": {before: []early{{syscall.SIGUSR2, 120 * time.Millisecond}}},
+		"a handover is passing to a crowd": {clients: 300, halves: true, before: []early{{syscall.SIGUSR2, 120 * time.Millisecond}}},
+		"a handover is passing":            {before: []early{{syscall.SIGUSR2, 120 * time.Millisecond}}},
 		"a handover, a reload, a report": {before: []early{{syscall.SIGUSR2, 120 * time.Millisecond},
 			{syscall.SIGHUP, 80 * time.Millisecond}, {syscall.SIGUSR1, 40 * time.Millisecond}}},
 	} {
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -39,10 +39,11 @@
 type manner uint8
 
 const (
-	waits  manner = iota
-	leaves        // ends its connection before the answer
-	resets        // likewise, with a reset
-	pieces        // sends it slowly, in pieces
+	waits    manner = iota
+	leaves          // ends its connection before the answer
+	resets          // likewise, with a reset
+	pieces          // sends it slowly, in pieces
+	lateRest        // sends its last bytes at a given moment, unless it has an answer or an end by then
 )
 
 // request is one as its client has seen it.
@@ -55,6 +56,7 @@
 	again       bool      // sent once more, behind a kept connection that was closed
 	crossed     span      // from when it was first sent until that connection ended; zero = it was not sent twice
 	leaveAt     time.Time // when a client that leaves does; zero = after a while
+	restAt      time.Time // with lateRest: of its last bytes
 	seed        uint64    // of how it is sent
 	begunAt     time.Time // its first byte
 	sentAt      time.Time // its last byte was written; zero = it was not
@@ -136,6 +138,13 @@
 	all.Wait()
 }
 
+// restAt has a client send a request on a new connection, its last bytes at that moment.
+func (c *clients) restAt(at time.Time) {
+	r, _ := c.draw()
+	r.manner, r.restAt = lateRest, at
+	c.send(r)
+}
+
 // draw makes the next request, and the pause after it.
 func (c *clients) draw() (r *request, pause time.Duration) {
 	c.mu.Lock()
@@ -165,7 +174,10 @@
 func (c *clients) send(r *request) {
 	rng := rand.New(rand.NewPCG(r.seed, 1))
 	until := time.Now().Add(r.class.deadline)
-	k := c.take()
+	var k *clientConn
+	if r.manner != lateRest {
+		k = c.take()
+	}
 	r.fresh = k == nil
 	if k == nil {
 		k = c.dial(r, until)
@@ -273,6 +285,9 @@
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
 	text += "\r\n" + body
+	if r.manner == lateRest {
+		return c.writeLate(r, k, text)
+	}
 	if r.manner != pieces {
 		_, err := io.WriteString(k, text)
 		return err
@@ -288,6 +303,25 @@
 	return nil
 }
 
+// errEarly is why a client does not send the rest of its request.
+var errEarly = errors.New("answered or ended before it was whole")
+
+// writeLate writes the request but for its last bytes, and those at their moment.
+func (c *clients) writeLate(r *request, k *clientConn, text string) error {
+	const rest = 3
+	if _, err := io.WriteString(k, text[:len(text)-rest]); err != nil {
+		return err
+	}
+	k.SetReadDeadline(r.restAt)
+	if _, err := k.br.Peek(1); !timedOut(err) {
+		return errEarly
+	}
+	k.SetDeadline(r.restAt.Add(r.class.deadline + answerSlack + time.Second))
+	r.begunAt = time.Now()
+	_, err := io.WriteString(k, text[len(text)-rest:])
+	return err
+}
+
 // leave has the clients that send from now on leave, until it is called with false.
 func (c *clients) leave(on bool) {
 	c.mu.Lock()
--- a/internal/lab/soak/ending.go
+++ b/internal/lab/soak/ending.go
@@ -23,9 +23,16 @@
 	crowdClients  = 150
 	crowdPause    = 100 * time.Millisecond
 	denseBefore   = 300 * time.Millisecond // of the word to end
+	lateRests     = 4
+	lateWithin    = 700 * time.Millisecond // of the kill, that the rest of a request comes
 	holdFor       = stopping.HoldUp
 	holdMost      = 165 * time.Millisecond // what was held up for longer, by the harness's own fault, says nothing
 	holdApart     = 20 * time.Millisecond
+	endBeforeKill = 100 * time.Millisecond // that a last hold-up ends, at the earliest,
+	endAfterKill  = 140 * time.Millisecond // and at the latest
+	sliceLeast    = 2 * time.Millisecond   // for which a process runs between two hold-ups in a row
+	sliceMost     = 30 * time.Millisecond
+	hangFrom      = 300 * time.Millisecond // before the last accept
 	seriesWithin  = 150 * time.Millisecond // of the word, before or after it, that other signals come
 	seriesClose   = 5 * time.Millisecond   // half of them so close to it
 	failAcceptMax = 60 * time.Millisecond
@@ -46,16 +53,18 @@
 	holds       []time.Duration // after the word, at which the process is stopped for holdFor
 	failAccepts time.Duration   // for so long around the last accept; 0 = none does
 	failFrom    time.Duration
+	hanging     bool // half of the servers hang from shortly before the last accept until the kill
 	interrupted bool // looks at sockets end with EINTR around the last accept
 	shorter     bool // a reload before the word makes deadlines shorter
 	kill        time.Duration
 	clients     int           // that send until the kill
 	pause       time.Duration // of each, after an answer
+	lateRests   int           // clients that have sent half a request, and send its rest shortly before the kill
 }
 
 // drawEnding draws the end of a process with that longest deadline. Its edges are the word, the last accept, the last answer and the kill.
 func drawEnding(rng *rand.Rand, longest time.Duration, crowd bool) ending {
-	e := ending{clients: denseClients, pause: densePause, shorter: rng.IntN(6) == 0}
+	e := ending{clients: denseClients, pause: densePause, lateRests: lateRests, shorter: rng.IntN(6) == 0}
 	if crowd {
 		e.clients, e.pause = crowdClients, crowdPause
 	}
@@ -70,11 +79,15 @@
 			e.series = append(e.series, signalAt{s, nearby(rng)})
 		}
 	}
-	edges := []time.Duration{0, plan.Last, plan.Answer, e.kill - 350*time.Millisecond, e.kill - 200*time.Millisecond, e.kill - 100*time.Millisecond}
-	rng.Shuffle(len(edges), func(i, j int) { edges[i], edges[j] = edges[j], edges[i] })
-	for _, edge := range edges[:1+rng.IntN(3)] {
-		e.hold(edge - time.Duration(rng.Float64()*float64(holdFor)))
+	if rng.IntN(2) == 0 { // across the word
+		e.hold(-time.Duration(rng.Float64() * float64(holdFor)))
 	}
+	if rng.IntN(4) > 0 {
+		e.holdBeforeKill(rng)
+	} else { // across the last accept or the last answer
+		e.hold(one(rng, plan.Last, plan.Answer) - time.Duration(rng.Float64()*float64(holdFor)))
+	}
+	e.hanging = rng.IntN(3) > 0
 	if rng.IntN(3) == 0 {
 		e.failFrom = plan.Last - time.Duration(rng.Float64()*float64(holdApart))
 		e.failAccepts = time.Duration(rng.Float64() * float64(failAcceptMax))
@@ -92,6 +105,16 @@
 	return time.Duration((2*rng.Float64() - 1) * float64(within))
 }
 
+// holdBeforeKill adds one to three hold-ups with little time between them, the last of which ends around the kill: one for each step that a
+// last answer takes.
+func (e *ending) holdBeforeKill(rng *rand.Rand) {
+	end := e.kill + time.Duration(rng.Float64()*float64(endAfterKill+endBeforeKill)) - endBeforeKill
+	for range 1 + rng.IntN(3) {
+		e.holds = append(e.holds, end-holdFor)
+		end -= holdFor + sliceLeast + time.Duration(rng.Float64()*float64(sliceMost-sliceLeast))
+	}
+}
+
 // hold adds a hold-up unless it would run into another one.
 func (e *ending) hold(at time.Duration) {
 	for _, other := range e.holds {
@@ -125,6 +148,11 @@
 		})
 	}
 	all.Go(func() { w.clients[s.number].dense(e.clients, e.pause, word.Add(e.kill)) })
+	for range e.lateRests {
+		all.Go(func() {
+			w.clients[s.number].restAt(word.Add(e.kill - time.Duration(rand.Float64()*float64(lateWithin))))
+		})
+	}
 	for i, one := range e.series {
 		at(one.at, func() {
 			if i == 0 && e.shorter {
@@ -147,6 +175,9 @@
 	if e.interrupted {
 		at(stopping.For(w.variant.longest, 0).Last-holdApart, func() { w.interrupt(ctx, s, 4*holdApart) })
 	}
+	if e.hanging {
+		at(stopping.For(w.variant.longest, 0).Last-hangFrom, func() { w.hang(word.Add(e.kill)) })
+	}
 	time.Sleep(time.Until(word))
 	sent := time.Now()
 	p.Signal(syscall.SIGTERM)
@@ -162,6 +193,22 @@
 	s.start(ctx)
 }
 
+// hang has half of the servers hang until then, but for those that something else befalls.
+func (w *world) hang(until time.Time) {
+	var hung []*stand
+	for _, v := range w.servers[:len(w.servers)/2] {
+		if v.busy.CompareAndSwap(false, true) {
+			v.Change(func(b *peers.Behaviour) { b.Stall = true })
+			hung = append(hung, v)
+		}
+	}
+	time.Sleep(time.Until(until))
+	for _, v := range hung {
+		v.Behave(peers.Behaviour{})
+		v.busy.Store(false)
+	}
+}
+
 // holdUp stops a process for holdFor. One that this process has made longer counts as a crash: what was lost then says nothing.
 func (w *world) holdUp(s *sidecar, p *process) {
 	from := time.Now()
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -86,6 +86,7 @@
 // record is what a run has left behind.
 type record struct {
 	start     time.Time
+	window    time.Duration // of repeats with a token
 	onRequest bool          // discovery is asked: its word counts as told later
 	slack     time.Duration // by which the machine's load blurs what is measured at the other end of a socket
 	stalls    []span        // in which this process itself was held up
@@ -207,7 +208,7 @@
 			add(Promise, q.answeredAt, "%s: refused with %d, %s by %s", q.id, q.status, ran[0].Outcome, ran[0].Server)
 		}
 	case q.class.repeat == "token":
-		if late := tries[len(tries)-1].Sent.Sub(ran[0].Sent) - tokenWindow; late > drainSlack+r.slackAt(tries[len(tries)-1].Sent) {
+		if late := tries[len(tries)-1].Sent.Sub(ran[0].Sent) - r.window; late > drainSlack+r.slackAt(tries[len(tries)-1].Sent) {
 			add(Window, tries[len(tries)-1].Sent, "%s: repeated %s beyond its window", q.id, late)
 		}
 	}
--- a/internal/lab/soak/judge_test.go
+++ b/internal/lab/soak/judge_test.go
@@ -17,7 +17,7 @@
 
 // sound is a record in which nothing is broken: an order that was served by s1.
 func sound() *record {
-	return &record{start: epoch, slack: ms(10),
+	return &record{start: epoch, slack: ms(10), window: ms(900),
 		requests: []*request{{id: "n0-1", class: classesFor(1500 * time.Millisecond)[2], begunAt: after(100), sentAt: after(101), answeredAt: after(130), status: 200}},
 		attempts: []attempt{{peers.Request{ID: "n0-1", Server: "s1", Sent: after(103), Deadline: "0.997", Outcome: peers.Answered}, 0}},
 		starts:   map[string][]time.Time{}, births: map[int][]time.Time{0: {epoch}}, heard: map[heardOf][]time.Time{},
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -95,8 +95,8 @@
 
 // Write words the report.
 func (p *Report) Write(to io.Writer) {
-	fmt.Fprintf(to, "seed %d, %d sockets, on request %t, deadlines up to %s, connections within %s, crowds %t: %d requests, %d served, %d refused, %d failed, %d left, %d found nobody; %d attempts; held up %s at most\n",
-		p.Seed, p.sockets, p.onRequest, p.longest, p.connect, p.crowd, p.Requests, p.Served, p.Refused, p.Failed, p.Left, p.Unreachable, p.Attempts, p.Stall.Round(time.Millisecond))
+	fmt.Fprintf(to, "seed %d, %d sockets, on request %t, deadlines up to %s, connections within %s, repeats within %s, crowds %t: %d requests, %d served, %d refused, %d failed, %d left, %d found nobody; %d attempts; held up %s at most\n",
+		p.Seed, p.sockets, p.onRequest, p.longest, p.connect, p.window, p.crowd, p.Requests, p.Served, p.Refused, p.Failed, p.Left, p.Unreachable, p.Attempts, p.Stall.Round(time.Millisecond))
 	fmt.Fprint(to, "  troubles:")
 	for _, k := range slices.Sorted(maps.Keys(p.Troubles)) {
 		fmt.Fprintf(to, " %s %d", k, p.Troubles[k])
--- a/internal/lab/soak/troubles.go
+++ b/internal/lab/soak/troubles.go
@@ -27,7 +27,7 @@
 	case Reload, ReloadBurst, ConfigFails: // whatever else befalls the process
 		w.process(ctx, t, s)
 	case SlowConnects:
-		s.control.Hold(faults.SlowConnect, time.Duration(t.Draw*float64(min(w.variant.connect, slowConnectMost))))
+		s.control.Hold(faults.SlowConnect, time.Duration((1+t.Draw)/2*float64(min(w.variant.connect-slowConnectRest, slowConnectMost))))
 		pause()
 		s.control.Heal(faults.SlowConnect)
 	case LeaveHeld:
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -26,11 +26,11 @@
 	warmIn          = 9 * time.Second
 	connIdle        = 10 * time.Second
 	drainGrace      = 750 * time.Millisecond
-	tokenWindow     = 900 * time.Millisecond
 	listDelay       = 200 * time.Millisecond // of discovery, while it is late
 	proxied         = 3                      // one in so many servers stands behind a proxy
 	slowTimes       = 6
-	slowConnectMost = 900 * time.Millisecond
+	slowConnectMost = 1150 * time.Millisecond
+	slowConnectRest = 20 * time.Millisecond // of the time that a connection has to come up
 	floodMost       = 120
 
 	startTries = 100 // of a server that comes back
@@ -59,13 +59,15 @@
 	longest   time.Duration // deadline of a class
 	connect   time.Duration // within which a connection has to come up
 	crowd     bool          // many clients at a process that ends
+	window    time.Duration // of repeats with a token
 }
 
 func (o Options) variant() variant {
 	rng := rand.New(rand.NewPCG(o.Seed, 0x7a))
 	return variant{sockets: one(rng, 96, 192, 512), onRequest: rng.IntN(3) == 0,
 		longest: one(rng, 500*time.Millisecond, 1500*time.Millisecond, 1500*time.Millisecond, 3*time.Second),
-		connect: one(rng, 150*time.Millisecond, 400*time.Millisecond, 1200*time.Millisecond), crowd: rng.IntN(3) == 0}
+		connect: one(rng, 150*time.Millisecond, 400*time.Millisecond, 1200*time.Millisecond), crowd: rng.IntN(3) == 0,
+		window: one(rng, 300*time.Millisecond, 900*time.Millisecond)}
 }
 
 func one[T any](rng *rand.Rand, from ...T) T { return from[rng.IntN(len(from))] }
@@ -123,7 +125,7 @@
 func build(ctx context.Context, o Options) (w *world, err error) {
 	w = &world{options: o, network: peers.Loopback(), variant: o.variant()}
 	w.classes = classesFor(w.variant.longest)
-	w.record = record{onRequest: w.variant.onRequest, starts: map[string][]time.Time{}, births: map[int][]time.Time{}, faults: map[string][]string{}}
+	w.record = record{onRequest: w.variant.onRequest, window: w.variant.window, starts: map[string][]time.Time{}, births: map[int][]time.Time{}, faults: map[string][]string{}}
 	defer func() {
 		if err != nil {
 			w.close()
@@ -189,7 +191,7 @@
 		all := []any{}
 		for _, c := range classes {
 			all = append(all, map[string]any{"Name": c.name, "AimMs": 300 + 10*(times%5), "HardLimitMs": c.deadline.Milliseconds(), "Credit": 1,
-				"Repeat": c.repeat, "KeyScope": "all", "MemorySpanMs": tokenWindow.Milliseconds()})
+				"Repeat": c.repeat, "KeyScope": "all", "MemorySpanMs": w.variant.window.Milliseconds()})
 		}
 		settings["RequestClasses"] = all
 	}
