A predecessor that is told to stop leaves the listener to its successor

Cause: see the failing test. Change: once the successor has the word to stop, the predecessor closes its copy of the listener, so that the successor's last look at the backlog is the last there is. The soak's servers hang without a word as a process ends, which no pause ends early.

--- a/cmd/plankrouter/shutdown_test.go
+++ b/cmd/plankrouter/shutdown_test.go
@@ -94,7 +94,7 @@
 		"a reload comes behind it": {after: []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2}, pauses: []pause{afterWord(-5 * time.Millisecond)}},
 		"a handover has begun":     {before: []early{{syscall.SIGUSR2, 5 * time.Millisecond}}},
 		"a reload within a handover": {deadline: 1200 * time.Millisecond, service: 150 * time.Millisecond, shorter: shutdownRow, group: true, late: 900 * time.Millisecond,
-			before: []early{{syscall.SIGUSR2, 300 * time.Millisecond}, {syscall.SIGHUP, 240 * time.Millisecond}}},
+			before: []early{{syscall.SIGUSR2, 300 * time.Millisecond}, {syscall.SIGHUP, 280 * time.Millisecond}}},
 		"a handover is passing to a crowd": {clients: 300, halves: true, before: []early{{syscall.SIGUSR2, 120 * time.Millisecond}}},
 		"a handover is passing":            {before: []early{{syscall.SIGUSR2, 120 * time.Millisecond}}},
 		"a handover, a reload, a report": {before: []early{{syscall.SIGUSR2, 120 * time.Millisecond},
@@ -223,7 +223,7 @@
 	if len(w.lost) > 0 {
 		if raw, err := os.ReadFile(w.log.Name()); err == nil {
 			for _, line := range strings.Split(string(raw), "\n") {
-				if strings.Contains(line, "state=") && !strings.Contains(line, "trace=") {
+				if (strings.Contains(line, "state=") || strings.Contains(line, "handover=")) && !strings.Contains(line, "trace=") {
 					w.t.Log(line)
 				}
 			}
--- a/cmd/plankrouter/succession.go
+++ b/cmd/plankrouter/succession.go
@@ -200,9 +200,9 @@
 		p.budget.Limit(p.share.places / shareIdle)
 		defer p.budget.Limit(p.share.places) // if it serves on
 	}
-	passed := p.passStopOn(to)
 	left := p.front.HandOver(func(c net.Conn, note []byte) error { return to.Pass(c.(syscall.Conn), note) })
 	l.SetDeadline(time.Unix(1, 0)) // accepts no more, but keeps the listener
+	passed := p.passStopOn(to, l)
 	select {
 	case <-left:
 		p.passReloadOn(to, begun)
@@ -219,9 +219,11 @@
 	p.front.Resume()
 }
 
-// passStopOn has the successor told of a word to stop that comes when it is too late to call the handover off: the service is meant. What
-// it returns is called once the handover is done, and sees to it that a word that has come by then has got through.
-func (p *program) passStopOn(to *handover.Predecessor) (done func()) {
+// passStopOn has the successor told of a word to stop that comes when it is too late to call the handover off: the service is meant. The
+// listener is the successor's alone from then on: as long as this process kept a copy, what came after the successor has closed its own
+// would be accepted by the kernel, and by nobody else. What passStopOn returns is called once the handover is done, and sees to it that a
+// word that has come by then has got through.
+func (p *program) passStopOn(to *handover.Predecessor, l net.Listener) (done func()) {
 	if meeting(p.getenv) != "" { // the platform tells each process by itself
 		return func() {}
 	}
@@ -236,7 +238,9 @@
 		log.Printf("name=%s handover=told_to_stop successor=%d err=%v", p.cfg.Name, to.Pid(), err)
 		if err != nil { // it reads no more of this process: it counts from when it gets the signal
 			syscall.Kill(to.Pid(), syscall.SIGTERM)
+			return
 		}
+		l.Close()
 	})
 	return func() {
 		if !cancel() {
--- a/internal/lab/soak/ending.go
+++ b/internal/lab/soak/ending.go
@@ -32,7 +32,7 @@
 	endAfterKill  = 140 * time.Millisecond // and at the latest
 	sliceLeast    = 2 * time.Millisecond   // for which a process runs between two hold-ups in a row
 	sliceMost     = 30 * time.Millisecond
-	hangFrom      = 300 * time.Millisecond // before the last accept
+	hangFrom      = 200 * time.Millisecond // before the last accept
 	seriesWithin  = 150 * time.Millisecond // of the word, before or after it, that other signals come
 	seriesClose   = 5 * time.Millisecond   // half of them so close to it
 	failAcceptMax = 60 * time.Millisecond
@@ -193,18 +193,18 @@
 	s.start(ctx)
 }
 
-// hang has half of the servers hang until then, but for those that something else befalls.
+// hang has half of the servers hang in the middle of their work until then, but for those that something else befalls.
 func (w *world) hang(until time.Time) {
 	var hung []*stand
 	for _, v := range w.servers[:len(w.servers)/2] {
 		if v.busy.CompareAndSwap(false, true) {
-			v.Change(func(b *peers.Behaviour) { b.Stall = true })
+			v.Vanish(true)
 			hung = append(hung, v)
 		}
 	}
 	time.Sleep(time.Until(until))
 	for _, v := range hung {
-		v.Behave(peers.Behaviour{})
+		v.Vanish(false)
 		v.busy.Store(false)
 	}
 }
