--- a/internal/lab/peers/provider.go
+++ b/internal/lab/peers/provider.go
@@ -75,6 +75,7 @@
 	ForgetAfter int           // a request on a connection that has carried so many is reset; 0 = none
 	BreakOff    *BreakOff     // of each answer
 	Stall       bool          // after an answer's head nothing more comes
+	Hang        bool          // nothing is answered, probes included, and no connection is ended
 	FailShare   float64       // part of requests that are answered 500 after their run
 	Spoilt      []byte        // sent in place of each answer
 	Slow        float64       // service takes so many times as long; 0 = 1
@@ -92,7 +93,7 @@
 	Nameless                 // 404: it had no id
 	Reset                    // the connection was reset: never ran
 	Left                     // the caller had gone before it began: never ran
-	Unsent                   // the caller had gone before it was answered
+	Unsent                   // the caller had gone before it was answered, or the process hangs
 	Killed                   // the process ended first
 	BrokenOff                // an answer that did not end, or never began
 	Stalled                  // an answer's head
@@ -286,6 +287,9 @@
 		return p.send(c, nth, Nameless, answer(404, "", nil))
 	case how.Drain || how.Decline:
 		return p.decline(c, nth)
+	case how.Hang:
+		p.note(nth, Unsent)
+		return c.forever()
 	}
 	switch got := p.queue(c, now); got {
 	case Declined:
@@ -337,6 +341,9 @@
 	}
 	p.probes = append(p.probes, Probe{At: m.last, Conn: c.number, Path: m.URL.Path, Status: status})
 	p.state.Unlock()
+	if how.Hang {
+		return c.forever()
+	}
 	switch status {
 	case 0:
 		c.drop(true)
--- a/internal/lab/soak/ending.go
+++ b/internal/lab/soak/ending.go
@@ -198,13 +198,13 @@
 	var hung []*stand
 	for _, v := range w.servers[:len(w.servers)/2] {
 		if v.busy.CompareAndSwap(false, true) {
-			v.Vanish(true)
+			v.Change(func(b *peers.Behaviour) { b.Hang = true })
 			hung = append(hung, v)
 		}
 	}
 	time.Sleep(time.Until(until))
 	for _, v := range hung {
-		v.Vanish(false)
+		v.Behave(peers.Behaviour{})
 		v.busy.Store(false)
 	}
 }
