Who finds no place is refused while there is time to say so

Change: where there has been no place for 0.1 s, or a connection was accepted that had waited for as long in the backlog (TCP_INFO tells), connections that find no place are accepted into half of the places kept for those being closed, their request is refused and they are closed; silent ones are closed unread after 25 ms. Nothing new where there are places: the backlog holds clients for a moment as before. As the front is closed that way is taken 0.1 s after the last accept.

--- a/internal/consumer/accept.go
+++ b/internal/consumer/accept.go
@@ -22,9 +22,15 @@
 	s.mu.Lock()
 	s.serving = true
 	s.mu.Unlock()
-	failures := 0 // of accept, in a row
+	failures := 0      // of accept, in a row
+	room := time.Now() // when there was a place last
 	for !s.isLast() {
-		if !s.budget.Reserve(sockets.Inward) { // the kernel's backlog holds the consumer until there is room
+		if s.budget.Reserve(sockets.Inward) {
+			room = time.Now()
+		} else { // the kernel's backlog holds the client until there is room, or it has waited for long
+			if (time.Since(room) > crowdedAfter || time.Now().Before(s.crowdedUntil)) && s.turnAway(l) {
+				continue
+			}
 			select {
 			case <-s.budget.Freed():
 			case <-time.After(acceptPause): // some connection may have been idle for long enough now
@@ -97,6 +103,9 @@
 			return true
 		}
 		if !s.budget.Reserve(sockets.Inward) {
+			if s.pastLast(crowdedAfter) && s.turnAway(l) {
+				continue
+			}
 			return false
 		}
 		if d, ok := l.(deadliner); ok {
@@ -112,12 +121,39 @@
 	return false
 }
 
-// admitNew serves a connection that has just been accepted.
+// turnAway accepts a connection for which there is no place, to refuse the request that it has brought, and reports whether there was one and
+// something to do it with.
+func (s *Server) turnAway(l net.Listener) bool {
+	waiting, err := sockets.Waiting(l)
+	if err != nil || !waiting || !s.budget.ReserveBrief() {
+		return false
+	}
+	nc, err := accept(l)
+	if err != nil {
+		s.budget.ReleaseBrief()
+		return false
+	}
+	s.Connections.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &conn{server: s, socket: s.budget.AdoptBrief(nc), began: time.Now(), last: true, crowded: true}
+	c.idleAt = c.began
+	s.conns[c] = false
+	c.wind(crowdedFor)
+	s.running.Go(func() error { c.run(); return nil })
+	return true
+}
+
+// admitNew serves a connection that has just been accepted. Where it has waited for long in the backlog, others do, too: for a while those
+// that find no place are refused at once.
 func (s *Server) admitNew(nc net.Conn) {
 	s.Connections.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.admit(nc, "")
+	c := s.admit(nc, "")
+	if waited, known := c.socket.SinceArrival(); known && waited > crowdedAfter {
+		s.crowdedUntil = time.Now().Add(crowdedStays)
+	}
 }
 
 // accept is l.Accept, which a soak may fail.
@@ -129,7 +165,7 @@
 }
 
 // admit serves a connection, with the note of the process that had it before. It is called with mu held.
-func (s *Server) admit(nc net.Conn, note string) {
+func (s *Server) admit(nc net.Conn, note string) *conn {
 	c := &conn{server: s, socket: s.budget.Adopt(nc, sockets.Inward), began: time.Now(), brought: note != "",
 		known: note == noteKnown}
 	if c.known {
@@ -150,6 +186,7 @@
 		c.socket.Extend(c.began.Add(lookEvery))
 	}
 	s.running.Go(func() error { c.run(); return nil })
+	return c
 }
 
 // deadliner is a listener that can be told until when it accepts.
--- a/internal/consumer/conn.go
+++ b/internal/consumer/conn.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"log"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,7 @@
 	paced   *flow.Pace             // of the body that is being read; nil = none is
 	idleAt  time.Time              // since when no message is under way; guarded by server.mu
 	last    bool                   // accepted as the front was being closed; likewise
+	crowded bool                   // there was no place for it
 	reading bool                   // a message has begun and is not there yet; likewise
 	answers chan answer            // at most one is under way; nil = no writer yet
 	written chan ending.Ending     // how writing it ended; Open = the connection goes on
@@ -92,6 +94,9 @@
 			return e
 		case turned != nil:
 			e = c.writeOne(turned)
+		case c.crowded:
+			c.letGo()
+			e = c.writeOne(c.turn(http.StatusServiceUnavailable, true))
 		default:
 			if e = c.invoke(inv); e == ending.ConsumerGone || e == ending.Stopped {
 				return e
@@ -236,7 +241,11 @@
 	}
 	c.setReading(true)
 	if !c.extend(until) {
-		c.extendLeaving(began.Add(lingerFor))
+		within := lingerFor
+		if c.crowded {
+			within = crowdedPart
+		}
+		c.extendLeaving(began.Add(within))
 	}
 	c.upload, c.paced = nil, nil
 	c.letGo() // of a message that was turned away
@@ -353,9 +362,7 @@
 	}
 	if r.Close {
 		c.socket.CloseWrite()
-		if c.wind(lingerFor); c.server.isClosing() {
-			c.wind(closingFor)
-		}
+		c.wind(c.lingering())
 		if r.Status == 400 || r.Status == 408 || r.Status == 413 {
 			return ending.BadInput
 		}
@@ -367,6 +374,17 @@
 	return ending.Open
 }
 
+// lingering is for how long the connection waits for its client's close.
+func (c *conn) lingering() time.Duration {
+	switch {
+	case c.crowded:
+		return crowdedLinger
+	case c.server.isClosing():
+		return closingFor
+	}
+	return lingerFor
+}
+
 // rest marks the connection as one between two messages.
 func (c *conn) rest() {
 	if c.known {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -25,6 +25,7 @@
 	easyPart     = 4                // one in so many while some of them are idle,
 	strangerPart = 4                // and strangers among them one in so many
 	hurriedAfter = time.Millisecond // for what a stranger has sent to be read, once strangers hurry
+	briefPart    = 2                // of those beyond the limit, one in so many may be held by connections that find no place
 	callPart     = 8                // one in so many is left to calls: neither consumers nor probes take it while it is free
 )
 
@@ -178,6 +179,27 @@
 	return ok
 }
 
+// ReserveBrief takes one of the places of connections that are about to be closed, beyond the limit: for an inward connection that is only told
+// that there is no place. It goes to a Socket by AdoptBrief, or back by ReleaseBrief. Half of those places stay for connections that make
+// room.
+func (b *Budget) ReserveBrief() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.leaving >= max(1, Closing(b.most)/briefPart) {
+		return false
+	}
+	b.leaving++
+	return true
+}
+
+// ReleaseBrief gives back a place that was not adopted.
+func (b *Budget) ReleaseBrief() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving--
+	b.tell()
+}
+
 // takeFrom frees the place of the first in the list that may be closed: for Inward one from a consumer, for Outward any.
 func (b *Budget) takeFrom(l *list.List, side Side) bool {
 	now := time.Now()
@@ -266,9 +288,8 @@
 	return left
 }
 
-// CloseEmpty closes the listener if nothing lies in its backlog, and reports whether it has. Between the look and the close nothing else is
-// done: what knocks there is lost. errors.ErrUnsupported says that the listener is no socket of the kernel's.
-func CloseEmpty(l net.Listener) (closed bool, err error) {
+// Waiting reports whether something lies in the listener's backlog. errors.ErrUnsupported says that it is no socket of the kernel's.
+func Waiting(l net.Listener) (waiting bool, err error) {
 	sys, ok := l.(syscall.Conn)
 	if !ok {
 		return false, errors.ErrUnsupported
@@ -277,12 +298,19 @@
 	if err != nil {
 		return false, err
 	}
-	waiting := 0
-	if e := raw.Control(func(fd uintptr) {
+	n := 0
+	e := raw.Control(func(fd uintptr) {
 		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		waiting, err = transient.Interrupted(func() (int, error) { return poll(p, 0) })
-	}); e != nil || err != nil || waiting > 0 {
-		return false, errors.Join(e, err)
+		n, err = transient.Interrupted(func() (int, error) { return poll(p, 0) })
+	})
+	return n > 0, errors.Join(e, err)
+}
+
+// CloseEmpty closes the listener if nothing lies in its backlog, and reports whether it has. Between the look and the close nothing else is
+// done: what knocks there is lost.
+func CloseEmpty(l net.Listener) (closed bool, err error) {
+	if waiting, err := Waiting(l); waiting || err != nil {
+		return false, err
 	}
 	return true, l.Close()
 }
@@ -349,6 +377,11 @@
 // Adopt binds a reserved place to a connection.
 func (b *Budget) Adopt(c net.Conn, side Side) *Socket { return &Socket{Conn: c, budget: b, side: side} }
 
+// AdoptBrief binds a place of ReserveBrief to a connection, which is Leaving from the start.
+func (b *Budget) AdoptBrief(c net.Conn) *Socket {
+	return &Socket{Conn: c, budget: b, side: Inward, leaving: true}
+}
+
 // Socket is a connection that counts under the limit until it is closed.
 type Socket struct {
 	net.Conn
