The soak gives one operators' order at a time for a sidecar's server

Change: an order is not given while another for the same server is under way at that sidecar. Ruled out: the sidecar, which did as it was told, in turn.

--- a/internal/lab/soak/troubles.go
+++ b/internal/lab/soak/troubles.go
@@ -142,6 +142,11 @@
 // order has operators take a server out at a sidecar, and put it back.
 func (w *world) order(ctx context.Context, t Trouble, n int, s *sidecar, v *stand) {
 	server := v.ID()
+	of := heardOf{n, server}
+	if _, under := w.ordered.LoadOrStore(of, true); under { // one order's end is not another's
+		return
+	}
+	defer w.ordered.Delete(of)
 	if s.order("disable", server) != 200 {
 		return
 	}
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -114,6 +114,7 @@
 	clients     []*clients
 	offset      atomic.Int64 // of the wall clock
 	troubles    sync.WaitGroup
+	ordered     sync.Map // by heardOf: operators' orders under way
 
 	mu      sync.Mutex
 	record  record
