--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -142,7 +142,7 @@
 	stop         context.CancelFunc
 	signals      signalQueues
 	reloads      chan reloaded            // for whoever ends this process
-	stopWord     atomic.Pointer[stopWord] // nil = there was none
+	stopOrder     atomic.Pointer[stopOrder] // nil = there was none
 	ordering     sync.Mutex               // of bans
 	mu           sync.Mutex
 	endSnapshots func() // writes the last one; nil = none is kept, or it is written
--- a/cmd/plankrouter/shutdown.go
+++ b/cmd/plankrouter/shutdown.go
@@ -19,8 +19,8 @@
 	earliest time.Time
 }
 
-// stopWord is the word to stop as this process goes by it: both moments are those of whoever gave it.
-type stopWord struct {
+// stopOrder is the word to stop as this process goes by it: both moments are those of whoever gave it.
+type stopOrder struct {
 	at, kill time.Time
 }
 
@@ -93,7 +93,7 @@
 // adopt goes by the plan from now on.
 func (s *shutdown) adopt(plan stopping.Plan) {
 	s.inForce = plan
-	s.program.stopWord.Store(&stopWord{at: s.word.earliest, kill: s.word.earliest.Add(plan.Kill)})
+	s.program.stopOrder.Store(&stopOrder{at: s.word.earliest, kill: s.word.earliest.Add(plan.Kill)})
 	s.program.core.Stopping(plan, s.word.earliest)
 }
 
--- a/cmd/plankrouter/signals.go
+++ b/cmd/plankrouter/signals.go
@@ -44,22 +44,22 @@
 	signal.Notify(w.report, syscall.SIGUSR1)
 	signal.Notify(w.handOver, syscall.SIGUSR2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	go w.date(reload, stop, stopping.NewQuiet(time.Now()))
+	go w.date(reload, stop, stopping.NewHeartbeat(time.Now()))
 }
 
 // date notes of each signal to stop or to reload since when it can have been sent.
-func (w signalQueues) date(reload, stop <-chan os.Signal, quiet *stopping.Quiet) {
+func (w signalQueues) date(reload, stop <-chan os.Signal, heartbeat *stopping.Heartbeat) {
 	beat := time.NewTicker(stopping.BeatEvery)
 	defer beat.Stop()
 	for {
 		select {
 		case s := <-reload:
-			w.addReload(received{Signal: s, earliest: quiet.Since(), read: time.Now()})
+			w.addReload(received{Signal: s, earliest: heartbeat.EarliestSignal(), read: time.Now()})
 		case s := <-stop:
-			put(w.stop, received{Signal: s, earliest: quiet.Since(), read: time.Now()})
+			put(w.stop, received{Signal: s, earliest: heartbeat.EarliestSignal(), read: time.Now()})
 		case <-beat.C:
 			if len(reload)+len(stop) == 0 {
-				quiet.Beat(time.Now())
+				heartbeat.Beat(time.Now())
 			}
 		}
 	}
--- a/cmd/plankrouter/succession.go
+++ b/cmd/plankrouter/succession.go
@@ -230,7 +230,7 @@
 	ended := make(chan struct{})
 	cancel := context.AfterFunc(p.told, func() {
 		defer close(ended)
-		word := p.stopWord.Load()
+		word := p.stopOrder.Load()
 		if word == nil { // the process ends without having been told to
 			return
 		}
--- a/internal/stopping/quiet_test.go
+++ b/internal/stopping/heartbeat_test.go
@@ -7,7 +7,7 @@
 
 // A signal that is read after beats counts from the last one that proves that it had not been sent, and never from much earlier than
 // that.
-func TestQuiet(t *testing.T) {
+func TestHeartbeat(t *testing.T) {
 	start := time.Now()
 	for name, row := range map[string]struct {
 		beats []int // ms from the start
@@ -22,11 +22,11 @@
 		"held up twice":                   {[]int{40, 80, 270, 460}, 80},
 		"held up all the time":            {[]int{40, 80, 270, 460, 650, 840}, 460},
 	} {
-		q := NewQuiet(start)
+		h := NewHeartbeat(start)
 		for _, b := range row.beats {
-			q.Beat(start.Add(time.Duration(b) * ms))
+			h.Beat(start.Add(time.Duration(b) * ms))
 		}
-		if got := q.Since().Sub(start); got != time.Duration(row.want)*ms {
+		if got := h.EarliestSignal().Sub(start); got != time.Duration(row.want)*ms {
 			t.Errorf("%s: sent after %s, want %d ms", name, got, row.want)
 		}
 	}
--- a/internal/stopping/stopping.go
+++ b/internal/stopping/stopping.go
@@ -1,5 +1,5 @@
 // Package stopping decides what a sidecar that has been told to stop does when. It reads no clock: all times count from the
-// moment at which that word was sent, of which Quiet knows the earliest that it can have been.
+// moment at which that word was sent, of which Heartbeat knows the earliest that it can have been.
 //
 // The platform's word is SIGTERM, and this is the arithmetic of what follows, with L the longest deadline of a class, or
 // 3 s where that is longer:
