A client that finds no place after a quiet time waits for a moment, as any other

Cause, found by reading: the time without a place counted from when the last place was taken, which may lie long before the last connection came, so that the next one was refused at once. Change: it counts from the last accept. TestNobodyIsRefusedAtOnceAfterAQuietTime fails without it.

Measured: internal/consumer with the race detector, five times, passes; lint passes.

--- a/cmd/plankrouter/main.go
+++ b/cmd/plankrouter/main.go
@@ -141,9 +141,9 @@
 	moved        atomic.Bool       // a reload has named another directory than the environment
 	stop         context.CancelFunc
 	signals      signalQueues
-	reloads      chan reloaded            // for whoever ends this process
-	stopOrder     atomic.Pointer[stopOrder] // nil = there was none
-	ordering     sync.Mutex               // of bans
+	reloads      chan reloaded             // for whoever ends this process
+	stopOrder    atomic.Pointer[stopOrder] // nil = there was none
+	ordering     sync.Mutex                // of bans
 	mu           sync.Mutex
 	endSnapshots func() // writes the last one; nil = none is kept, or it is written
 }
--- a/internal/consumer/accept.go
+++ b/internal/consumer/accept.go
@@ -25,9 +25,7 @@
 	failures := 0      // of accept, in a row
 	room := time.Now() // when there was a place last
 	for !s.isLast() {
-		if s.budget.Reserve(sockets.Inward) {
-			room = time.Now()
-		} else { // the kernel's backlog holds the client until there is room, or it has waited for long
+		if !s.budget.Reserve(sockets.Inward) { // the kernel's backlog holds the client until there is room, or it has waited for long
 			if (time.Since(room) > crowdedAfter || s.isCrowded()) && s.turnAway(l) {
 				continue
 			}
@@ -40,6 +38,7 @@
 			continue
 		}
 		nc, err := accept(l)
+		room = time.Now()
 		if err == nil {
 			if failures > 0 {
 				log.Printf("listen=%s state=accepts_again failures=%d", l.Addr(), failures)
--- a/internal/consumer/crowd_test.go
+++ b/internal/consumer/crowd_test.go
@@ -65,3 +65,42 @@
 		t.Errorf("%d requests are taken, %d have a place", n, places/2)
 	}
 }
+
+// Clients that find no place after a quiet time wait in the backlog for a moment, since one may come free: they are not refused for the time in
+// which nobody came.
+func TestNobodyIsRefusedAtOnceAfterAQuietTime(t *testing.T) {
+	const places = 8 // four of them for clients
+	core := new(holding)
+	s, l, done := behindGate(t, core, places)
+	close(l.gate)
+	var all []net.Conn
+	for i := range places/2 + 1 {
+		if i == places/2-1 {
+			time.Sleep(2 * crowdedAfter) // nobody comes
+		}
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "GET /tile/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %d\r\n\r\n", i)
+		for began := time.Now(); i < places/2 && core.taken() < i+1; time.Sleep(time.Millisecond) {
+			if time.Since(began) > 10*time.Second {
+				t.Fatalf("request %d is not taken", i)
+			}
+		}
+		all = append(all, c)
+	}
+	began := time.Now()
+	last := all[len(all)-1]
+	last.SetReadDeadline(began.Add(10 * time.Second))
+	if _, err := http.ReadResponse(bufio.NewReader(last), nil); err != nil || time.Since(began) < crowdedAfter/2 {
+		t.Errorf("the one without a place is told so after %s: %v", time.Since(began), err)
+	}
+	s.Drain(l)
+	core.answer()
+	for _, c := range all {
+		c.Close()
+	}
+	<-done
+}
