--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -54,6 +54,7 @@
 	manner      manner
 	fresh       bool      // on a new connection, at last
 	again       bool      // sent once more, behind a kept connection that was closed
+	dialedAt    time.Time // its new connection was up; zero = it went out on a kept one
 	crossed     span      // from when it was first sent until that connection ended; zero = it was not sent twice
 	leaveAt     time.Time // when a client that leaves does; zero = after a while
 	restAt      time.Time // with lateRest: of its last bytes
@@ -215,6 +216,7 @@
 		r.unreachable, r.err = true, err.Error()
 		return nil
 	}
+	r.dialedAt = time.Now()
 	return &clientConn{nc, bufio.NewReader(nc)}
 }
 
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -146,7 +146,8 @@
 	switch {
 	case q.unreachable || q.sentAt.IsZero() || !q.leftAt.IsZero() || r.killed(q.sidecar, q.begunAt, latest):
 	case q.status == 0 && !q.truncated:
-		add(Lost, q.sentAt, "%s: no answer (%s), new connection %t, sent again %t", q.id, q.err, q.fresh, q.again)
+		add(Lost, q.sentAt, "%s: no answer (%s), new connection %t, sent again %t, %s after it had connected", q.id, q.err, q.fresh, q.again,
+			q.sentAt.Sub(q.dialedAt))
 	case q.answeredAt.After(latest):
 		add(Lost, q.sentAt, "%s: answered %s after its deadline", q.id, q.answeredAt.Sub(q.begunAt)-q.class.deadline)
 	case q.err != "" && q.status == 200:
