--- a/internal/consumer/crowd_test.go
+++ b/internal/consumer/crowd_test.go
@@ -16,6 +16,17 @@
 	return len(c.held)
 }
 
+// ask sends the listener a request of that number on a new connection.
+func ask(t *testing.T, l net.Listener, number int) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(c, "GET /tile/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %d\r\n\r\n", number)
+	return c
+}
+
 // Clients of a busy process had their requests answered long after they had stopped waiting, as it ended: more clients than it has places for,
 // all at work, so that the others' connections lay in the kernel's backlog, where a request counts as taken. Found by the soak (run 3001: 150
 // clients at a process of 96 descriptors, answered 0.54 s after their deadlines). What finds no place is refused while there is time to say so.
@@ -33,12 +44,8 @@
 		<-done
 	}()
 	ask := func(i int) net.Conn {
-		c, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
+		c := ask(t, l, i)
 		all = append(all, c)
-		fmt.Fprintf(c, "GET /tile/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %d\r\n\r\n", i)
 		return c
 	}
 	for i := range places / 2 {
@@ -78,12 +85,8 @@
 		if i == places/2-1 {
 			time.Sleep(2 * crowdedAfter) // nobody comes
 		}
-		c, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
+		c := ask(t, l, i)
 		defer c.Close()
-		fmt.Fprintf(c, "GET /tile/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %d\r\n\r\n", i)
 		for began := time.Now(); i < places/2 && core.taken() < i+1; time.Sleep(time.Millisecond) {
 			if time.Since(began) > 10*time.Second {
 				t.Fatalf("request %d is not taken", i)
