--- a/review/standins/second.go
+++ b/review/standins/second.go
@@ -10,13 +10,13 @@
 
 // The disruption: "spoilt answers (a second answer may come some milliseconds late)".
 const (
-	secondShare    = 0.02 // of the answers to requests come a second time
+	secondShare    = 0.05 // of the answers to requests come a second time
 	secondEarliest = 2 * time.Millisecond
 	secondLatest   = 6 * time.Millisecond
 )
 
 // declineShare is the part of the requests that find a tile server's queue full, with the disruption and without.
-const declineShare = 0.05
+const declineShare = 0.08
 
 // secondAnswer lets some answers of the tile servers come a second time, some milliseconds late. It checks that what a client
 // gets with 200 was made for its request, and that no order runs twice.
@@ -46,7 +46,7 @@
 		return nil, err
 	}
 	defer g.stop()
-	counts, broken := g.drive(random, 12, 30*time.Second)
+	counts, broken := g.drive(random, 24, 70*time.Second)
 	time.Sleep(300 * time.Millisecond)
 	for id, n := range g.runs() {
 		if n > 1 && strings.HasPrefix(id, "order-") {
@@ -57,7 +57,7 @@
 	if !g.running() {
 		return append(broken, "the sidecar has exited"), nil
 	}
-	if counts[200] < 1000 {
+	if counts[200] < 5000 {
 		return nil, fmt.Errorf("only %d requests were served", counts[200])
 	}
 	return broken, nil
