--- a/review/standins/common.go
+++ b/review/standins/common.go
@@ -201,6 +201,7 @@
 	g.cmd = exec.Command("/bin/sh", "-c", run)
 	g.cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "GW_NAME=n1", "GW_LISTEN="+g.listen, "GW_DISCOVERY="+g.discovery.address(), "TMPDIR="+g.folder)
 	g.cmd.Stdout, g.cmd.Stderr = log, log
+	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // however this process ends, the sidecar ends with it
 	if err := g.cmd.Start(); err != nil {
 		return err
 	}
--- a/review/standins/second.go
+++ b/review/standins/second.go
@@ -50,7 +50,7 @@
 	time.Sleep(300 * time.Millisecond)
 	for id, n := range g.runs() {
 		if n > 1 && strings.HasPrefix(id, "order-") {
-			broken = append(broken, fmt.Sprintf("%s ran %d times", id, n))
+			broken = append(broken, fmt.Sprintf("duplicate: %s ran %d times", id, n))
 		}
 	}
 	r.line("answers by status (0 = none): %v", counts)
@@ -93,7 +93,7 @@
 				mu.Lock()
 				counts[status]++
 				if status == 200 && !strings.HasPrefix(body, "made for "+id+" by ") {
-					broken = append(broken, fmt.Sprintf("%s was served with %q", id, body))
+					broken = append(broken, fmt.Sprintf("lost: %s was served with %q", id, body))
 				}
 				mu.Unlock()
 				time.Sleep(time.Duration(random.int(20)) * time.Millisecond)
