--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -142,8 +142,9 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.socket.Read(p)
 	if c.pace != nil && n > 0 {
-		c.pace.Received += int64(n)
-		c.extendBodyDeadline(c.pace.Deadline(time.Now()))
+		now := time.Now()
+		c.pace.Progress(n, now)
+		c.extendBodyDeadline(c.pace.Deadline(now))
 	}
 	return n, err
 }
@@ -152,7 +153,7 @@
 func (c *conn) readBody(message *http1.Request) error {
 	if message.Length() < 0 || message.Length() > int64(c.reader.Buffered()) {
 		now := time.Now()
-		c.pace = &streaming.Pace{StartedAt: now}
+		c.pace = streaming.NewPace(now)
 		c.extendDeadline(c.pace.Deadline(now))
 	}
 	return message.ReadFirst(c.reader)
--- a/internal/frontend/upload.go
+++ b/internal/frontend/upload.go
@@ -149,13 +149,28 @@
 		c.markIdle()
 		return outcome.Open
 	}
+	c.traceIncomplete(r)
 	c.server.dispatcher.ClientGone(r)
-	if errors.Is(u.err, os.ErrDeadlineExceeded) || errors.Is(u.err, http1.ErrMalformed) {
+	switch {
+	case errors.Is(u.err, os.ErrDeadlineExceeded):
+		return outcome.RequestTimedOut
+	case errors.Is(u.err, http1.ErrMalformed):
 		return outcome.MalformedRequest
 	}
 	return outcome.ClientGone
 }
 
+// traceIncomplete logs how far a body had got that will not be complete, and why it ended.
+func (c *conn) traceIncomplete(r *request.Request) {
+	if c.server.Trace == nil {
+		return
+	}
+	u := c.upload
+	now := time.Now()
+	c.server.Trace("trace=upload request=%q received=%d since_start_ms=%d since_progress_ms=%d client_closed=%t err=%q", r.ID, u.pace.Received,
+		now.Sub(u.pace.StartedAt).Milliseconds(), now.Sub(u.pace.LastProgress).Milliseconds(), c.socket.HasPeerClosed(), u.err)
+}
+
 // discardUpload reads and discards the rest of a body after the response to its request.
 func (c *conn) discardUpload() outcome.Kind {
 	u := c.upload
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -25,6 +25,7 @@
 	ShuttingDown        // the sidecar shuts down
 	ClientGone          // the client left while its request was pending
 	MalformedRequest    // what the client sent is malformed
+	RequestTimedOut     // the client stopped in the middle of a request, or sent it too slowly
 	ResponseAborted     // the server connection was closed or reset in the middle of a response that was being forwarded
 	WriteFailed         // the response could not be written to the client
 	PassedToSuccessor   // passed on to the successor in a hot restart
@@ -66,6 +67,7 @@
 	ShuttingDown:        {"stopped", policy.NotSent},
 	ClientGone:          {"consumer_gone", policy.Cancelled},
 	MalformedRequest:    {"bad_input", policy.NotSent},
+	RequestTimedOut:     {"request_timeout", policy.NotSent},
 	ResponseAborted:     {"broken", policy.Reset},
 	WriteFailed:         {"write_failed", policy.Cancelled},
 	PassedToSuccessor:   {"handed_over", policy.NotSent},
--- a/internal/streaming/pace.go
+++ b/internal/streaming/pace.go
@@ -11,8 +11,18 @@
 
 // Pace records how much of a body has been received since it began. It reads no clock.
 type Pace struct {
-	StartedAt time.Time
-	Received  int64 // bytes
+	StartedAt    time.Time
+	LastProgress time.Time // when bytes were last received; before the first ones, StartedAt
+	Received     int64     // bytes
+}
+
+// NewPace returns the Pace of a body that begins now.
+func NewPace(now time.Time) *Pace { return &Pace{StartedAt: now, LastProgress: now} }
+
+// Progress records that n bytes were received.
+func (p *Pace) Progress(n int, now time.Time) {
+	p.Received += int64(n)
+	p.LastProgress = now
 }
 
 // Deadline returns the time by which more of the body must have been received, as of now.
