--- /dev/null
+++ b/cmd/plankrouter/slowclients_test.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"plankrouter/internal/testbench/fakes"
+)
+
+// badClientLimit is the time within which a client that stops in the middle of a request gets its error or the close.
+const badClientLimit = 3 * time.Second
+
+// startEcho starts the program in front of servers that respond with the body of the request.
+func startEcho(t *testing.T) *service {
+	m := fakes.NewMemory()
+	_, discovery := fakeServers(t, m, 2, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write(body)
+	})
+	return start(t, m, discovery, nil)
+}
+
+// dialFront opens a client's connection to the program.
+func (s *service) dialFront() net.Conn {
+	s.Helper()
+	c, err := s.net.Dial(s.Context(), s.front)
+	if err != nil {
+		s.Fatal(err)
+	}
+	return c
+}
+
+// orderHead returns the head of an order with the given framing header, and a deadline of 1 s.
+func orderHead(framing string) []byte {
+	return fmt.Appendf(nil, "POST /order/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Deadline: 1.0\r\n%s\r\n\r\n", nextID(), framing)
+}
+
+func sized(n int) string { return fmt.Sprintf("Content-Length: %d", n) }
+
+const chunkedFraming = "Transfer-Encoding: chunked"
+
+// inChunks returns the body in chunks of the given size.
+func inChunks(body []byte, size int) []byte {
+	var out []byte
+	for len(body) > 0 {
+		n := min(size, len(body))
+		out = fmt.Appendf(out, "%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	return append(out, "0\r\n\r\n"...)
+}
+
+// A client that sends its body at 64 kB/s in a few large pieces, and so pauses for seconds between them, was cut off after a
+// pause of 1.2 s.
+func TestBodyInLargePiecesIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startEcho(t)
+		for name, tc := range map[string]struct {
+			framing string
+			raw     []byte
+			piece   int
+			pause   time.Duration
+		}{
+			"sized, 96 KiB each 1.5 s":    {sized(len(longBody)), longBody, 96 << 10, 1500 * time.Millisecond},
+			"sized, 160 KiB each 2.5 s":   {sized(len(longBody)), longBody, 160 << 10, 2500 * time.Millisecond},
+			"chunked, 96 KiB each 1.5 s":  {chunkedFraming, inChunks(longBody, 10000), 96 << 10, 1500 * time.Millisecond},
+			"chunked, 160 KiB each 2.5 s": {chunkedFraming, inChunks(longBody, 200<<10), 160 << 10, 2500 * time.Millisecond},
+			"short, all after 0.9 s":      {sized(60000), longBody[:60000], 60000, 900 * time.Millisecond},
+		} {
+			c := s.dialFront()
+			go func() {
+				_, _ = c.Write(orderHead(tc.framing))
+				writeSlowly(c, tc.raw, tc.piece, tc.pause)
+			}()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Errorf("%s: %v", name, err)
+				continue
+			}
+			body, err := io.ReadAll(resp.Body)
+			if err != nil || resp.StatusCode != http.StatusOK || !bytes.Equal(body, longBody[:len(body)]) || len(body) < 60000 {
+				t.Errorf("%s: %d with %d bytes, %v", name, resp.StatusCode, len(body), err)
+			}
+			c.Close()
+		}
+		s.stop()
+	})
+}
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -142,9 +142,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.socket.Read(p)
 	if c.pace != nil && n > 0 {
-		now := time.Now()
-		c.pace.Progress(n, now)
-		c.extendBodyDeadline(c.pace.Deadline(now))
+		c.extendBodyDeadline(c.pace.Progress(n, time.Now()))
 	}
 	return n, err
 }
@@ -154,7 +152,7 @@
 	if message.Length() < 0 || message.Length() > int64(c.reader.Buffered()) {
 		now := time.Now()
 		c.pace = streaming.NewPace(now)
-		c.extendDeadline(c.pace.Deadline(now))
+		c.extendDeadline(c.pace.StartWaiting(now))
 	}
 	return message.ReadFirst(c.reader)
 }
--- a/internal/frontend/upload.go
+++ b/internal/frontend/upload.go
@@ -55,7 +55,7 @@
 	}
 	u.consumed.Store(true)
 	u.conn.pace = u.pace
-	u.conn.socket.ExtendReadDeadline(u.pace.Deadline(time.Now()))
+	u.conn.socket.ExtendReadDeadline(u.pace.StartWaiting(time.Now()))
 	n, err := u.body.Read(p)
 	if err == nil && u.body.Length() == 0 {
 		err = io.EOF
@@ -176,7 +176,7 @@
 	u := c.upload
 	if errors.Is(u.err, errRespondedEarly) {
 		c.pace = u.pace
-		c.socket.ExtendReadDeadline(u.pace.Deadline(time.Now()))
+		c.socket.ExtendReadDeadline(u.pace.StartWaiting(time.Now()))
 		_, err := io.Copy(io.Discard, u.body)
 		c.pace = nil
 		if err != nil || !c.socket.MarkBusy() || c.socket.SetReadDeadline(time.Time{}) != nil {
