--- a/cmd/plankrouter/slowclients_test.go
+++ b/cmd/plankrouter/slowclients_test.go
@@ -96,3 +96,65 @@
 		s.stop()
 	})
 }
+
+// sendAndStay sends raw bytes, and returns what is received until the program closes the connection, and when the first
+// response and the close came. It stays for 8 s, and then sends more.
+func (s *service) sendAndStay(raw, more []byte) (received []byte, respondedAfter, closedAfter time.Duration) {
+	s.Helper()
+	const stay = 8 * time.Second
+	c := s.dialFront()
+	defer c.Close()
+	_, _ = c.Write(raw)
+	sentAt := time.Now()
+	later := time.AfterFunc(stay, func() { _, _ = c.Write(more) })
+	defer later.Stop()
+	c.SetReadDeadline(sentAt.Add(2 * stay))
+	reader := bufio.NewReader(c)
+	_, _ = reader.Peek(1)
+	respondedAfter = time.Since(sentAt)
+	received, _ = io.ReadAll(reader)
+	return received, respondedAfter, time.Since(sentAt)
+}
+
+// A client that stopped in the middle of a long body and stayed got neither an error nor the close, and where it sent the rest
+// after all, its connection was reset without a response.
+func TestStoppedClientGetsItsError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startEcho(t)
+		chunks := inChunks(longBody, 10000)
+		for name, tc := range map[string]struct {
+			framing string
+			body    []byte // the whole body, with its framing
+			sent    int    // bytes of body that are sent
+			want    int
+		}{
+			"sized, nothing":          {sized(len(longBody)), longBody, 0, 408},
+			"sized, 1000 bytes":       {sized(len(longBody)), longBody, 1000, 408},
+			"sized, 64 KiB":           {sized(len(longBody)), longBody, 64 << 10, 408},
+			"sized, 100 KiB":          {sized(len(longBody)), longBody, 100 << 10, 408},
+			"sized, all but one byte": {sized(len(longBody)), longBody, len(longBody) - 1, 408},
+			"short, all but one byte": {sized(1000), longBody[:1000], 999, 408},
+			"chunked, nothing":        {chunkedFraming, chunks, 0, 408},
+			"chunked, 1000 bytes":     {chunkedFraming, chunks, 1000, 408},
+			"chunked, 100 KiB":        {chunkedFraming, chunks, 100 << 10, 408},
+			"chunked, in a size line": {chunkedFraming, inChunks(longBody, 100<<10), 100<<10 + 8 + 2, 408},
+			"chunked, before the end": {chunkedFraming, chunks, len(chunks) - 2, 408},
+			"chunked, malformed":      {chunkedFraming, append(chunks[:len(chunks)-5:len(chunks)-5], "no number\r\n"...), len(chunks) + 6, 400},
+			"chunked, too large":      {chunkedFraming, append(chunks[:len(chunks)-5:len(chunks)-5], "ffffffff\r\n"...), len(chunks) + 5, 413},
+		} {
+			raw := append(orderHead(tc.framing), tc.body[:tc.sent]...)
+			received, respondedAfter, closedAfter := s.sendAndStay(raw, tc.body[tc.sent:])
+			if len(received) == 0 || respondedAfter > badClientLimit || closedAfter > badClientLimit+time.Second {
+				t.Errorf("%s: %q after %s, closed after %s", name, received, respondedAfter, closedAfter)
+				continue
+			}
+			if status, rest := parse(t, string(received)); status != tc.want || rest != "" {
+				t.Errorf("%s: %d %q, want %d", name, status, rest, tc.want)
+			}
+		}
+		if f := s.counters(); f.Concurrent != 0 {
+			t.Errorf("%d requests are open", f.Concurrent)
+		}
+		s.stop()
+	})
+}
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -129,7 +129,14 @@
 		r.Remainder = c.upload
 	}
 	c.pace = nil
+	upload := c.upload
 	r.Respond = func(result request.Response) { // never blocks: the channel has room for the only response
+		if upload != nil && !upload.claimResponse() {
+			if result.Remainder != nil {
+				result.Remainder.Close(false)
+			}
+			return
+		}
 		response := encodeResponse(result)
 		response.Bodiless = result.Kind == request.Served && message.Method == http.MethodHead
 		response.Close = message.Close || result.Remainder != nil && result.Remainder.Length() < 0 && message.IsHTTP10
--- a/internal/frontend/upload.go
+++ b/internal/frontend/upload.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"plankrouter/internal/http1"
+	"plankrouter/internal/metrics"
 	"plankrouter/internal/outcome"
 	"plankrouter/internal/request"
 	"plankrouter/internal/streaming"
@@ -25,6 +26,7 @@
 	pace           *streaming.Pace
 	markClientGone func() // called once the client is gone or has sent a malformed body, so that the body will never be complete
 
+	responseClaimed atomic.Bool // see claimResponse
 	consumed        atomic.Bool
 	attemptsStopped atomic.Bool   // stopAttemptReads was called: attempts may not read any more
 	mu              sync.Mutex    // held during a Read
@@ -88,6 +90,10 @@
 	close(u.done)
 }
 
+// claimResponse reports whether the caller is to respond to the request. It returns true only once, because two may want to: the
+// dispatcher, and the connection's reader if the body can't be read to its end.
+func (u *upload) claimResponse() bool { return u.responseClaimed.CompareAndSwap(false, true) }
+
 // markResponded records that the response is written, and reports whether the body had been read to its end.
 func (u *upload) markResponded() bool {
 	u.state.Lock()
@@ -150,14 +156,26 @@
 		return outcome.Open
 	}
 	c.traceIncomplete(r)
-	c.server.dispatcher.ClientGone(r)
-	switch {
-	case errors.Is(u.err, os.ErrDeadlineExceeded):
-		return outcome.RequestTimedOut
-	case errors.Is(u.err, http1.ErrMalformed):
-		return outcome.MalformedRequest
+	c.server.dispatcher.ClientGone(r) // also of a client that is still there: no server may get the request's last byte
+	status := c.rejectionStatus(u.err)
+	if status == 0 {
+		return outcome.ClientGone
+	}
+	return c.rejectIncomplete(status)
+}
+
+// rejectIncomplete responds to a request whose body will not be complete, unless the dispatcher has responded to it, and returns
+// the outcome of the connection, which can't carry another request.
+func (c *conn) rejectIncomplete(status int) outcome.Kind {
+	if c.upload.claimResponse() {
+		kind := c.writeDirectly(&http1.Response{Status: status, Close: true})
+		c.metric.End(metrics.ClientGone) // as for a shorter body that stays incomplete, the request does not count as accepted
+		return kind
+	}
+	if kind := <-c.written; kind != outcome.Open {
+		return kind
 	}
-	return outcome.ClientGone
+	return outcomeOfClose(status)
 }
 
 // traceIncomplete logs how far a body had got that will not be complete, and why it ended.
--- a/internal/frontend/write.go
+++ b/internal/frontend/write.go
@@ -103,10 +103,7 @@
 	if r.Close {
 		_ = c.socket.CloseWrite()
 		c.shortenIdle(c.lingerTime())
-		if r.Status == http.StatusBadRequest || r.Status == http.StatusRequestTimeout || r.Status == http.StatusRequestEntityTooLarge {
-			return outcome.MalformedRequest
-		}
-		return outcome.ClosedAfterResponse
+		return outcomeOfClose(r.Status)
 	}
 	if c.upload == nil || c.upload.markResponded() { // otherwise the request's body is still to be read
 		c.markIdle()
@@ -114,6 +111,17 @@
 	return outcome.Open
 }
 
+// outcomeOfClose returns the outcome of a connection that is closed after a response with the status.
+func outcomeOfClose(status int) outcome.Kind {
+	switch status {
+	case http.StatusRequestTimeout:
+		return outcome.RequestTimedOut
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return outcome.MalformedRequest
+	}
+	return outcome.ClosedAfterResponse
+}
+
 // writePiece writes a piece of a response.
 func (c *conn) writePiece(p []byte) outcome.Kind {
 	c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
