--- a/cmd/plankrouter/slowclients_test.go
+++ b/cmd/plankrouter/slowclients_test.go
@@ -97,14 +97,14 @@
 	})
 }
 
-// sendAndStay sends raw bytes, and returns what is received until the program closes the connection, and when the first
-// response and the close came. It stays for 8 s, and then sends more.
+// sendAndStay sends raw bytes in pieces, and returns what is received until the program closes the connection, and when, after
+// the last piece, the first response and the close came. It stays for 8 s, and then sends more.
 func (s *service) sendAndStay(raw, more []byte) (received []byte, respondedAfter, closedAfter time.Duration) {
 	s.Helper()
 	const stay = 8 * time.Second
 	c := s.dialFront()
 	defer c.Close()
-	_, _ = c.Write(raw)
+	writeSlowly(c, raw, 40<<10, 10*time.Millisecond)
 	sentAt := time.Now()
 	later := time.AfterFunc(stay, func() { _, _ = c.Write(more) })
 	defer later.Stop()
@@ -158,3 +158,92 @@
 		s.stop()
 	})
 }
+
+// startBreaking starts the program in front of servers that close the connection after 100 KiB of a body.
+func startBreaking(t *testing.T) *service {
+	m := fakes.NewMemory()
+	_, discovery := fakeServers(t, m, 2, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadFull(r.Body, make([]byte, 100<<10))
+		c, _, _ := http.NewResponseController(w).Hijack() // else the server drains the body before it closes
+		c.Close()
+	})
+	return start(t, m, discovery, nil)
+}
+
+// sendAndProbe sends raw bytes in pieces, stays for a second more than badClientLimit, and reports whether the program has closed
+// the connection altogether by then, so that it takes no more bytes.
+func (s *service) sendAndProbe(raw []byte) (closed bool) {
+	s.Helper()
+	c := s.dialFront()
+	defer c.Close()
+	writeSlowly(c, raw, 40<<10, 10*time.Millisecond)
+	time.Sleep(badClientLimit + time.Second)
+	_, firstErr := c.Write([]byte("x")) // reaches a closed connection, which is reset
+	time.Sleep(time.Millisecond)
+	_, secondErr := c.Write([]byte("x"))
+	return firstErr != nil || secondErr != nil
+}
+
+// A connection whose response was written before the body was complete, and which is closed after that response, stayed open
+// without a limit if its client stopped sending.
+func TestConnectionIsClosedAfterEarlyResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startBreaking(t)
+		for name, framing := range map[string]string{
+			"sized":             sized(len(longBody)),
+			"sized, last one":   sized(len(longBody)) + "\r\nConnection: close",
+			"chunked":           chunkedFraming,
+			"chunked, last one": chunkedFraming + "\r\nConnection: close",
+		} {
+			body := longBody
+			if framing[0] == 'T' {
+				body = inChunks(longBody, 10000)
+			}
+			received, respondedAfter, closedAfter := s.sendAndStay(append(orderHead(framing), body[:200<<10]...), nil)
+			if status, _ := parse(t, string(received)); status != 503 || respondedAfter > time.Second || closedAfter > badClientLimit {
+				t.Errorf("%s: %d after %s, closed after %s", name, status, respondedAfter, closedAfter)
+			}
+			if !s.sendAndProbe(append(orderHead(framing), body[:200<<10]...)) {
+				t.Errorf("%s: still open %s after the client has stopped", name, badClientLimit+time.Second)
+			}
+		}
+		s.stop()
+	})
+}
+
+// A client that had its response before it had sent all of a long body was reset half a second later if the connection was to
+// be closed after the response, although it kept sending.
+func TestRestOfBodyIsReadAfterEarlyResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startBreaking(t)
+		whole := bytes.Repeat(longBody, 4)
+		for name, framing := range map[string]string{
+			"sized":             sized(len(whole)),
+			"sized, last one":   sized(len(whole)) + "\r\nConnection: close",
+			"chunked":           chunkedFraming,
+			"chunked, last one": chunkedFraming + "\r\nConnection: close",
+		} {
+			body := whole
+			if framing[0] == 'T' {
+				body = inChunks(whole, 10000)
+			}
+			c := s.dialFront()
+			_, err := c.Write(append(orderHead(framing), body[:150<<10]...))
+			for body = body[150<<10:]; len(body) > 0 && err == nil; {
+				time.Sleep(500 * time.Millisecond)
+				n := min(32<<10, len(body))
+				_, err = c.Write(body[:n])
+				body = body[n:]
+			}
+			if err != nil {
+				t.Errorf("%s: %v with %d bytes left", name, err, len(body))
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil || resp.StatusCode != 503 {
+				t.Errorf("%s: %v, %v", name, resp, err)
+			}
+			c.Close()
+		}
+		s.stop()
+	})
+}
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -36,6 +36,7 @@
 	pendingRequestID   atomic.Pointer[string] // the id of the request whose response is not written yet; nil = none
 	upload             *upload                // the rest of the current request's body; nil = the body is complete
 	pace               *streaming.Pace        // progress of the body that is being read; nil = no body is read
+	discardSince       time.Time              // since when the rest of a body is discarded; zero = it is not
 	idleSince          time.Time              // when it last became idle; guarded by server.mu
 	awaitsFirstRequest bool                   // accepted while draining or for rejection: closeIdle skips it; guarded by server.mu
 	rejected           bool                   // it was accepted beyond the limit on sockets, only to reject its request
--- /dev/null
+++ b/internal/frontend/linger.go
@@ -0,0 +1,91 @@
+package frontend
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"plankrouter/internal/http1"
+	"plankrouter/internal/outcome"
+	"plankrouter/internal/streaming"
+)
+
+// discardUpload reads and discards the rest of a body whose request has its response. It returns kind, the outcome of writing
+// that response, or another outcome if the connection can't carry a further request.
+func (c *conn) discardUpload(kind outcome.Kind) outcome.Kind {
+	u := c.upload
+	c.upload = nil
+	if kind == outcome.WriteFailed || kind == outcome.ResponseAborted {
+		return kind
+	}
+	if errors.Is(u.err, errRespondedEarly) && !c.discardRest(u.body, u.pace) && kind == outcome.Open {
+		return outcome.RequestTimedOut
+	}
+	if kind == outcome.Open {
+		c.markIdle()
+	}
+	return kind
+}
+
+// discardRest reads and discards the rest of a body for as long as its client sends it, so that closing the connection does not
+// reset it while the client still has to read the response. It reports whether the body was read to its end and the connection
+// may be used for a further request.
+func (c *conn) discardRest(body *http1.Body, pace *streaming.Pace) (complete bool) {
+	c.discardSince = time.Now()
+	c.pace = pace
+	c.setReading(true)
+	defer func() {
+		c.setReading(false)
+		c.pace = nil
+		c.discardSince = time.Time{}
+	}()
+	if !c.extendDiscardDeadline(pace.StartWaiting(c.discardSince)) {
+		return false
+	}
+	_, err := io.Copy(io.Discard, body)
+	return err == nil && c.socket.MarkBusy() && c.finishReading() == nil
+}
+
+// extendDiscardDeadline sets the read deadline of a body that is discarded to t, or to the earlier time at which the discarding
+// ends. False means that the connection is evicted.
+func (c *conn) extendDiscardDeadline(t time.Time) bool {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := c.discardSince.Add(maxDiscardTime)
+	if s.draining {
+		end = c.discardSince.Add(drainLinger)
+		if c.discardSince.Before(s.drainStartedAt) {
+			end = s.drainStartedAt.Add(drainLinger)
+		}
+	}
+	if end.Before(t) {
+		t = end
+	}
+	return c.socket.ExtendReadDeadline(t)
+}
+
+// lingerForClose closes the sending side and waits for the client to close the connection, which meanwhile is the first to be
+// evicted. It discards what the client has sent beyond its request, because closing with unread bytes sends a reset, which could
+// overtake the response. It stops reading after maxLingerBytes, and then waits for floodDelay so that the response can arrive.
+func (c *conn) lingerForClose() {
+	_ = c.socket.CloseWrite() // fails on a connection that has ended
+	c.socket.MarkUnused(0)
+	if !c.socket.ExtendReadDeadline(time.Now().Add(c.lingerTime())) {
+		return
+	}
+	if n, _ := io.CopyN(io.Discard, c.reader, maxLingerBytes); n == maxLingerBytes {
+		time.Sleep(floodDelay)
+	}
+}
+
+// lingerTime returns how long the connection waits for the client to close it.
+func (c *conn) lingerTime() time.Duration {
+	switch {
+	case c.rejected:
+		return rejectionLinger
+	case c.server.isDraining():
+		return drainLinger
+	}
+	return lingerTimeout
+}
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -205,9 +205,12 @@
 // extendBodyDeadline sets the read deadline of a body to t. While draining, extendDeadline makes it earlier for a body whose
 // request is not submitted yet; a body that is streamed to a server may continue until the response to its request.
 func (c *conn) extendBodyDeadline(t time.Time) {
-	if c.upload == nil {
+	switch {
+	case !c.discardSince.IsZero():
+		c.extendDiscardDeadline(t)
+	case c.upload == nil:
 		c.extendDeadline(t)
-	} else {
+	default:
 		c.socket.ExtendReadDeadline(t)
 	}
 }
--- a/internal/frontend/reject.go
+++ b/internal/frontend/reject.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"io"
 	"net"
 	"time"
 
@@ -42,24 +41,3 @@
 	c.server.Rejected.Add(1)
 	return &http1.Response{Status: status, Close: closeConn}
 }
-
-// lingerForClose waits for the client to close the connection, which meanwhile is the first to be evicted. It discards what
-// the client has sent beyond its request, because closing with unread bytes sends a reset, which could overtake the response.
-// It stops reading after maxLingerBytes, and then waits for floodDelay so that the response can arrive.
-func (c *conn) lingerForClose() {
-	c.socket.MarkUnused(0)
-	if n, _ := io.CopyN(io.Discard, c.reader, maxLingerBytes); n == maxLingerBytes {
-		time.Sleep(floodDelay)
-	}
-}
-
-// lingerTime returns how long the connection waits for the client to close it.
-func (c *conn) lingerTime() time.Duration {
-	switch {
-	case c.rejected:
-		return rejectionLinger
-	case c.server.isDraining():
-		return drainLinger
-	}
-	return lingerTimeout
-}
--- a/internal/frontend/timeouts.go
+++ b/internal/frontend/timeouts.go
@@ -18,6 +18,7 @@
 	lingerTimeout  = 500 * time.Millisecond // for the client to close the connection
 	drainLinger    = 50 * time.Millisecond  // replaces lingerTimeout while draining, because the process may be killed soon
 	floodDelay     = 100 * time.Millisecond // before the close if maxLingerBytes or more arrive
+	maxDiscardTime = 30 * time.Second       // for the rest of a body whose request has its response
 )
 
 // Accepting connections.
--- a/internal/frontend/upload.go
+++ b/internal/frontend/upload.go
@@ -130,10 +130,7 @@
 			return c.endUpload(r)
 		case kind := <-c.written:
 			u.stopAttemptReads() // before anything else, because an attempt must not read from a connection that has ended
-			if kind != outcome.Open {
-				return kind
-			}
-			return c.discardUpload()
+			return c.discardUpload(kind)
 		case <-c.server.stopped:
 			u.stopAttemptReads()
 			return outcome.ShuttingDown
@@ -188,20 +185,3 @@
 	c.server.Trace("trace=upload request=%q received=%d since_start_ms=%d since_progress_ms=%d client_closed=%t err=%q", r.ID, u.pace.Received,
 		now.Sub(u.pace.StartedAt).Milliseconds(), now.Sub(u.pace.LastProgress).Milliseconds(), c.socket.HasPeerClosed(), u.err)
 }
-
-// discardUpload reads and discards the rest of a body after the response to its request.
-func (c *conn) discardUpload() outcome.Kind {
-	u := c.upload
-	if errors.Is(u.err, errRespondedEarly) {
-		c.pace = u.pace
-		c.socket.ExtendReadDeadline(u.pace.StartWaiting(time.Now()))
-		_, err := io.Copy(io.Discard, u.body)
-		c.pace = nil
-		if err != nil || !c.socket.MarkBusy() || c.socket.SetReadDeadline(time.Time{}) != nil {
-			return outcome.MalformedRequest
-		}
-	}
-	c.upload = nil
-	c.markIdle()
-	return outcome.Open
-}
--- a/internal/frontend/write.go
+++ b/internal/frontend/write.go
@@ -100,12 +100,15 @@
 		_ = c.socket.Close()
 		return kind
 	}
-	if r.Close {
+	bodyRead := c.upload == nil || c.upload.markResponded()
+	switch {
+	case r.Close:
 		_ = c.socket.CloseWrite()
-		c.shortenIdle(c.lingerTime())
+		if bodyRead {
+			c.shortenIdle(0) // wakes the reader, which lingers
+		}
 		return outcomeOfClose(r.Status)
-	}
-	if c.upload == nil || c.upload.markResponded() { // otherwise the request's body is still to be read
+	case bodyRead:
 		c.markIdle()
 	}
 	return outcome.Open
