--- a/internal/frontend/linger_test.go
+++ b/internal/frontend/linger_test.go
@@ -90,7 +90,9 @@
 					<-ended
 				} else {
 					s.Drain(l)
-					<-done
+					if err := <-done; err != nil {
+						t.Error(err)
+					}
 				}
 				if took := time.Since(began); took > limit {
 					t.Errorf("ended after %s", took)
