--- a/cmd/plankrouter/slowclients_test.go
+++ b/cmd/plankrouter/slowclients_test.go
@@ -247,3 +247,48 @@
 		s.stop()
 	})
 }
+
+// The rest of a long body whose request was rejected by its head was taken for the next requests: what a client sends as data
+// was sent to a server.
+func TestRestOfRejectedRequestIsNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := fakes.NewMemory()
+		all, discovery := fakeServers(t, m, 2, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+		s := start(t, m, discovery, nil)
+		hidden := bytes.Repeat([]byte("GET /tile/1 HTTP/1.1\r\nHost: x\r\nReq-Id: hidden\r\nX-Padding: 12\r\n\r\n"), 4000) // of 64 bytes each
+		for name, tc := range map[string]struct {
+			head string
+			body []byte
+			want int
+		}{
+			"no such class, sized":         {"POST /nowhere HTTP/1.1\r\n" + sized(len(hidden)), hidden, 404},
+			"no such class, chunked":       {"POST /nowhere HTTP/1.1\r\n" + chunkedFraming, inChunks(hidden, 10000), 404},
+			"wrong method, sized":          {"POST /tile/1 HTTP/1.1\r\n" + sized(len(hidden)), hidden, 405},
+			"body of a GET, chunked":       {"GET /tile/1 HTTP/1.1\r\n" + chunkedFraming, inChunks(hidden, 10000), 400},
+			"health check, sized":          {"GET /up HTTP/1.1\r\n" + sized(len(hidden)), hidden, 200},
+			"no such class, all at once":   {"POST /nowhere HTTP/1.1\r\nConnection: close\r\n" + sized(len(hidden)), hidden, 404},
+			"no such class, in HTTP/1.0":   {"POST /nowhere HTTP/1.0\r\n" + sized(len(hidden)), hidden, 404},
+			"too many bytes for any class": {"POST /order/1 HTTP/1.1\r\n" + sized(1<<30), hidden, 413},
+		} {
+			c := s.dialFront()
+			_, err := c.Write(append([]byte(tc.head+"\r\nHost: x\r\nReq-Id: "+nextID()+"\r\n\r\n"), tc.body...))
+			if err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+			reader := bufio.NewReader(c)
+			if resp, err := http.ReadResponse(reader, nil); err != nil || resp.StatusCode != tc.want {
+				t.Errorf("%s: %v, %v; want %d", name, resp, err, tc.want)
+			}
+			time.Sleep(100 * time.Millisecond)
+			c.SetReadDeadline(time.Now().Add(time.Second))
+			if more, err := reader.Peek(1); len(more) > 0 {
+				t.Errorf("%s: a second response %q, %v", name, more, err)
+			}
+			c.Close()
+		}
+		if n := all[0].seen["hidden"] + all[1].seen["hidden"]; n != 0 {
+			t.Errorf("%d requests from bodies were sent to servers", n)
+		}
+		s.stop()
+	})
+}
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -36,6 +36,7 @@
 	pendingRequestID   atomic.Pointer[string] // the id of the request whose response is not written yet; nil = none
 	upload             *upload                // the rest of the current request's body; nil = the body is complete
 	pace               *streaming.Pace        // progress of the body that is being read; nil = no body is read
+	unreadBody         *http1.Body            // the rest of the body of a message that is no request; nil = it is complete
 	discardSince       time.Time              // since when the rest of a body is discarded; zero = it is not
 	idleSince          time.Time              // when it last became idle; guarded by server.mu
 	awaitsFirstRequest bool                   // accepted while draining or for rejection: closeIdle skips it; guarded by server.mu
@@ -94,7 +95,7 @@
 		case kind != outcome.Open:
 			return kind
 		case direct != nil:
-			kind = c.writeDirectly(direct)
+			kind = c.respondDirectly(direct)
 		case c.rejected:
 			c.releaseMemory()
 			kind = c.writeDirectly(c.rejection(http.StatusServiceUnavailable, true))
--- a/internal/frontend/linger.go
+++ b/internal/frontend/linger.go
@@ -10,16 +10,13 @@
 	"plankrouter/internal/streaming"
 )
 
-// discardUpload reads and discards the rest of a body whose request has its response. It returns kind, the outcome of writing
-// that response, or another outcome if the connection can't carry a further request.
+// discardUpload reads and discards what attempts have left of a body whose request has its response. kind is the outcome of
+// writing that response; see discardAfterResponse.
 func (c *conn) discardUpload(kind outcome.Kind) outcome.Kind {
 	u := c.upload
 	c.upload = nil
-	if kind == outcome.WriteFailed || kind == outcome.ResponseAborted {
-		return kind
-	}
-	if errors.Is(u.err, errRespondedEarly) && !c.discardRest(u.body, u.pace) && kind == outcome.Open {
-		return outcome.RequestTimedOut
+	if errors.Is(u.err, errRespondedEarly) {
+		return c.discardAfterResponse(kind, u.body, u.pace)
 	}
 	if kind == outcome.Open {
 		c.markIdle()
@@ -27,12 +24,30 @@
 	return kind
 }
 
+// discardAfterResponse reads and discards the rest of a body whose request has its response. It returns kind, the outcome of
+// writing that response, or another outcome if the connection can't carry a further request.
+func (c *conn) discardAfterResponse(kind outcome.Kind, rest *http1.Body, pace *streaming.Pace) outcome.Kind {
+	if kind == outcome.WriteFailed || kind == outcome.ResponseAborted {
+		return kind
+	}
+	complete := c.discardRest(rest, pace)
+	switch {
+	case kind != outcome.Open:
+		return kind
+	case !complete:
+		return outcome.RequestTimedOut
+	}
+	c.markIdle()
+	return outcome.Open
+}
+
 // discardRest reads and discards the rest of a body for as long as its client sends it, so that closing the connection does not
 // reset it while the client still has to read the response. It reports whether the body was read to its end and the connection
 // may be used for a further request.
 func (c *conn) discardRest(body *http1.Body, pace *streaming.Pace) (complete bool) {
 	c.discardSince = time.Now()
 	c.pace = pace
+	c.socket.MarkUnused(minPartialAge)
 	c.setReading(true)
 	defer func() {
 		c.setReading(false)
@@ -43,7 +58,7 @@
 		return false
 	}
 	_, err := io.Copy(io.Discard, body)
-	return err == nil && c.socket.MarkBusy() && c.finishReading() == nil
+	return err == nil && c.socket.MarkBusy() && !c.socket.IsEvicted() && c.finishReading() == nil
 }
 
 // extendDiscardDeadline sets the read deadline of a body that is discarded to t, or to the earlier time at which the discarding
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -27,6 +27,7 @@
 		return nil, nil, outcome.MalformedRequest
 	}
 	c.hasSentMessage = true
+	c.unreadBody = message.Rest
 	if message.Method == http.MethodGet && message.Target == http1.PathUp {
 		return nil, c.healthResponse(message), outcome.Open
 	}
@@ -58,6 +59,7 @@
 		c.extendEvicted(began.Add(timeout))
 	}
 	c.upload = nil
+	c.unreadBody = nil
 	c.pace = nil
 	c.releaseMemory() // of a previous message that was rejected
 }
@@ -122,6 +124,7 @@
 	c.class = translator.names[r.Class]
 	r.ClientGone = c.socket.HasPeerClosed
 	c.upload = nil
+	c.unreadBody = nil
 	if message.Rest != nil {
 		c.upload = &upload{
 			conn: c, body: message.Rest, pace: c.pace, markClientGone: r.MarkClientGone, done: make(chan struct{}),
--- a/internal/frontend/write.go
+++ b/internal/frontend/write.go
@@ -76,6 +76,17 @@
 	}
 }
 
+// respondDirectly writes the response to a message that is no request for the dispatcher, and reads the rest of its body.
+func (c *conn) respondDirectly(r *http1.Response) outcome.Kind {
+	pace := c.pace
+	c.pace = nil // what arrives from now on is not the body, or is discarded
+	kind := c.writeDirectly(r)
+	if c.unreadBody == nil {
+		return kind
+	}
+	return c.discardAfterResponse(kind, c.unreadBody, pace)
+}
+
 // writeDirectly writes a response of the reader goroutine itself.
 func (c *conn) writeDirectly(r *http1.Response) outcome.Kind {
 	return c.writeResponse(pendingResponse{Response: r})
@@ -100,7 +111,7 @@
 		_ = c.socket.Close()
 		return kind
 	}
-	bodyRead := c.upload == nil || c.upload.markResponded()
+	bodyRead := c.unreadBody == nil && (c.upload == nil || c.upload.markResponded())
 	switch {
 	case r.Close:
 		_ = c.socket.CloseWrite()
