--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -69,6 +69,7 @@
 	untilEOF    bool
 	left        int64 // bytes left of the body, or of the current chunk
 	insideChunk bool  // the line end after the current chunk is not read yet
+	inTrailers  bool  // the last chunk is read
 	total       int64 // bytes read
 	err         error
 }
@@ -81,16 +82,10 @@
 	return b.left
 }
 
-// Read reads what has arrived, and waits if nothing has.
+// Read reads what has arrived, and waits if nothing has. After a timeout the caller may continue to read.
 func (b *Body) Read(p []byte) (int, error) {
-	if b.err == nil && b.left == 0 && !b.untilEOF {
-		b.err = io.EOF
-		if b.chunked {
-			b.err = b.nextChunk()
-		}
-	}
-	if b.err != nil {
-		return 0, b.err
+	if err := b.begin(); err != nil {
+		return 0, err
 	}
 	if !b.untilEOF && int64(len(p)) > b.left {
 		p = p[:b.left]
@@ -104,14 +99,46 @@
 		b.left -= int64(n)
 		err = asUnexpectedEOF(err)
 	}
-	if b.chunked || !errors.Is(err, os.ErrDeadlineExceeded) { // after a timeout, the caller may continue to read any other body
+	return n, b.record(err)
+}
+
+// begin reads up to the next byte of the body, if framing precedes it. It returns io.EOF at the end of the body.
+func (b *Body) begin() error {
+	switch {
+	case b.err != nil:
+		return b.err
+	case b.untilEOF || b.left > 0:
+		return nil
+	case b.chunked:
+		return b.record(b.nextChunk())
+	}
+	return b.record(io.EOF)
+}
+
+// record records the error, which every further read returns, unless it is a timeout. It returns err.
+func (b *Body) record(err error) error {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		b.err = err
 	}
-	return n, err
+	return err
 }
 
 // nextChunk reads up to the first byte of the next chunk. It returns io.EOF at the end of the body.
 func (b *Body) nextChunk() error {
+	if !b.inTrailers {
+		if err := b.readChunkSize(); err != nil || b.left > 0 {
+			return err
+		}
+		b.inTrailers = true
+	}
+	if _, err := readHeader(b.reader); err != nil { // trailers are discarded
+		return err
+	}
+	return io.EOF
+}
+
+// readChunkSize reads the end of a chunk, and the line with the size of the next one, which is 0 for the last one.
+func (b *Body) readChunkSize() error {
 	if b.insideChunk {
 		line, err := readLine(b.reader)
 		if err != nil {
@@ -127,17 +154,9 @@
 		return asUnexpectedEOF(err)
 	}
 	size, _, _ := strings.Cut(line, ";")
-	if b.left, err = parseLength(strings.TrimRight(size, " \t"), 16, MaxStreamedBody); err != nil {
-		return err
-	}
-	if b.left > 0 {
-		b.insideChunk = true
-		return nil
-	}
-	if _, err = readHeader(b.reader); err != nil { // trailers are discarded
-		return err
-	}
-	return io.EOF
+	b.left, err = parseLength(strings.TrimRight(size, " \t"), 16, MaxStreamedBody)
+	b.insideChunk = b.left > 0
+	return err
 }
 
 // minBodyBuffer is the initial buffer size, in bytes, for a body of unknown length.
@@ -182,16 +201,14 @@
 
 // waitForMore waits for the next byte of the body, and returns nil, or for its end, and returns io.EOF.
 func (b *Body) waitForMore() error {
-	if b.err == nil && b.chunked && b.left == 0 {
-		b.err = b.nextChunk()
+	if err := b.begin(); err != nil {
+		return err
 	}
-	if b.err == nil {
-		_, b.err = b.reader.Peek(1)
-		if !b.untilEOF {
-			b.err = asUnexpectedEOF(b.err)
-		}
+	_, err := b.reader.Peek(1)
+	if !b.untilEOF {
+		err = asUnexpectedEOF(err)
 	}
-	return b.err
+	return b.record(err)
 }
 
 // asUnexpectedEOF replaces io.EOF by io.ErrUnexpectedEOF, because the connection has ended inside a message. It returns any
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -47,16 +47,37 @@
 	readerPool.Put(reader)
 }
 
-// readLine reads a line, without its line end. A bare LF is a line end, too; a bare CR is malformed.
+// awaitLine waits until the reader has buffered a whole line, or is full. After an error nothing has been consumed, so that the
+// line can be read later if that was a timeout.
+func awaitLine(reader *bufio.Reader) error {
+	for {
+		buffered, _ := reader.Peek(reader.Buffered())
+		if bytes.IndexByte(buffered, '\n') >= 0 {
+			return nil
+		}
+		_, err := reader.Peek(len(buffered) + 1)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			return nil
+		case errors.Is(err, io.EOF) && len(buffered) > 0:
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// readLine reads a line, without its line end. A bare LF is a line end, too; a bare CR is malformed. After a timeout it may be
+// called again.
 func readLine(reader *bufio.Reader) (string, error) {
+	if err := awaitLine(reader); err != nil {
+		return "", err
+	}
 	line, err := reader.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
 		return "", fmt.Errorf("%w: line too long", ErrMalformed)
 	}
 	if err != nil {
-		if errors.Is(err, io.EOF) && len(line) > 0 {
-			err = io.ErrUnexpectedEOF
-		}
 		return "", err
 	}
 	line = bytes.TrimSuffix(line[:len(line)-1], []byte{'\r'})
