--- /dev/null
+++ b/cmd/plankrouter/slowservers_test.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"path"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"plankrouter/internal/testbench/fakes"
+)
+
+// respondRaw writes a response of its own framing on the connection of w, and closes the connection.
+func respondRaw(w http.ResponseWriter, head string, body []byte, piece int, pause time.Duration) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, head+"\r\n\r\n")
+	writeSlowly(c, body, piece, pause)
+}
+
+// get sends a request with a deadline of 1 s, and returns the response, its body, and when the first and the last byte came.
+func (s *service) get(target string) (status int, body []byte, firstByte, lastByte time.Duration, err error) {
+	s.Helper()
+	c := s.dialFront()
+	defer c.Close()
+	sentAt := time.Now()
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Deadline: 1.0\r\n\r\n", target, nextID())
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, nil, 0, 0, err
+	}
+	firstByte = time.Since(sentAt)
+	body, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, body, firstByte, time.Since(sentAt), err
+}
+
+// A long response that its server writes in small pieces was cut off at the deadline if its length is not known in advance,
+// because its first 64 KiB were held back until they were there.
+func TestLongResponseInPiecesIsForwarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := fakes.NewMemory()
+		_, discovery := fakeServers(t, m, 2, func(w http.ResponseWriter, r *http.Request) {
+			const piece, pause = 8 << 10, 125 * time.Millisecond // 64 KiB take a second
+			switch path.Base(r.URL.Path) {
+			case "chunked":
+				writeSlowly(flusher{w}, longBody, piece, pause)
+			case "sized":
+				w.Header().Set("Content-Length", fmt.Sprint(len(longBody)))
+				writeSlowly(flusher{w}, longBody, piece, pause)
+			case "unsized":
+				respondRaw(w, "HTTP/1.1 200 OK", longBody, piece, pause)
+			case "http10":
+				respondRaw(w, "HTTP/1.0 200 OK", longBody, piece, pause)
+			case "tiny-chunks":
+				respondRaw(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked", inChunks(longBody, 10), piece, pause)
+			case "late":
+				time.Sleep(700 * time.Millisecond)
+				writeSlowly(flusher{w}, longBody, piece, pause)
+			}
+		})
+		s := start(t, m, discovery, nil)
+		for _, target := range []string{"chunked", "sized", "unsized", "http10", "tiny-chunks", "late"} {
+			status, body, firstByte, lastByte, err := s.get("/tile/" + target)
+			if status != 200 || err != nil || !bytes.Equal(body, longBody) || firstByte > time.Second {
+				t.Errorf("%s: %d with %d bytes, first after %s, last after %s, %v", target, status, len(body), firstByte, lastByte, err)
+			}
+		}
+		s.stop()
+	})
+}
+
+// A response that stops in its first bytes, or is complete just before the deadline, is judged as a whole: nothing of it is
+// forwarded before.
+func TestShortResponseIsHeldUntilComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := fakes.NewMemory()
+		_, discovery := fakeServers(t, m, 2, func(w http.ResponseWriter, r *http.Request) {
+			switch path.Base(r.URL.Path) {
+			case "stops":
+				_, _ = flusher{w}.Write(longBody[:10_000])
+				<-r.Context().Done()
+			case "late": // the first byte 70 ms before the end of its time, the last 35 ms before
+				time.Sleep(930 * time.Millisecond)
+				_, _ = flusher{w}.Write(longBody[:10_000])
+				time.Sleep(35 * time.Millisecond)
+				_, _ = flusher{w}.Write(longBody[10_000:20_000])
+			}
+		})
+		s := start(t, m, discovery, func(c *fakes.SidecarConfig) { c.MaxAttempts = 1 })
+		if status, body, _, lastByte, err := s.get("/tile/stops"); status < 500 || err != nil || lastByte > 1500*time.Millisecond {
+			t.Errorf("stops: %d with %d bytes after %s, %v", status, len(body), lastByte, err)
+		}
+		if status, body, _, lastByte, err := s.get("/tile/late"); status != 200 || err != nil || !bytes.Equal(body, longBody[:20_000]) {
+			t.Errorf("late: %d with %d bytes after %s, %v", status, len(body), lastByte, err)
+		}
+		s.stop()
+	})
+}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -29,7 +29,9 @@
 	next    *attempt // set by offer; it begins once the connection's goroutine has checked that nothing has been received
 	closing bool     // no further attempt may use it
 
-	readingResponse bool // a response has begun and is not read completely; used by the reading goroutine alone
+	// Used by the reading goroutine alone.
+	readingResponse bool // a response has begun and is not read completely
+	hold            hold // of the response that is being read
 }
 
 func newConn(socket *connlimit.Socket, endpoint *endpoint) *conn {
@@ -38,15 +40,28 @@
 	return c
 }
 
-// Read reads from the socket, and extends the read deadline of a response that makes progress.
+// Read reads from the socket, and extends the read deadline of a response that makes progress. At the end of the hold it times
+// out only if the body is flowing; otherwise it continues to wait for bytes.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.socket.Read(p)
+	for c.readingResponse && errors.Is(err, os.ErrDeadlineExceeded) && c.hold.isOver(time.Now()) && !c.hold.isFlowing() {
+		c.hold.awaitsFlow = true
+		c.socket.SetReadDeadline(c.hold.readDeadline())
+		n, err = c.socket.Read(p)
+	}
 	if n > 0 && c.readingResponse {
-		c.socket.SetReadDeadline(time.Now().Add(maxResponsePause))
+		c.hold.lastProgress = time.Now()
+		c.socket.SetReadDeadline(c.hold.readDeadline())
 	}
 	return n, err
 }
 
+// startHold begins the hold of a response that is due by the given time.
+func (c *conn) startHold(due time.Time) {
+	c.hold = newHold(time.Now(), due)
+	c.socket.SetReadDeadline(c.hold.readDeadline())
+}
+
 // offer gives the idle connection its next attempt. It returns false if the connection is closed.
 func (c *conn) offer(a *attempt) bool {
 	c.mu.Lock()
@@ -102,8 +117,9 @@
 // setReadingResponse sets or removes the read deadline that bounds pauses within a response.
 func (c *conn) setReadingResponse(readingResponse bool) {
 	c.readingResponse = readingResponse
+	c.hold = hold{lastProgress: time.Now()}
 	if readingResponse {
-		c.socket.SetReadDeadline(time.Now().Add(maxResponsePause))
+		c.socket.SetReadDeadline(c.hold.readDeadline())
 	} else {
 		c.socket.SetReadDeadline(time.Time{})
 	}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -31,7 +31,7 @@
 		return failed, false
 	}
 	sentAt := time.Now()
-	response, err := c.readResponse(a)
+	response, err := c.readResponse(a, sentAt)
 	switch {
 	case errors.Is(err, http1.ErrMalformed), errors.Is(err, os.ErrDeadlineExceeded):
 		return result{Result: upstream.Result{Outcome: outcome.Malformed}}, false
@@ -109,19 +109,24 @@
 	return result{Result: upstream.Result{Outcome: outcome.PartlyWritten}, beforeLastByte: true, timeToBreak: time.Since(began)}
 }
 
-// readResponse reads the response, or the beginning of a long one.
-func (c *conn) readResponse(a *attempt) (*http1.Response, error) {
+// readResponse reads the response, or the beginning of a long one. The attempt's last byte was written at sentAt.
+func (c *conn) readResponse(a *attempt, sentAt time.Time) (*http1.Response, error) {
 	bounds := a.endpoint.client.settings.Bounds
 	if bounds == nil || a.isProbe {
 		return http1.ReadResponse(c.reader, a.bodiless, c.setReadingResponse)
 	}
 	reserved := 0
 	defer func() { bounds.Release(reserved) }()
-	return http1.ReadStreamedResponse(c.reader, a.bodiless, c.setReadingResponse, func(n int) bool {
-		if bounds.Reserve(n) {
-			reserved = n
-		}
-		return reserved == n
+	return http1.ReadStreamedResponse(c.reader, http1.ResponseOptions{
+		Bodiless: a.bodiless, OnBegun: c.setReadingResponse,
+		OnUnsized: func() { c.startHold(a.responseDue(sentAt)) },
+		MayStream: func() bool { return c.hold.isOver(time.Now()) },
+		Reserve: func(n int) bool {
+			if bounds.Reserve(n) {
+				reserved = n
+			}
+			return reserved == n
+		},
 	})
 }
 
--- a/internal/discovery/exchange.go
+++ b/internal/discovery/exchange.go
@@ -127,7 +127,9 @@
 		}
 	}
 	// No part of the body is buffered here: readBody reads it.
-	resp, err := http1.ReadStreamedResponse(w.reader, false, onResponseStart, func(int) bool { return false })
+	resp, err := http1.ReadStreamedResponse(w.reader, http1.ResponseOptions{
+		OnBegun: onResponseStart, Reserve: func(int) bool { return false },
+	})
 	if err != nil {
 		return nil, firstByteAt, err
 	}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 )
@@ -25,30 +27,45 @@
 	Bodiless bool   // a response to HEAD: Header describes a body that is not sent
 }
 
+// ResponseOptions are the caller's part in reading a response.
+type ResponseOptions struct {
+	// Bodiless means that no body is read, whatever the header says, as for HEAD.
+	Bodiless bool
+	// OnBegun is called with true after the first byte of each response was received, interim ones included, and with false once
+	// the response is read.
+	OnBegun func(begun bool)
+	// Reserve reserves memory for a body that is held whole. False means that there is none.
+	Reserve func(bytes int) bool
+	// OnUnsized is called before a body of unknown length is read; may be nil.
+	OnUnsized func()
+	// MayStream reports, after the read of a body of unknown length has timed out, whether what has been read may be forwarded
+	// now and the rest streamed. Otherwise the timeout is an error; nil = never.
+	MayStream func() bool
+}
+
 // ReadResponse reads a whole response like ReadStreamedResponse; a body longer than MaxBody is ErrTooLarge.
 func ReadResponse(reader *bufio.Reader, bodiless bool, onBegun func(bool)) (*Response, error) {
-	r, err := ReadStreamedResponse(reader, bodiless, onBegun, func(int) bool { return true })
+	options := ResponseOptions{Bodiless: bodiless, OnBegun: onBegun, Reserve: func(int) bool { return true }}
+	r, err := ReadStreamedResponse(reader, options)
 	if err == nil && r.Rest != nil {
 		return nil, ErrTooLarge
 	}
 	return r, err
 }
 
-// ReadStreamedResponse reads a response, and skips interim ones. With bodiless, as for HEAD, it reads no body, whatever the
-// header says. For each response, it calls onBegun(true) after the first byte was received, and onBegun(false) once the
-// response is read. Of a body that is longer than MaxBody, or for which reserve returns false because there is no memory, it
-// reads only the beginning; Rest has what follows.
-func ReadStreamedResponse(reader *bufio.Reader, bodiless bool, onBegun func(bool), reserve func(int) bool) (*Response, error) {
+// ReadStreamedResponse reads a response, and skips interim ones. Of a body that is longer than MaxBody, for which there is no
+// memory, or which MayStream, it reads only the beginning; Rest has what follows.
+func ReadStreamedResponse(reader *bufio.Reader, options ResponseOptions) (*Response, error) {
 	for range maxInterimResponses {
 		if _, err := reader.Peek(1); err != nil {
 			return nil, err
 		}
-		onBegun(true)
-		r, err := readResponse(reader, bodiless, reserve)
+		options.OnBegun(true)
+		r, err := readResponse(reader, &options)
 		if err != nil {
 			return nil, err
 		}
-		onBegun(false)
+		options.OnBegun(false)
 		if r.Status >= http.StatusOK {
 			return r, nil
 		}
@@ -56,7 +73,7 @@
 	return nil, fmt.Errorf("%w: more than %d interim responses", ErrMalformed, maxInterimResponses)
 }
 
-func readResponse(reader *bufio.Reader, bodiless bool, reserve func(int) bool) (*Response, error) {
+func readResponse(reader *bufio.Reader, options *ResponseOptions) (*Response, error) {
 	line, err := readLine(reader)
 	if err != nil {
 		return nil, err
@@ -70,7 +87,7 @@
 		return nil, err
 	}
 	r.Close = closesConnection(r.Header, minor)
-	if bodiless || !statusHasBody(status) {
+	if options.Bodiless || !statusHasBody(status) {
 		return r, nil
 	}
 	framing, err := parseFraming(r.Header)
@@ -80,12 +97,24 @@
 	if !framing.chunked && !framing.sized { // the body ends with the connection
 		r.Close = true
 	}
-	body, rest, err := framing.newBody(reader, true).readFirst(framing.bytesToBuffer(reserve))
-	r.Body = body
+	return r, r.readBody(reader, framing, options)
+}
+
+// readBody reads the body, or its beginning.
+func (r *Response) readBody(reader *bufio.Reader, f framing, options *ResponseOptions) (err error) {
+	if !f.sized && options.OnUnsized != nil {
+		options.OnUnsized()
+	}
+	body := f.newBody(reader, true)
+	var rest *Body
+	r.Body, rest, err = body.readFirst(f.bytesToBuffer(options.Reserve))
+	if errors.Is(err, os.ErrDeadlineExceeded) && !f.sized && options.MayStream != nil && options.MayStream() {
+		rest, err = body, nil
+	}
 	if rest != nil { // a nil *Body in Rest would not be a nil Stream
 		r.Rest = rest
 	}
-	return r, err
+	return err
 }
 
 // parseStatusLine returns the status and the minor version of HTTP.
