--- a/internal/testbench/fakes/server_serve.go
+++ b/internal/testbench/fakes/server_serve.go
@@ -246,6 +246,8 @@
 		p.recordOutcome(index, Stalled)
 		c.write(full[:len(full)-len(body)])
 		return c.waitForClose()
+	case behaviour.Pieces != nil && !failed:
+		return p.respondInPieces(c, index, body, behaviour.Pieces)
 	case behaviour.ReplaceWith != nil:
 		return p.recordAndSend(c, index, Garbled, behaviour.ReplaceWith)
 	}
--- a/internal/testbench/fakes/server_types.go
+++ b/internal/testbench/fakes/server_types.go
@@ -56,6 +56,24 @@
 	Reset bool // reset the connection afterwards; else close it gracefully
 }
 
+// Framing is how the end of a response is told.
+type Framing uint8
+
+// The framings.
+const (
+	ByLength Framing = iota // Content-Length
+	InChunks                // Transfer-Encoding: chunked, a chunk for each piece
+	ToEnd                   // the connection is closed after the response
+)
+
+// Pieces makes responses long, and writes them slowly.
+type Pieces struct {
+	Length  int           // of the body, in bytes, at least
+	Size    int           // bytes written at a time
+	Pause   time.Duration // between two pieces
+	Framing Framing
+}
+
 // Behaviour is the set of a server's active faults; its zero value has none. Requests affected by Truncate, Stall,
 // FailFraction and ReplaceWith are executed; requests that are declined or reset are not.
 type Behaviour struct {
@@ -66,6 +84,7 @@
 	ResetAfterIdle     time.Duration // requests on a connection idle for longer are reset; 0 = none
 	ResetAfterRequests int           // requests on a connection after this many are reset; 0 = none
 	Truncate           *Truncation   // cuts every response short; nil = none
+	Pieces             *Pieces       // how responses are written; nil = at once
 	Stall              bool          // only the response header is sent, and the connection stays open
 	Unresponsive       bool          // requests and probes get no response, and connections stay open
 	FailFraction       float64       // fraction of requests that get 500 after their execution
--- a/internal/testbench/soak/client.go
+++ b/internal/testbench/soak/client.go
@@ -44,6 +44,8 @@
 	closesEarly                  // closes its connection before the response
 	resetsEarly                  // resets its connection before the response
 	sendsInPieces                // sends the request slowly, in pieces
+	sendsLongBody                // sends a long body in pieces, at a rate that has to be served
+	stopsInBody                  // stops in the middle of a long body and stays
 	sendsLastBytesLate           // sends the last bytes at lastBytesAt, unless the sidecar responds or closes the connection first
 )
 
@@ -53,19 +55,21 @@
 	class          class
 	sidecar        int
 	behaviour      behaviour
-	newConnection  bool      // the last attempt used a new connection
-	resent         bool      // the request was sent again because its connection was closed without a response
-	dialedAt       time.Time // when its new connection was established; zero = sent on a reused connection
-	firstSend      span      // from the first send until the first connection was closed; zero = not sent twice
-	disconnectAt   time.Time // when a client with closesEarly disconnects; zero = after a random delay
-	lastBytesAt    time.Time // with sendsLastBytesLate: when its last bytes are sent
-	seed           uint64    // seed of the random choices while sending
-	startedAt      time.Time // when its first byte was sent, or with sendsLastBytesLate its last bytes
-	sentAt         time.Time // when its last byte was written; zero = not written
-	disconnectedAt time.Time // when the client closed its connection; zero = it did not
-	respondedAt    time.Time
-	status         int  // 0 = no complete response
-	unreachable    bool // no connection could be established
+	newConnection  bool          // the last attempt used a new connection
+	resent         bool          // the request was sent again because its connection was closed without a response
+	dialedAt       time.Time     // when its new connection was established; zero = sent on a reused connection
+	firstSend      span          // from the first send until the first connection was closed; zero = not sent twice
+	disconnectAt   time.Time     // when a client with closesEarly disconnects; zero = after a random delay
+	lastBytesAt    time.Time     // with sendsLastBytesLate: when its last bytes are sent
+	seed           uint64        // seed of the random choices while sending
+	startedAt      time.Time     // when its first byte was sent, or with sendsLastBytesLate its last bytes
+	sentAt         time.Time     // when its last byte was written; zero = not written
+	disconnectedAt time.Time     // when the client closed its connection; zero = it did not
+	respondedAt    time.Time     // of a long response: when its first bytes arrived
+	stoppedAt      time.Time     // with stopsInBody: when its last byte was written; zero = not written
+	stopNoticed    time.Duration // with stopsInBody: from stoppedAt until the sidecar responded or closed the connection
+	status         int           // 0 = no complete response
+	unreachable    bool          // no connection could be established
 	err            string
 	truncated      bool // the response ended before the end that its framing announced
 }
@@ -167,6 +171,10 @@
 		r.behaviour = resetsEarly
 	case p < 0.12:
 		r.behaviour = sendsInPieces
+	case p < 0.15 && r.class.method == http.MethodPost:
+		r.behaviour = sendsLongBody
+	case p < 0.17 && r.class.method == http.MethodPost:
+		r.behaviour = stopsInBody
 	}
 	c.all = append(c.all, r)
 	return r, time.Duration(c.rng.ExpFloat64() / c.rate * float64(time.Second))
@@ -176,7 +184,11 @@
 // closed without a response, or if the sidecar closed a new one before it read the request.
 func (c *clients) send(r *request) {
 	rng := rand.New(rand.NewPCG(r.seed, 1))
-	until := time.Now().Add(r.class.deadline)
+	if r.behaviour == stopsInBody {
+		c.stopInBody(r, rng)
+		return
+	}
+	until := time.Now().Add(r.class.deadline + r.uploadTime())
 	var k *clientConn
 	if r.behaviour != sendsLastBytesLate {
 		k = c.takeIdle()
@@ -244,7 +256,7 @@
 		}
 		k.Close()
 	}()
-	left := time.Until(until)
+	left := min(time.Until(until), r.class.deadline)
 	r.startedAt = time.Now()
 	k.SetDeadline(until.Add(responseSlack + time.Second))
 	if err := c.write(r, k, left, rng); err != nil {
@@ -268,8 +280,13 @@
 		r.err = err.Error()
 		return r.endAfter(k, err)
 	}
+	begunAt := time.Now()
+	k.SetReadDeadline(begunAt.Add(maxDownloadTime))
 	body, err := io.ReadAll(resp.Body)
 	r.respondedAt = time.Now()
+	if len(body) > longBody {
+		r.respondedAt = begunAt
+	}
 	if err != nil {
 		r.truncated, r.err = true, err.Error()
 		return notClosed
@@ -287,7 +304,7 @@
 // written in several pieces, the sidecar may have read the first of them.
 func (r *request) endAfter(k *clientConn, err error) connectionEnd {
 	switch {
-	case timedOut(err):
+	case timedOut(err), r.behaviour == sendsLongBody:
 		return notClosed
 	case r.behaviour == sendsInPieces || r.behaviour == sendsLastBytesLate:
 		return closedUnanswered
@@ -305,14 +322,22 @@
 	return errors.As(err, &ne) && ne.Timeout()
 }
 
+// head returns the head of the request without its framing; left is the time until its deadline.
+func (r *request) head(left time.Duration) string {
+	return fmt.Sprintf("%s /%s/%s HTTP/1.1\r\nHost: api.internal\r\nReq-Id: %s\r\nReq-Deadline: %s\r\n", r.class.method, r.class.name, r.id,
+		r.id, strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+}
+
 // write writes the request according to its behaviour; left is the time until its deadline.
 func (c *clients) write(r *request, k *clientConn, left time.Duration, rng *rand.Rand) error {
 	body := ""
 	if r.class.method == "POST" {
 		body = strings.Repeat("x", 1+rng.IntN(300))
 	}
-	text := fmt.Sprintf("%s /%s/%s HTTP/1.1\r\nHost: api.internal\r\nReq-Id: %s\r\nReq-Deadline: %s\r\n", r.class.method, r.class.name, r.id,
-		r.id, strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	text := r.head(left)
+	if r.behaviour == sendsLongBody {
+		return r.writeLongBody(k, text, rng)
+	}
 	if body != "" {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
--- a/internal/testbench/soak/faults.go
+++ b/internal/testbench/soak/faults.go
@@ -261,6 +261,12 @@
 		if v.proxy != nil {
 			v.proxy.reset()
 		}
+	case Pieces:
+		pieces := fakes.Pieces{
+			Length: longBody + int(t.Draw*maxExtraBody), Size: minPiece, Pause: 60 * time.Millisecond,
+			Framing: pick(t.Draw, fakes.ByLength, fakes.InChunks, fakes.ToEnd),
+		}
+		behave(func(b *fakes.Behaviour) { b.Pieces = &pieces })
 	case Stall:
 		behave(func(b *fakes.Behaviour) { b.Stall = true })
 	case Decline:
--- a/internal/testbench/soak/judge.go
+++ b/internal/testbench/soak/judge.go
@@ -118,6 +118,7 @@
 		attempts := byID[q.id]
 		slices.SortFunc(attempts, func(a, b attempt) int { return a.Sent.Compare(b.Sent) })
 		r.judgeResponse(q, add)
+		r.judgeStopped(q, add)
 		r.judgeResent(q, attempts, add)
 		r.judgeIdempotency(q, attempts, add)
 		r.judgeTimes(q, attempts, add)
@@ -142,7 +143,7 @@
 
 // judgeResponse checks that the request got one final response of its own in time.
 func (r *record) judgeResponse(q *request, add addFunc) {
-	latest := q.startedAt.Add(q.class.deadline + responseSlack)
+	latest := q.timeStart().Add(q.class.deadline + responseSlack)
 	latest = latest.Add(r.slackAt(latest))
 	switch {
 	case q.unreachable || q.sentAt.IsZero() || !q.disconnectedAt.IsZero() || r.killed(q.sidecar, q.startedAt, latest):
@@ -150,7 +151,7 @@
 		add(Lost, q.sentAt, "%s: no response (%s), new connection %t, resent %t, sent %s after the connection was established", q.id, q.err, q.newConnection, q.resent,
 			q.sentAt.Sub(q.dialedAt))
 	case q.respondedAt.After(latest):
-		add(Lost, q.sentAt, "%s: response %s after its deadline", q.id, q.respondedAt.Sub(q.startedAt)-q.class.deadline)
+		add(Lost, q.sentAt, "%s: response %s after its deadline", q.id, q.respondedAt.Sub(q.timeStart())-q.class.deadline)
 	case q.err != "" && q.status == 200:
 		add(WrongResponse, q.respondedAt, "%s: %s", q.id, q.err)
 	}
@@ -202,7 +203,7 @@
 		}
 	}
 	switch {
-	case len(ran) == 0 || r.killed(q.sidecar, q.startedAt, q.startedAt.Add(q.class.deadline)):
+	case len(ran) == 0 || r.killed(q.sidecar, q.startedAt, q.timeStart().Add(q.class.deadline)):
 		return
 	case q.class.idempotency == "side_effect":
 		if last := attempts[len(attempts)-1]; last.Sent.After(ran[0].Sent) {
@@ -225,7 +226,7 @@
 			add(ClientGone, a.Sent, "%s: sent %s after its client disconnected", q.id, late)
 		}
 		sentDeadline, err := strconv.ParseFloat(a.Deadline, 64)
-		left := q.class.deadline - a.Sent.Sub(q.startedAt)
+		left := q.class.deadline - max(0, a.Sent.Sub(q.timeStart()))
 		if over := time.Duration(sentDeadline*float64(time.Second)) - left; err == nil && over > deadlineSlack+r.slackAt(a.Sent) {
 			add(Deadline, a.Sent, "%s: %s was sent deadline %s, but %s were left", q.id, a.Server, a.Deadline, left)
 		}
--- a/internal/testbench/soak/judge_test.go
+++ b/internal/testbench/soak/judge_test.go
@@ -113,7 +113,23 @@
 		"uncordoned":                  {func(r *record) { r.orders = []order{{0, "s1", after(-800), after(50)}} }, ""},
 		"cordoned at another sidecar": {func(r *record) { r.orders = []order{{1, "s1", after(-800), time.Time{}}} }, ""},
 		"partial request":             {func(r *record) { r.unansweredPartial = 1 }, BadClient},
-		"crash":                       {func(r *record) { r.faults["n0"] = []string{"exit status 2"} }, Process},
+		"stopped, told": {func(r *record) {
+			r.requests[0].behaviour, r.requests[0].stoppedAt, r.requests[0].stopNoticed = stopsInBody, after(0), 2700*time.Millisecond
+			r.requests[0].status = 408
+		}, ""},
+		"stopped, not told": {func(r *record) {
+			r.requests[0].behaviour, r.requests[0].stoppedAt, r.requests[0].stopNoticed = stopsInBody, after(0), 3200*time.Millisecond
+			r.requests[0].status = 408
+		}, BadClient},
+		"long body, served in time after its last byte": {func(r *record) {
+			r.requests[0].behaviour = sendsLongBody
+			r.requests[0].sentAt, r.requests[0].respondedAt = after(3000), after(3400)
+		}, ""},
+		"long body, late": {func(r *record) {
+			r.requests[0].behaviour = sendsLongBody
+			r.requests[0].sentAt, r.requests[0].respondedAt = after(3000), after(9000)
+		}, Lost},
+		"crash": {func(r *record) { r.faults["n0"] = []string{"exit status 2"} }, Process},
 		"cold, over budget": {func(r *record) {
 			r.starts["s9"] = []time.Time{after(0)}
 			for i := range slowStartBudget(0) + 5 {
--- a/internal/testbench/soak/plan.go
+++ b/internal/testbench/soak/plan.go
@@ -41,6 +41,7 @@
 	CutAnswers            Kind = "cut_answers" // the proxy resets connections within a response
 	Dribble               Kind = "dribble"     // the proxy forwards responses in small pieces
 	DisconnectDuringStall Kind = "leave_held"  // clients disconnect while their sidecar is stopped and connects to servers
+	Pieces                Kind = "pieces"      // a server writes long responses in pieces
 	Disconnect            Kind = "leave"       // many clients disconnect
 	Flood                 Kind = "flood"       // many connections that send nothing or a partial request
 )
@@ -94,6 +95,7 @@
 	{CutAnswers, 2, 500 * time.Millisecond, 2 * time.Second},
 	{Dribble, 1, 500 * time.Millisecond, 3 * time.Second},
 	{Disconnect, 3, 200 * time.Millisecond, time.Second},
+	{Pieces, 2, 500 * time.Millisecond, 3 * time.Second},
 	{Flood, 1, 500 * time.Millisecond, 2 * time.Second},
 }
 
