--- a/cmd/plankrouter/slowservers_test.go
+++ b/cmd/plankrouter/slowservers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -103,3 +104,58 @@
 		s.stop()
 	})
 }
+
+// The time of a request with a long body didn't start while its server took seconds to read the body, although the client had
+// written all of it: the final response was seconds late.
+func TestResponseIsInTimeWhileServerReadsBody(t *testing.T) {
+	const responseLimit = 1550 * time.Millisecond // the deadline of 1 s, 0.5 s in which a response is not lost, and 50 ms
+	synctest.Test(t, func(t *testing.T) {
+		m := fakes.NewMemory()
+		all, discovery := fakeServers(t, m, 2, func(_ http.ResponseWriter, r *http.Request) {
+			pause, _ := time.ParseDuration(path.Base(r.URL.Path))
+			for {
+				time.Sleep(pause)
+				if _, err := io.CopyN(io.Discard, r.Body, 16<<10); errors.Is(err, io.EOF) {
+					break
+				} else if err != nil {
+					panic(http.ErrAbortHandler)
+				}
+			}
+			time.Sleep(500 * time.Millisecond)
+		})
+		s := start(t, m, discovery, nil)
+		body := make([]byte, 500<<10)
+		for name, tc := range map[string]struct {
+			pause   string // of the server for each 16 KiB
+			framing string
+			raw     []byte
+			want    int
+		}{
+			"8 s, sized":   {"250ms", sized(len(body)), body, 503},
+			"8 s, chunked": {"250ms", chunkedFraming, inChunks(body, 10_000), 503},
+			"2 s, sized":   {"60ms", sized(len(body)), body, 502}, // read in time, but not responded to
+			"0.3 s, sized": {"10ms", sized(len(body)), body, 200},
+		} {
+			c := s.dialFront()
+			head := bytes.Replace(orderHead(tc.framing), []byte("/order/1"), []byte("/order/"+tc.pause), 1)
+			if _, err := c.Write(append(head, tc.raw...)); err != nil {
+				t.Fatal(err)
+			}
+			writtenAt := time.Now()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if took := time.Since(writtenAt); err != nil || resp.StatusCode != tc.want || took > responseLimit {
+				t.Errorf("%s: %v, %v after %s, want %d", name, resp, err, took, tc.want)
+			}
+			c.Close()
+		}
+		time.Sleep(10 * time.Second) // until the servers have read what was sent to them
+		for _, server := range all {
+			for id, n := range server.seen {
+				if n > 1 {
+					t.Errorf("%s was sent %d times", id, n)
+				}
+			}
+		}
+		s.stop()
+	})
+}
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -32,11 +32,13 @@
 	request    *request.Request // nil for a probe
 	bodiless   bool             // the response has no body, even if its header describes one, as for HEAD
 	onEnd      func(upstream.Result)
-	upload     request.Upload  // the rest of the body, which follows message; nil = message is complete
-	onBodySent func()          // called when the last byte of a streamed body is written
-	pause      time.Duration   // how long the last byte is held back on the current connection; 0 = not at all
-	pauseOnNew time.Duration   // how long it is held back on a new connection; 0 = not at all
-	ctx        context.Context // ends with the attempt
+	upload     request.Upload               // the rest of the body, which follows message; nil = message is complete
+	onBodySent func(heldBack time.Duration) // see upstream.AttemptOptions
+	heldBack   time.Duration                // how long the server has held back a body of which the client may have written all
+	timeout    time.Duration                // with upload: how long the client waits after it has written the body
+	pause      time.Duration                // how long the last byte is held back on the current connection; 0 = not at all
+	pauseOnNew time.Duration                // how long it is held back on a new connection; 0 = not at all
+	ctx        context.Context              // ends with the attempt
 	cancel     context.CancelFunc
 
 	// What the estimator learns from the attempt's connections. Written by the goroutine of the current connection.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -71,7 +71,7 @@
 		return result{}, false
 	}
 	if a.upload != nil {
-		a.onBodySent()
+		a.onBodySent(a.heldBack)
 	}
 	return result{}, true
 }
--- a/internal/backend/hold.go
+++ b/internal/backend/hold.go
@@ -48,7 +48,7 @@
 // responseDue returns the time by which the response to an attempt is due whose last byte was written at sentAt.
 func (a *attempt) responseDue(sentAt time.Time) time.Time {
 	if a.deadline.IsZero() { // the time of a streamed request counts from its last byte
-		return sentAt.Add(a.request.Timeout)
+		return sentAt.Add(a.timeout - a.heldBack)
 	}
 	return a.deadline
 }
--- a/internal/backend/lastbyte_test.go
+++ b/internal/backend/lastbyte_test.go
@@ -72,7 +72,7 @@
 				}
 				results := make(chan upstream.Result, 1)
 				options := upstream.AttemptOptions{
-					Request: req, Timeout: time.Minute, OnBodySent: func() {},
+					Request: req, Timeout: time.Minute, OnBodySent: func(time.Duration) {},
 					OnEnd: func(r upstream.Result) { results <- r },
 				}
 				if c.expires > 0 {
--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -30,6 +30,7 @@
 	a.upload = a.request.Remainder
 	a.onBodySent = options.OnBodySent
 	timeout := options.Timeout
+	a.timeout = timeout
 	if a.upload == nil { // the deadline does not apply while the client is still sending the body
 		now := time.Now()
 		a.deadline = options.Deadline
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -5,11 +5,23 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
 	"plankrouter/internal/http1"
 	"plankrouter/internal/request"
+	"plankrouter/internal/upstream"
+)
+
+// maxInSockets is the most bytes of a body that the client may have written, but which are still in the buffers of its socket and
+// of this process's: more than Linux allows for both by default.
+const maxInSockets = 16 << 20
+
+// Why a long body was not written.
+var (
+	errHeldBack   = errors.New("the server has held the body back for longer than the client waits")
+	errWriteEnded = errors.New("the server's connection has failed, or the server has responded early")
 )
 
 // streamBody writes the request up to its last byte, which it returns: releaseLastByte decides whether that may be written. A
@@ -17,20 +29,17 @@
 func (c *conn) streamBody(a *attempt) (last []byte, clientErr error) {
 	buf, free := a.endpoint.client.settings.Bounds.Buffer()
 	defer free()
-	write := func(p []byte) bool {
-		c.socket.SetWriteDeadline(time.Now().Add(maxStreamStall))
-		_, err := c.socket.Write(p)
-		return err == nil && c.socket.HasNothingUnread()
-	}
 	defer c.socket.SetWriteDeadline(time.Time{})
-	if !write(a.message) {
-		return nil, nil
+	if err := c.writePiece(a, a.message); err != nil {
+		return nil, clientError(err)
 	}
 	a.recordViolations(true)
 	allButLast := func(piece []byte) (last []byte, clientErr error) {
 		lastAt := max(0, len(piece)-1)
-		if lastAt > 0 && !write(piece[:lastAt]) {
-			return nil, nil
+		if lastAt > 0 {
+			if err := c.writePiece(a, piece[:lastAt]); err != nil {
+				return nil, clientError(err)
+			}
 		}
 		return append([]byte{}, piece[lastAt:]...), nil
 	}
@@ -50,12 +59,46 @@
 		if err != nil {
 			return nil, err
 		}
-		if n > 0 && !write(piece) {
-			return nil, nil
+		if n > 0 {
+			if err := c.writePiece(a, piece); err != nil {
+				return nil, clientError(err)
+			}
 		}
 	}
 }
 
+// clientError returns err if writing the body has ended for the client's sake, and nil if it has because of the server.
+func clientError(err error) error {
+	if errors.Is(err, errHeldBack) {
+		return err
+	}
+	return nil
+}
+
+// writePiece writes a piece of a request with a long body, and adds the time for which the server holds it back to a.heldBack. That
+// counts only while the client may have written all of the body: its time has started then, although the body isn't sent.
+func (c *conn) writePiece(a *attempt, piece []byte) error {
+	left := a.upload.Length()
+	mayBeWritten := left < maxInSockets // -1 = unknown
+	began := time.Now()
+	limit := maxStreamStall
+	if mayBeWritten {
+		limit = min(limit, a.timeout-a.heldBack-upstream.UploadMargin)
+	}
+	c.socket.SetWriteDeadline(began.Add(limit))
+	_, err := c.socket.Write(piece)
+	if mayBeWritten {
+		a.heldBack += time.Since(began)
+	}
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && limit < maxStreamStall:
+		return errHeldBack
+	case err != nil || !c.socket.HasNothingUnread():
+		return errWriteEnded
+	}
+	return nil
+}
+
 // download is the rest of a long response. Its consumer reads directly from the connection, whose goroutine waits meanwhile.
 type download struct {
 	request.Stream
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	probeTimeout         = 200 * time.Millisecond // a slower response says nothing about the current load
-	attemptTimeoutLead   = 100 * time.Microsecond // how long before the policy's timer for the same time an attempt times out
-	uploadResponseMargin = 15 * time.Millisecond  // how long before the client's timeout an attempt with a streamed body ends
+	probeTimeout       = 200 * time.Millisecond // a slower response says nothing about the current load
+	attemptTimeoutLead = 100 * time.Microsecond // how long before the policy's timer for the same time an attempt times out
 )
 
 // attemptID numbers the attempts and probes of a Dispatcher, from 1 on.
@@ -77,7 +76,7 @@
 	}
 	attempt.upstreamAttempt = server.process.Start(upstream.AttemptOptions{
 		Request: req, Timeout: timeout, Deadline: deadline, StartBy: firstByteDeadline, Expires: attempt.expires,
-		OnBodySent: func() { d.send(bodySent{id}) },
+		OnBodySent: func(heldBack time.Duration) { d.send(bodySent{id, heldBack}) },
 		OnEnd: func(r upstream.Result) {
 			if !d.send(attemptEnded{id, r}) {
 				closeBody(r.Remainder)
@@ -118,10 +117,11 @@
 	if pending == nil || pending.closed {
 		return
 	}
-	now := time.Now() // the client's timeout and the attempt's duration start here
+	now := time.Now() // the attempt's duration starts here
 	attempt.startedAt = now
-	pending.request.SentAt = now
-	attempt.timeout = &timer{kind: attemptTimeout, fireAt: now.Add(d.waitLimit(pending.request) - uploadResponseMargin), attempt: e.attempt}
+	pending.request.SentAt = now.Add(-e.heldBack) // the client's timeout may have started then
+	fireAt := pending.request.SentAt.Add(d.waitLimit(pending.request) - upstream.UploadMargin)
+	attempt.timeout = &timer{kind: attemptTimeout, fireAt: fireAt, attempt: e.attempt}
 	heap.Push(&d.timers, attempt.timeout)
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -25,7 +25,10 @@
 		attempt attemptID
 		upstream.Result
 	}
-	bodySent         struct{ attempt attemptID }
+	bodySent struct {
+		attempt  attemptID
+		heldBack time.Duration // see upstream.AttemptOptions
+	}
 	endpointsUpdated struct {
 		endpoints.List
 		arrivedAt time.Time
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -34,17 +34,22 @@
 	Address() string
 }
 
+// UploadMargin is how long before the client's timeout an attempt with a streamed body ends.
+const UploadMargin = 15 * time.Millisecond
+
 // AttemptOptions describe an attempt to start.
 type AttemptOptions struct {
 	// Request is the request to send. Once its client is gone, which Request.CheckClientGone checks, neither the first nor
 	// the last byte of the attempt may be written. nil = a probe for the server's load.
-	Request    *request.Request
-	Timeout    time.Duration // after which the attempt will be cancelled; it is sent to the server
-	Deadline   time.Time     // when it will be cancelled: its last byte must not be written later; zero = Timeout after it is sent
-	StartBy    time.Time     // its first byte must not be written later; zero = no limit
-	Expires    time.Time     // neither its first nor its last byte may be written later; zero = no limit
-	OnBodySent func()        // called when the last byte of a Request with a Remainder is written
-	OnEnd      func(Result)  // called once from any goroutine, unless cancelled or withdrawn; may wait for the dispatcher
+	Request  *request.Request
+	Timeout  time.Duration // after which the attempt will be cancelled; it is sent to the server
+	Deadline time.Time     // when it will be cancelled: its last byte must not be written later; zero = Timeout after it is sent
+	StartBy  time.Time     // its first byte must not be written later; zero = no limit
+	Expires  time.Time     // neither its first nor its last byte may be written later; zero = no limit
+	// OnBodySent is called when the last byte of a Request with a Remainder is written. The client may have written all of the body
+	// by heldBack before, since the server has held the body back for so long.
+	OnBodySent func(heldBack time.Duration)
+	OnEnd      func(Result) // called once from any goroutine, unless cancelled or withdrawn; may wait for the dispatcher
 }
 
 // Attempt is an attempt in flight. Its methods are safe for concurrent use and do not block.
