--- a/internal/frontend/linger_test.go
+++ b/internal/frontend/linger_test.go
@@ -104,3 +104,47 @@
 		})
 	}
 }
+
+// lateDispatcher reads the rest of each body only after a while, as an attempt does whose connection is established late.
+type lateDispatcher struct {
+	uploadDispatcher
+	after time.Duration
+}
+
+func (l lateDispatcher) Submit(r *request.Request) bool {
+	time.AfterFunc(l.after, func() { l.uploadDispatcher.Submit(r) })
+	return true
+}
+
+// A client that stopped in a long body got its error 3.5 s later if the body was read late: its pause counted from when its last
+// bytes were read, not from when they arrived.
+func TestPauseCountsFromArrival(t *testing.T) {
+	const limit = 3 * time.Second
+	cfg := &config.Config{}
+	cfg.Settings.Classes = []config.Class{{Name: "order", HardLimitMs: 1000}}
+	bounds := streaming.New(1<<20, 16)
+	s := New(cfg, lateDispatcher{after: time.Second}, connlimit.NewBudget(16, nil), new(metrics.Registry), bounds)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(t.Context(), l) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: x\r\nReq-Id: a\r\nContent-Length: 1000000\r\n\r\n%s", strings.Repeat("x", 100<<10))
+	stoppedAt := time.Now()
+	c.SetReadDeadline(stoppedAt.Add(2 * limit))
+	response, _ := io.ReadAll(c)
+	if took := time.Since(stoppedAt); !strings.HasPrefix(string(response), "HTTP/1.1 408") || took > limit {
+		t.Errorf("%q after %s", response, took)
+	}
+	c.Close()
+	s.Drain(l)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -152,7 +152,8 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.socket.Read(p)
 	if c.pace != nil && n > 0 {
-		c.extendBodyDeadline(c.pace.Progress(n, time.Now()))
+		sinceArrival, _ := c.socket.SinceLastReceive()
+		c.extendBodyDeadline(c.pace.Progress(n, time.Now(), sinceArrival))
 	}
 	return n, err
 }
--- a/internal/streaming/pace.go
+++ b/internal/streaming/pace.go
@@ -8,14 +8,14 @@
 	maxPause  = 2700 * time.Millisecond
 	minRate   = 24 << 10               // bytes per second, on average after rateGrace
 	rateGrace = maxPause               // time by which a body may exceed the time that minRate allows
-	minWait   = 100 * time.Millisecond // for bytes that may have arrived while the body was not read
+	minWait   = 250 * time.Millisecond // for a sender that was held back while the body was not read
 )
 
 // Pace bounds the time in which a body is received. Only the time in which the body's reader waits for the sender counts
 // against the rate: while nobody reads, the sender is held back. It reads no clock.
 type Pace struct {
 	StartedAt    time.Time
-	LastProgress time.Time // when bytes were last received; before the first ones, StartedAt
+	LastProgress time.Time // when the last bytes arrived; before the first ones, StartedAt
 	Received     int64     // bytes
 
 	waitingSince time.Time
@@ -31,12 +31,15 @@
 	return p.deadline(now)
 }
 
-// Progress records that n bytes were received, and returns the time by which more must have been received if the read goes on.
-func (p *Pace) Progress(n int, now time.Time) time.Time {
+// Progress records that n bytes were received, of which the last arrived sinceArrival ago, and returns the time by which more must
+// have been received if the read goes on.
+func (p *Pace) Progress(n int, now time.Time, sinceArrival time.Duration) time.Time {
 	p.waited += now.Sub(p.waitingSince)
 	p.waitingSince = now
 	p.Received += int64(n)
-	p.LastProgress = now
+	if arrivedAt := now.Add(-sinceArrival); arrivedAt.After(p.LastProgress) {
+		p.LastProgress = arrivedAt
+	}
 	return p.deadline(now)
 }
 
--- a/internal/streaming/pace_test.go
+++ b/internal/streaming/pace_test.go
@@ -19,7 +19,7 @@
 			return deadline.Sub(start)
 		}
 		n := min(piece, size)
-		deadline = p.Progress(n, now)
+		deadline = p.Progress(n, now, 0)
 		size -= n
 	}
 	return 0
@@ -58,14 +58,17 @@
 	at := func(after time.Duration) time.Time { return start.Add(after) }
 	p := NewPace(start)
 	p.StartWaiting(start)
-	p.Progress(8<<10, at(100*ms))
+	p.Progress(8<<10, at(100*ms), 0)
 	if got := p.StartWaiting(at(1100 * ms)).Sub(start); got != 100*ms+maxPause {
 		t.Errorf("read again 1 s after the last bytes: until %s, want %s", got, 100*ms+maxPause)
 	}
 	if got := p.StartWaiting(at(20_000 * ms)).Sub(start); got != 20_000*ms+minWait {
 		t.Errorf("read again long after the last bytes: until %s, want %s", got, 20_000*ms+minWait)
 	}
-	if got := p.Progress(8<<10, at(20_010*ms)).Sub(start); got != 20_010*ms+maxPause {
-		t.Errorf("after bytes that had arrived meanwhile: until %s, want %s", got, 20_010*ms+maxPause)
+	if got := p.Progress(8<<10, at(20_010*ms), 10*ms).Sub(start); got != 20_000*ms+maxPause {
+		t.Errorf("after bytes that had arrived meanwhile: until %s, want %s", got, 20_000*ms+maxPause)
+	}
+	if got := p.Progress(8<<10, at(20_020*ms), 15_000*ms).Sub(start); got != 20_000*ms+maxPause {
+		t.Errorf("after bytes that had arrived before others: until %s, want %s", got, 20_000*ms+maxPause)
 	}
 }
