--- a/cmd/plankrouter/slowclients_test.go
+++ b/cmd/plankrouter/slowclients_test.go
@@ -152,6 +152,14 @@
 				t.Errorf("%s: %d %q, want %d", name, status, rest, tc.want)
 			}
 		}
+		for _, sent := range []int{1, 30, len(orderHead(sized(5))) - 1} { // in the request line, in a header line, before the last LF
+			received, respondedAfter, _ := s.sendAndStay(orderHead(sized(5))[:sent], nil)
+			if len(received) == 0 || respondedAfter > badClientLimit {
+				t.Errorf("%d bytes of the head: %q after %s", sent, received, respondedAfter)
+			} else if status, _ := parse(t, string(received)); status != 408 {
+				t.Errorf("%d bytes of the head: %d, want 408", sent, status)
+			}
+		}
 		if f := s.counters(); f.Concurrent != 0 {
 			t.Errorf("%d requests are open", f.Concurrent)
 		}
--- a/internal/frontend/linger_test.go
+++ b/internal/frontend/linger_test.go
@@ -116,7 +116,7 @@
 	return true
 }
 
-// A client that stopped in a long body got its error 3.5 s later if the body was read late: its pause counted from when its last
+// A client that stopped in a long body got its error more than 3 s later if the body was read late: its pause counted from when its last
 // bytes were read, not from when they arrived.
 func TestPauseCountsFromArrival(t *testing.T) {
 	const limit = 3 * time.Second
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -19,7 +19,7 @@
 	Class       int           // index of the class in the policy's settings
 	Tenant      int           // index of the tenant in the policy's settings; -1 = none of those tenants
 	ClientRetry bool          // the client marked it as a retry
-	SentAt      time.Time     // when the client sent the request; with a Remainder, when the last byte of the body was forwarded
+	SentAt      time.Time     // when the client sent the request; with a Remainder, when it may have sent the last byte of the body
 	Timeout     time.Duration // how long the client waits, from SentAt
 
 	Host      string // intended host, if the protocol has one; "" = the address of the server it is sent to
@@ -116,7 +116,7 @@
 	// Submit passes a request to the dispatcher, which calls its Respond exactly once, unless ClientGone is called first. False
 	// means that the dispatcher has stopped and will not call Respond.
 	Submit(*Request) bool
-	// ClientGone reports that the client is gone.
+	// ClientGone reports that the client is gone, or that the rest of its request's body can't be read.
 	ClientGone(*Request)
 	// Ready reports whether a request could be served now.
 	Ready() bool
