--- a/cmd/plankrouter/slowclients_test.go
+++ b/cmd/plankrouter/slowclients_test.go
@@ -167,6 +167,24 @@
 	})
 }
 
+// framedBody is a body as it is sent, with the header lines that describe it.
+type framedBody struct {
+	framing string
+	raw     []byte
+}
+
+// inEveryFraming returns the body sized and chunked, on a connection that is kept and on one that is closed after the response.
+func inEveryFraming(body []byte) map[string]framedBody {
+	const lastOne = "\r\nConnection: close"
+	chunks := inChunks(body, 10000)
+	return map[string]framedBody{
+		"sized":             {sized(len(body)), body},
+		"sized, last one":   {sized(len(body)) + lastOne, body},
+		"chunked":           {chunkedFraming, chunks},
+		"chunked, last one": {chunkedFraming + lastOne, chunks},
+	}
+}
+
 // startBreaking starts the program in front of servers that close the connection after 100 KiB of a body.
 func startBreaking(t *testing.T) *service {
 	m := fakes.NewMemory()
@@ -197,21 +215,12 @@
 func TestConnectionIsClosedAfterEarlyResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := startBreaking(t)
-		for name, framing := range map[string]string{
-			"sized":             sized(len(longBody)),
-			"sized, last one":   sized(len(longBody)) + "\r\nConnection: close",
-			"chunked":           chunkedFraming,
-			"chunked, last one": chunkedFraming + "\r\nConnection: close",
-		} {
-			body := longBody
-			if framing[0] == 'T' {
-				body = inChunks(longBody, 10000)
-			}
-			received, respondedAfter, closedAfter := s.sendAndStay(append(orderHead(framing), body[:200<<10]...), nil)
+		for name, body := range inEveryFraming(longBody) {
+			received, respondedAfter, closedAfter := s.sendAndStay(append(orderHead(body.framing), body.raw[:200<<10]...), nil)
 			if status, _ := parse(t, string(received)); status != 503 || respondedAfter > time.Second || closedAfter > badClientLimit {
 				t.Errorf("%s: %d after %s, closed after %s", name, status, respondedAfter, closedAfter)
 			}
-			if !s.sendAndProbe(append(orderHead(framing), body[:200<<10]...)) {
+			if !s.sendAndProbe(append(orderHead(body.framing), body.raw[:200<<10]...)) {
 				t.Errorf("%s: still open %s after the client has stopped", name, badClientLimit+time.Second)
 			}
 		}
@@ -224,27 +233,16 @@
 func TestRestOfBodyIsReadAfterEarlyResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := startBreaking(t)
-		whole := bytes.Repeat(longBody, 4)
-		for name, framing := range map[string]string{
-			"sized":             sized(len(whole)),
-			"sized, last one":   sized(len(whole)) + "\r\nConnection: close",
-			"chunked":           chunkedFraming,
-			"chunked, last one": chunkedFraming + "\r\nConnection: close",
-		} {
-			body := whole
-			if framing[0] == 'T' {
-				body = inChunks(whole, 10000)
-			}
+		for name, body := range inEveryFraming(bytes.Repeat(longBody, 4)) {
+			const atOnce = 150 << 10
 			c := s.dialFront()
-			_, err := c.Write(append(orderHead(framing), body[:150<<10]...))
-			for body = body[150<<10:]; len(body) > 0 && err == nil; {
+			_, err := c.Write(append(orderHead(body.framing), body.raw[:atOnce]...))
+			if err == nil {
 				time.Sleep(500 * time.Millisecond)
-				n := min(32<<10, len(body))
-				_, err = c.Write(body[:n])
-				body = body[n:]
+				err = fakes.WriteInPieces(c, body.raw[atOnce:], 32<<10, 500*time.Millisecond)
 			}
 			if err != nil {
-				t.Errorf("%s: %v with %d bytes left", name, err, len(body))
+				t.Errorf("%s: %v", name, err)
 			}
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 			if err != nil || resp.StatusCode != 503 {
