--- a/internal/frontend/linger.go
+++ b/internal/frontend/linger.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"os"
 	"time"
 
 	"plankrouter/internal/http1"
@@ -10,6 +11,9 @@
 	"plankrouter/internal/streaming"
 )
 
+// errEvicted means that the connection was closed, or has to be, to make room for another.
+var errEvicted = errors.New("connection is evicted")
+
 // discardUpload reads and discards what attempts have left of a body whose request has its response. kind is the outcome of
 // writing that response; see discardAfterResponse.
 func (c *conn) discardUpload(kind outcome.Kind) outcome.Kind {
@@ -30,21 +34,22 @@
 	if kind == outcome.WriteFailed || kind == outcome.ResponseAborted {
 		return kind
 	}
-	complete := c.discardRest(rest, pace)
+	err := c.discardRest(rest, pace)
 	switch {
 	case kind != outcome.Open:
 		return kind
-	case !complete:
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return outcome.RequestTimedOut
+	case err != nil:
+		return outcome.MalformedRequest
 	}
 	c.markIdle()
 	return outcome.Open
 }
 
 // discardRest reads and discards the rest of a body for as long as its client sends it, so that closing the connection does not
-// reset it while the client still has to read the response. It reports whether the body was read to its end and the connection
-// may be used for a further request.
-func (c *conn) discardRest(body *http1.Body, pace *streaming.Pace) (complete bool) {
+// reset it while the client still has to read the response. After an error the connection can't be used for a further request.
+func (c *conn) discardRest(body *http1.Body, pace *streaming.Pace) error {
 	c.discardSince = time.Now()
 	c.pace = pace
 	c.socket.MarkUnused(minPartialAge)
@@ -55,10 +60,15 @@
 		c.discardSince = time.Time{}
 	}()
 	if !c.extendDiscardDeadline(pace.StartWaiting(c.discardSince)) {
-		return false
+		return errEvicted
+	}
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return err
+	}
+	if !c.socket.MarkBusy() || c.socket.IsEvicted() {
+		return errEvicted
 	}
-	_, err := io.Copy(io.Discard, body)
-	return err == nil && c.socket.MarkBusy() && !c.socket.IsEvicted() && c.finishReading() == nil
+	return c.finishReading()
 }
 
 // extendDiscardDeadline sets the read deadline of a body that is discarded to t, or to the earlier time at which the discarding
