--- a/review/standins-2/pipelined.go
+++ b/review/standins-2/pipelined.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases["6"] = pipelined }
+func init() { cases["9"] = pipelined }
 
 const (
 	pipelinedRounds = 8
--- a/review/standins-2/restart.go
+++ b/review/standins-2/restart.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["7"] = restart }
+func init() { cases["8"] = restart }
 
 const (
 	restartRounds  = 6
