--- a/review/standins-2/rig.go
+++ b/review/standins-2/rig.go
@@ -38,6 +38,7 @@
 	mu     sync.Mutex
 	record *bufio.Writer
 	procs  []*process
+	ended  bool // no further process may be started
 }
 
 func newRig(root, recordPath string) (*rig, error) {
@@ -62,7 +63,11 @@
 
 // end ends all processes, and writes out the record.
 func (r *rig) end() {
-	for _, p := range r.procs {
+	r.mu.Lock()
+	r.ended = true
+	procs := r.procs
+	r.mu.Unlock()
+	for _, p := range procs {
 		p.kill()
 	}
 	r.mu.Lock()
@@ -119,6 +124,11 @@
 	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + r.tmp}, env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.ExtraFiles = files
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended {
+		return nil, errors.New("the case has ended")
+	}
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
@@ -130,7 +140,7 @@
 		close(p.done)
 	}()
 	r.procs = append(r.procs, p)
-	r.note("process %s started, pid %d", name, cmd.Process.Pid)
+	go r.note("process %s started, pid %d", name, cmd.Process.Pid)
 	return p, nil
 }
 
